--- /dev/null
+++ b/src/cli/query_commands.h
@@ -0,0 +1,12 @@
+#pragma once
+
+#include "cli/commands.h"
+
+namespace dogwoodvalve {
+
+ExitCode runGet(const Words &words);
+ExitCode runStatus(const Words &words);
+ExitCode runExplain(const Words &words);
+ExitCode runEntry(const Words &words);
+
+} // namespace dogwoodvalve
--- /dev/null
+++ b/src/codec/object_reader.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include <dogwoodvalve/labels.h>
+#include <dogwoodvalve/result.h>
+#include <dogwoodvalve/selector.h>
+
+#include <nlohmann/json.hpp>
+
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace dogwoodvalve {
+
+/// Reads the members of a JSON object strictly and remembers the first failure. Members are read
+/// by name; finish() refuses every member that nobody asked for. Reading goes on after a failure
+/// with the default values, so that a caller checks once, at the end.
+class ObjectReader
+{
+public:
+    ObjectReader(const nlohmann::json &object, std::string path);
+
+    std::string text(std::string_view key, std::string fallback = {});
+    std::string requiredText(std::string_view key);
+    bool flag(std::string_view key, bool fallback);
+    std::int64_t integer(std::string_view key, std::int64_t fallback, std::int64_t least,
+                         std::int64_t most);
+    double number(std::string_view key, double fallback, double least, double most);
+    std::vector<std::string> textList(std::string_view key, std::vector<std::string> fallback = {});
+    Labels labels(std::string_view key);
+    Selector selector(std::string_view key);
+
+    /// The member, or nullptr if it is absent; it then counts as read.
+    const nlohmann::json *member(std::string_view key);
+
+    /// Records a failure at a key, unless one is recorded already.
+    void fail(std::string_view key, std::string message, std::string remedy);
+    /// Takes over the failure of a reader of a part of this object.
+    void adopt(const ObjectReader &part);
+
+    /// Refuses members that were not read.
+    void finish();
+
+    const std::optional<Error> &failure() const { return m_failure; }
+    const std::string &failedPath() const { return m_failedPath; }
+    std::string pathOf(std::string_view key) const;
+
+private:
+    const nlohmann::json &m_object;
+    std::string m_path;
+    std::vector<std::string> m_read;
+    std::optional<Error> m_failure;
+    std::string m_failedPath;
+};
+
+} // namespace dogwoodvalve
--- /dev/null
+++ b/src/codec/peer_codec.cpp
@@ -0,0 +1,232 @@
+#include "codec/peer_codec.h"
+
+#include <nlohmann/json.hpp>
+
+namespace dogwoodvalve {
+
+using nlohmann::json;
+
+namespace {
+
+constexpr std::size_t MaxTextBytes = 4096;
+
+/// Message types as they stand on the wire. The numbers never change.
+enum class WireType : std::uint8_t {
+    Hello = 1,
+    Heartbeat = 2,
+    Members = 3,
+    ConfigurationRequest = 4,
+    Configuration = 5,
+    Goodbye = 6,
+};
+
+json memberToJson(const Member &member)
+{
+    return json::array({member.name, member.address, member.peerAddress, member.zone, member.region,
+                        member.boot, member.incarnation, static_cast<int>(member.state)});
+}
+
+/// Reads the fields of an array in order; remembers whether all were there and of their type.
+class FieldReader
+{
+public:
+    explicit FieldReader(const json &fields, std::size_t first)
+        : m_fields(fields)
+        , m_next(first)
+    { }
+
+    std::string text(std::size_t most = MaxTextBytes)
+    {
+        const json *field = take();
+        if (!field || !(field->is_string() || field->is_binary()))
+            return failed<std::string>();
+        std::string value = field->is_string()
+            ? field->get<std::string>()
+            : std::string(field->get_binary().begin(), field->get_binary().end());
+        return value.size() > most ? failed<std::string>() : value;
+    }
+
+    std::uint64_t number()
+    {
+        const json *field = take();
+        if (!field || !field->is_number_unsigned())
+            return failed<std::uint64_t>();
+        return field->get<std::uint64_t>();
+    }
+
+    const json &list()
+    {
+        static const json Empty = json::array();
+        const json *field = take();
+        if (field && field->is_array())
+            return *field;
+        m_good = false;
+        return Empty;
+    }
+
+    bool good() const { return m_good; }
+
+private:
+    const json *take()
+    {
+        if (!m_fields.is_array() || m_next >= m_fields.size())
+            return nullptr;
+        return &m_fields[m_next++];
+    }
+
+    template <class Value>
+    Value failed()
+    {
+        m_good = false;
+        return {};
+    }
+
+    const json &m_fields;
+    std::size_t m_next;
+    bool m_good = true;
+};
+
+Member readMember(const json &fields, bool &good)
+{
+    FieldReader reader(fields, 0);
+    Member member;
+    member.name = reader.text();
+    member.address = reader.text();
+    member.peerAddress = reader.text();
+    member.zone = reader.text();
+    member.region = reader.text();
+    member.boot = reader.number();
+    member.incarnation = static_cast<std::uint32_t>(reader.number());
+    const std::uint64_t state = reader.number();
+    good = good && reader.good() && !member.name.empty()
+        && state <= static_cast<std::uint64_t>(MemberState::Dead);
+    if (good)
+        member.state = static_cast<MemberState>(state);
+    return member;
+}
+
+json typed(WireType type)
+{
+    return json::array({static_cast<int>(type)});
+}
+
+/// Writes each kind of message.
+struct MessageWriter
+{
+    json operator()(const HelloMessage &message) const
+    {
+        json out = typed(WireType::Hello);
+        out.push_back(memberToJson(message.self));
+        return out;
+    }
+
+    json operator()(const HeartbeatMessage &message) const
+    {
+        return json::array({static_cast<int>(WireType::Heartbeat), message.nextOffset,
+                            message.snapshot, message.viewDigest});
+    }
+
+    json operator()(const MembersMessage &message) const
+    {
+        json list = json::array();
+        for (const Member &member : message.members)
+            list.push_back(memberToJson(member));
+        json out = typed(WireType::Members);
+        out.push_back(std::move(list));
+        out.push_back(message.wantsView ? 1 : 0);
+        return out;
+    }
+
+    json operator()(const ConfigurationRequestMessage &message) const
+    {
+        return json::array({static_cast<int>(WireType::ConfigurationRequest), message.from});
+    }
+
+    json operator()(const ConfigurationMessage &message) const
+    {
+        json out = typed(WireType::Configuration);
+        out.push_back(message.transfer.from);
+        out.push_back(json(message.transfer.records));
+        out.push_back(message.transfer.snapshot);
+        return out;
+    }
+
+    json operator()(const GoodbyeMessage &) const { return typed(WireType::Goodbye); }
+};
+
+MembersMessage readMembers(FieldReader &reader, bool &good)
+{
+    MembersMessage message;
+    for (const json &fields : reader.list())
+        message.members.push_back(readMember(fields, good));
+    message.wantsView = reader.number() != 0;
+    return message;
+}
+
+ConfigurationMessage readConfiguration(FieldReader &reader, bool &good)
+{
+    ConfigurationMessage message;
+    message.transfer.from = reader.number();
+    for (const json &record : reader.list()) {
+        if (record.is_string())
+            message.transfer.records.push_back(record.get<std::string>());
+        else
+            good = false;
+    }
+    message.transfer.snapshot = reader.text(MaxPeerMessageBytes);
+    return message;
+}
+
+PeerMessage readFields(WireType type, FieldReader &reader, bool &good)
+{
+    switch (type) {
+    case WireType::Hello:
+        return HelloMessage{readMember(reader.list(), good)};
+    case WireType::Heartbeat: {
+        HeartbeatMessage message;
+        message.nextOffset = reader.number();
+        message.snapshot = reader.number();
+        message.viewDigest = reader.number();
+        return message;
+    }
+    case WireType::Members:
+        return readMembers(reader, good);
+    case WireType::ConfigurationRequest:
+        return ConfigurationRequestMessage{reader.number()};
+    case WireType::Configuration:
+        return readConfiguration(reader, good);
+    case WireType::Goodbye:
+        return GoodbyeMessage{};
+    }
+    good = false;
+    return GoodbyeMessage{};
+}
+
+} // namespace
+
+std::string writePeerMessage(const PeerMessage &message)
+{
+    std::string bytes;
+    json::to_cbor(std::visit(MessageWriter{}, message), bytes);
+    return bytes;
+}
+
+Result<PeerMessage> readPeerMessage(std::string_view bytes)
+{
+    const Error malformed{ErrorKind::Malformed, "a peer's message is malformed",
+                          "run versions of the program that are next to each other"};
+    if (bytes.size() > MaxPeerMessageBytes)
+        return malformed;
+    const json fields = json::from_cbor(bytes, true, false);
+    FieldReader reader(fields, 0);
+    const std::uint64_t type = reader.number();
+    if (!reader.good() || type > static_cast<std::uint64_t>(WireType::Goodbye))
+        return malformed;
+    bool good = true;
+    PeerMessage message = readFields(static_cast<WireType>(type), reader, good);
+    if (!good || !reader.good())
+        return malformed;
+    return message;
+}
+
+} // namespace dogwoodvalve
--- /dev/null
+++ b/src/codec/step_codec.cpp
@@ -0,0 +1,239 @@
+#include "codec/step_codec.h"
+
+#include "codec/object_reader.h"
+
+#include <array>
+#include <charconv>
+
+namespace dogwoodvalve {
+
+using nlohmann::json;
+
+namespace {
+
+constexpr std::int64_t MaxPositions = 10'000'000;
+constexpr std::int64_t MaxLayer = 100'000;
+
+template <class Number>
+void appendNumber(std::string &out, Number number)
+{
+    std::array<char, 32> text{};
+    const auto end = std::to_chars(text.data(), text.data() + text.size(), number).ptr;
+    out.append(text.data(), end);
+}
+
+template <class Number>
+void appendMember(std::string &out, std::string_view name, Number number)
+{
+    out += '"';
+    out += name;
+    out += "\":";
+    appendNumber(out, number);
+    out += ',';
+}
+
+template <class Number>
+void appendList(std::string &out, std::string_view name, std::span<const Number> numbers)
+{
+    if (numbers.empty())
+        return;
+    out += '"';
+    out += name;
+    out += "\":[";
+    for (const Number number : numbers) {
+        appendNumber(out, number);
+        out += ',';
+    }
+    out.back() = ']';
+    out += ',';
+}
+
+void appendText(std::string &out, std::string_view name, std::string_view text)
+{
+    if (text.empty())
+        return;
+    out += '"';
+    out += name;
+    out += "\":";
+    out += json(text).dump(-1, ' ', false, json::error_handler_t::replace);
+    out += ',';
+}
+
+void appendSequence(std::string &out, SequenceId sequence)
+{
+    appendMember(out, "o", sequence.origin);
+    appendMember(out, "n", sequence.number);
+}
+
+/// Closes an object whose last member left a comma.
+void endLine(std::string &out)
+{
+    out.back() = '}';
+    out += '\n';
+}
+
+/// Fills a list of whole numbers that fit the element type.
+template <class Number>
+bool readNumbers(const json *list, std::vector<Number> &numbers)
+{
+    if (!list)
+        return true;
+    if (!list->is_array())
+        return false;
+    numbers.reserve(list->size());
+    for (const json &it : *list) {
+        if (!it.is_number_integer())
+            return false;
+        numbers.push_back(it.get<Number>());
+    }
+    return true;
+}
+
+std::uint64_t readUnsigned(ObjectReader &reader, std::string_view key)
+{
+    const json *value = reader.member(key);
+    if (!value || !value->is_number_unsigned()) {
+        reader.fail(key, "a whole number is expected", "");
+        return 0;
+    }
+    return value->get<std::uint64_t>();
+}
+
+/// Members that commands and answers share.
+template <class Message>
+void readPlace(ObjectReader &reader, Message &message)
+{
+    message.sequence.origin = readUnsigned(reader, "o");
+    message.sequence.number = readUnsigned(reader, "n");
+    message.attempt = static_cast<std::uint32_t>(reader.integer("a", 0, 0, UINT32_MAX));
+    message.layers.first = static_cast<int>(reader.integer("f", 0, 0, MaxLayer));
+    message.layers.last = static_cast<int>(reader.integer("l", 0, 0, MaxLayer));
+    message.basePosition = static_cast<int>(reader.integer("b", 0, 0, MaxPositions));
+}
+
+Error malformed(std::string message)
+{
+    return {ErrorKind::Malformed, std::move(message), "the peer speaks another protocol"};
+}
+
+StepFault faultFromText(std::string_view text)
+{
+    if (text.empty())
+        return StepFault::None;
+    if (text == "refused")
+        return StepFault::Refused;
+    return text == "cache_lost" ? StepFault::CacheLost : StepFault::Failed;
+}
+
+std::string_view textOfFault(StepFault fault)
+{
+    switch (fault) {
+    case StepFault::None:
+        return "";
+    case StepFault::Refused:
+        return "refused";
+    case StepFault::CacheLost:
+        return "cache_lost";
+    case StepFault::Failed:
+        return "failed";
+    }
+    return "failed";
+}
+
+} // namespace
+
+void appendStepLine(std::string &out, const StepRequest &request)
+{
+    out += '{';
+    appendSequence(out, request.sequence);
+    appendMember(out, "a", request.attempt);
+    appendMember(out, "f", request.layers.first);
+    appendMember(out, "l", request.layers.last);
+    appendMember(out, "b", request.basePosition);
+    if (request.weight != 1)
+        appendMember(out, "w", request.weight);
+    if (request.last)
+        out += "\"last\":true,";
+    appendText(out, "prompt", request.prompt);
+    appendList(out, "tokens", request.tokens);
+    appendList(out, "hidden", request.hidden);
+    endLine(out);
+}
+
+void appendEndLine(std::string &out, SequenceId sequence)
+{
+    out += "{\"end\":true,";
+    appendSequence(out, sequence);
+    endLine(out);
+}
+
+void appendAnswerLine(std::string &out, const StepAnswer &answer)
+{
+    out += '{';
+    appendSequence(out, answer.sequence);
+    appendMember(out, "a", answer.attempt);
+    appendMember(out, "f", answer.layers.first);
+    appendMember(out, "l", answer.layers.last);
+    appendMember(out, "b", answer.basePosition);
+    appendMember(out, "c", answer.count);
+    appendList(out, "hidden", std::span<const std::uint64_t>(answer.hidden));
+    if (answer.token != 0)
+        appendMember(out, "token", answer.token);
+    appendText(out, "text", answer.text);
+    if (answer.endOfText)
+        out += "\"eos\":true,";
+    appendText(out, "fault", textOfFault(answer.fault));
+    endLine(out);
+}
+
+void appendLoadLine(std::string &out, int load)
+{
+    out += "{\"load\":";
+    appendNumber(out, load);
+    out += "}\n";
+}
+
+Result<EngineCommand> parseEngineCommand(std::string_view line)
+{
+    const json object = json::parse(line, nullptr, false);
+    ObjectReader reader(object, "");
+    EngineCommand command;
+    if (reader.flag("end", false))
+        command.kind = EngineCommand::Kind::End;
+    readPlace(reader, command);
+    command.prompt = reader.text("prompt");
+    command.last = reader.flag("last", false);
+    command.weight = reader.number("w", 1, 0, 1e9);
+    if (!readNumbers(reader.member("tokens"), command.tokens)
+        || !readNumbers(reader.member("hidden"), command.hidden))
+        return malformed("a list of numbers is expected");
+    if (reader.failure())
+        return malformed(reader.failure()->message);
+    return command;
+}
+
+Result<EngineLine> parseEngineLine(std::string_view line)
+{
+    const json object = json::parse(line, nullptr, false);
+    ObjectReader reader(object, "");
+    EngineLine result;
+    if (reader.member("load")) {
+        result.kind = EngineLine::Kind::Load;
+        result.load = static_cast<int>(reader.integer("load", 0, 0, 1'000'000'000));
+    } else {
+        StepAnswer &answer = result.answer;
+        readPlace(reader, answer);
+        answer.count = static_cast<int>(reader.integer("c", 0, 0, MaxPositions));
+        answer.token = static_cast<std::int32_t>(reader.integer("token", 0, 0, INT32_MAX));
+        answer.text = reader.text("text");
+        answer.endOfText = reader.flag("eos", false);
+        answer.fault = faultFromText(reader.text("fault"));
+        if (!readNumbers(reader.member("hidden"), answer.hidden))
+            return malformed("a list of numbers is expected");
+    }
+    if (reader.failure())
+        return malformed(reader.failure()->message);
+    return result;
+}
+
+} // namespace dogwoodvalve
--- /dev/null
+++ b/src/codec/step_codec.h
@@ -0,0 +1,90 @@
+#pragma once
+
+#include <dogwoodvalve/result.h>
+#include <dogwoodvalve/sequence.h>
+
+#include <string>
+#include <string_view>
+
+namespace dogwoodvalve {
+
+/// A message to an engine, one JSON object a line. Owns what StepRequest only views.
+struct EngineCommand
+{
+    enum class Kind {
+        Step,
+        End,
+    };
+
+    Kind kind = Kind::Step;
+    SequenceId sequence;
+    std::uint32_t attempt = 0;
+    LayerRange layers;
+    int basePosition = 0;
+    std::string prompt;
+    std::vector<std::int32_t> tokens;
+    std::vector<std::uint64_t> hidden;
+    bool last = false;
+    double weight = 1;
+};
+
+/// A line from an engine: the answer to a step, or its load.
+struct EngineLine
+{
+    enum class Kind {
+        Answer,
+        Load,
+    };
+
+    Kind kind = Kind::Answer;
+    StepAnswer answer;
+    int load = 0;
+};
+
+/// Appends a line that asks for a step. Allocates only when the buffer must grow.
+void appendStepLine(std::string &out, const StepRequest &request);
+/// Appends a line that ends a sequence.
+void appendEndLine(std::string &out, SequenceId sequence);
+void appendAnswerLine(std::string &out, const StepAnswer &answer);
+void appendLoadLine(std::string &out, int load);
+
+Result<EngineCommand> parseEngineCommand(std::string_view line);
+Result<EngineLine> parseEngineLine(std::string_view line);
+
+/// Cuts a byte stream into lines of bounded length.
+class LineSplitter
+{
+public:
+    explicit LineSplitter(std::size_t maxLine)
+        : m_maxLine(maxLine)
+    { }
+
+    /// Calls a function with each whole line. False: a line is longer than the bound.
+    template <class Function>
+    bool feed(std::string_view bytes, Function function)
+    {
+        while (!bytes.empty()) {
+            const std::size_t end = bytes.find('\n');
+            if (end == std::string_view::npos) {
+                m_rest += bytes;
+                return m_rest.size() <= m_maxLine;
+            }
+            if (m_rest.empty()) {
+                function(bytes.substr(0, end));
+            } else {
+                m_rest += bytes.substr(0, end);
+                const std::string line = std::move(m_rest);
+                m_rest.clear();
+                function(std::string_view(line));
+            }
+            bytes.remove_prefix(end + 1);
+        }
+        return true;
+    }
+
+private:
+    std::size_t m_maxLine;
+    std::string m_rest;
+};
+
+} // namespace dogwoodvalve
--- /dev/null
+++ b/src/codec/yaml_reader.cpp
@@ -0,0 +1,101 @@
+#include "codec/yaml_reader.h"
+
+#include <yaml-cpp/yaml.h>
+
+#include <charconv>
+#include <fstream>
+#include <sstream>
+
+namespace dogwoodvalve {
+
+using nlohmann::json;
+
+namespace {
+
+json scalarToJson(const YAML::Node &node)
+{
+    const std::string &text = node.Scalar();
+    // yaml-cpp marks quoted scalars with the tag "!".
+    if (node.Tag() == "!")
+        return text;
+    if (text == "true" || text == "false")
+        return text == "true";
+    const char *end = text.data() + text.size();
+    std::int64_t whole = 0;
+    auto parsed = std::from_chars(text.data(), end, whole);
+    if (parsed.ec == std::errc() && parsed.ptr == end)
+        return whole;
+    double number = 0;
+    parsed = std::from_chars(text.data(), end, number);
+    if (parsed.ec == std::errc() && parsed.ptr == end)
+        return number;
+    return text;
+}
+
+json toJson(const YAML::Node &node, const std::string &path, YamlDocument &document)
+{
+    document.lines.emplace(path, node.Mark().line + 1);
+    if (node.IsScalar())
+        return scalarToJson(node);
+    if (node.IsSequence()) {
+        json list = json::array();
+        for (const YAML::Node &it : node)
+            list.push_back(toJson(it, path + '[' + std::to_string(list.size()) + ']', document));
+        return list;
+    }
+    if (!node.IsMap())
+        return nullptr;
+    json object = json::object();
+    for (const auto &it : node) {
+        const std::string key = it.first.Scalar();
+        const std::string keyPath = path.empty() ? key : path + '.' + key;
+        document.lines.emplace(keyPath, it.first.Mark().line + 1);
+        object[key] = toJson(it.second, keyPath, document);
+    }
+    return object;
+}
+
+} // namespace
+
+int YamlDocument::lineOf(std::string path) const
+{
+    while (true) {
+        const auto it = lines.find(path);
+        if (it != lines.end())
+            return it->second;
+        const std::size_t cut = path.find_last_of(".[");
+        if (cut == std::string::npos)
+            return 1;
+        path.resize(cut);
+    }
+}
+
+Result<std::vector<YamlDocument>> readYaml(std::string_view text)
+{
+    try {
+        std::vector<YamlDocument> documents;
+        for (const YAML::Node &node : YAML::LoadAll(std::string(text))) {
+            if (node.IsNull())
+                continue;
+            YamlDocument document;
+            document.value = toJson(node, "", document);
+            documents.push_back(std::move(document));
+        }
+        return documents;
+    } catch (const YAML::Exception &e) {
+        return Error{ErrorKind::Malformed, "line " + std::to_string(e.mark.line + 1) + ": " + e.msg,
+                     "correct the YAML syntax there"};
+    }
+}
+
+Result<std::string> readFile(const std::string &path)
+{
+    std::ifstream in(path, std::ios::binary);
+    if (!in)
+        return Error{ErrorKind::NotFound, "cannot read '" + path + "'", "give a readable file"};
+    std::ostringstream text;
+    text << in.rdbuf();
+    return text.str();
+}
+
+} // namespace dogwoodvalve
--- /dev/null
+++ b/src/core/configuration_follower.cpp
@@ -0,0 +1,282 @@
+#include "codec/change_codec.h"
+
+#include <dogwoodvalve/configuration_follower.h>
+#include <dogwoodvalve/invariant.h>
+
+#include <algorithm>
+
+namespace dogwoodvalve {
+
+namespace {
+
+constexpr std::size_t RecordsPerRead = 256;
+constexpr std::size_t RecentRecords = 512;
+/// After a failed read the log is asked again this much later at the soonest.
+constexpr Duration FailedReadDelay = 500ms;
+
+} // namespace
+
+ConfigurationFollower::ConfigurationFollower(Platform &platform, TimerService &timers,
+                                             ConfigurationFollowerHooks &hooks,
+                                             ConfigurationFollowerOptions options)
+    : m_platform(platform)
+    , m_timers(timers)
+    , m_hooks(hooks)
+    , m_options(options)
+    , m_assembler(std::make_shared<SnapshotAssembler>())
+    , m_alive(std::make_shared<bool>(true))
+{ }
+
+ConfigurationFollower::~ConfigurationFollower()
+{
+    m_timers.cancel(m_pollTimer);
+    m_timers.cancel(m_snapshotTimer);
+}
+
+void ConfigurationFollower::start()
+{
+    m_confirmedAt = m_timers.now();
+    m_snapshotAt = m_timers.now();
+    pollNow();
+}
+
+void ConfigurationFollower::schedulePoll(Duration delay)
+{
+    m_timers.cancel(m_pollTimer);
+    m_pollTimer = m_timers.subscribe(m_timers.now() + delay, [this] {
+        m_pollTimer = 0;
+        pollNow();
+    });
+}
+
+void ConfigurationFollower::pollNow()
+{
+    if (m_reading)
+        return;
+    m_reading = true;
+    if (m_needsSnapshot)
+        readSnapshots(0);
+    else
+        readRecords();
+}
+
+void ConfigurationFollower::readSnapshots(LogOffset from)
+{
+    m_platform.read(SnapshotStream, from, RecordsPerRead,
+                    [this, alive = std::weak_ptr(m_alive)](const Result<LogPage> &page) {
+                        if (!alive.expired())
+                            onSnapshotPage(page);
+                    });
+}
+
+void ConfigurationFollower::onSnapshotPage(const Result<LogPage> &page)
+{
+    if (!page) {
+        m_reading = false;
+        m_logReachable = false;
+        return schedulePoll(FailedReadDelay);
+    }
+    const LogPage &found = page.value();
+    for (const std::string &record : found.records)
+        m_assembler->add(record);
+    if (found.from < found.firstKept)
+        return readSnapshots(found.firstKept);
+    const LogOffset next = found.from + found.records.size();
+    if (next < found.end && !found.records.empty())
+        return readSnapshots(next);
+    m_needsSnapshot = false;
+    if (m_assembler->latestOffset() > m_state.nextOffset())
+        restoreFrom(m_assembler->latest());
+    m_lastSnapshot = std::max(m_lastSnapshot, m_assembler->latestOffset());
+    m_assembler = std::make_shared<SnapshotAssembler>();
+    readRecords();
+}
+
+void ConfigurationFollower::readRecords()
+{
+    m_platform.read(ConfigurationStream, m_state.nextOffset(), RecordsPerRead,
+                    [this, alive = std::weak_ptr(m_alive)](const Result<LogPage> &page) {
+                        if (!alive.expired())
+                            onPage(page);
+                    });
+}
+
+void ConfigurationFollower::onPage(const Result<LogPage> &page)
+{
+    m_reading = false;
+    m_logReachable = page.has_value();
+    if (!page)
+        return schedulePoll(FailedReadDelay);
+    const LogPage &found = page.value();
+    m_firstKept = found.firstKept;
+    if (m_state.nextOffset() < found.firstKept) {
+        // The records are gone from the log. A snapshot has them, or a peer will.
+        m_needsSnapshot = true;
+        return schedulePoll(FailedReadDelay);
+    }
+    applyRecords(found.from, found.records, "");
+    if (m_state.nextOffset() < found.end)
+        return pollNow();
+    confirm();
+    considerSnapshot();
+    const Duration shared =
+        m_options.pollPerMember * static_cast<std::int64_t>(m_hooks.liveMembers() + 1);
+    schedulePoll(std::max(m_options.shortestPoll, shared));
+}
+
+/// Applies the records that are new; returns whether any was.
+bool ConfigurationFollower::applyRecords(LogOffset from, const std::vector<std::string> &records,
+                                         std::string_view source)
+{
+    ConfigurationTransfer news;
+    news.from = m_state.nextOffset();
+    LogOffset offset = from;
+    for (const std::string &record : records) {
+        const LogOffset at = offset++;
+        if (at != m_state.nextOffset())
+            continue;
+        const Result<Change> change = readChange(record);
+        if (change)
+            (void)m_state.apply(at, change.value());
+        else
+            (void)m_state.skip(at);
+        checkInvariant(m_state.nextOffset() == at + 1, "each record moves on by one offset");
+        m_recent.push_back(record);
+        news.records.push_back(record);
+    }
+    while (m_recent.size() > RecentRecords)
+        m_recent.pop_front();
+    if (news.records.empty())
+        return false;
+    m_hooks.inForce(m_state);
+    m_hooks.pushToPeers(news, source);
+    return true;
+}
+
+bool ConfigurationFollower::restoreFrom(std::string_view snapshot)
+{
+    ConfigurationState restored;
+    const Result<void> read = readSnapshot(snapshot, restored);
+    if (!read || restored.nextOffset() <= m_state.nextOffset())
+        return false;
+    m_state = std::move(restored);
+    m_recent.clear();
+    m_hooks.inForce(m_state);
+    return true;
+}
+
+void ConfigurationFollower::confirm()
+{
+    m_ready = true;
+    m_confirmedAt = m_timers.now();
+}
+
+bool ConfigurationFollower::isolated() const
+{
+    return m_sawPeer && m_timers.now() - m_confirmedAt > m_options.isolationLimit;
+}
+
+void ConfigurationFollower::onPeerOffset(std::string_view peer, LogOffset nextOffset,
+                                         LogOffset snapshot)
+{
+    m_sawPeer = true;
+    noteSnapshot(snapshot);
+    if (nextOffset > m_state.nextOffset())
+        return m_hooks.askPeer(peer, m_state.nextOffset());
+    // A host that has started in an outage takes a peer's word once it has caught up with it.
+    if (m_state.nextOffset() > 0 || m_ready)
+        confirm();
+}
+
+ConfigurationTransfer ConfigurationFollower::answerPeer(LogOffset from) const
+{
+    ConfigurationTransfer transfer;
+    if (from >= m_state.nextOffset())
+        return transfer;
+    const LogOffset oldest = m_state.nextOffset() - m_recent.size();
+    if (from < oldest) {
+        transfer.snapshot = writeSnapshot(m_state);
+        return transfer;
+    }
+    transfer.from = from;
+    transfer.records.assign(m_recent.begin() + static_cast<std::ptrdiff_t>(from - oldest),
+                            m_recent.end());
+    return transfer;
+}
+
+void ConfigurationFollower::onTransfer(std::string_view peer, const ConfigurationTransfer &transfer)
+{
+    m_sawPeer = true;
+    if (!transfer.snapshot.empty()) {
+        if (restoreFrom(transfer.snapshot))
+            confirm();
+        return;
+    }
+    if (transfer.from > m_state.nextOffset())
+        return m_hooks.askPeer(peer, m_state.nextOffset());
+    if (applyRecords(transfer.from, transfer.records, peer))
+        confirm();
+}
+
+/// The host that ranks first writes; the others stand by and write only if they have not heard of
+/// a snapshot by then.
+void ConfigurationFollower::considerSnapshot()
+{
+    if (m_snapshotTimer != 0 || m_writingSnapshot || !snapshotDue())
+        return;
+    const auto rank = static_cast<std::int64_t>(m_hooks.snapshotRank(m_state.nextOffset()));
+    const TimePoint at = m_timers.now() + m_options.snapshotSpread * rank;
+    m_snapshotTimer = m_timers.subscribe(at, [this] {
+        m_snapshotTimer = 0;
+        if (snapshotDue())
+            writeSnapshotNow();
+    });
+}
+
+bool ConfigurationFollower::snapshotDue() const
+{
+    if (m_state.nextOffset() == 0)
+        return false;
+    return m_state.nextOffset() >= m_lastSnapshot + m_options.snapshotRecords
+        || m_timers.now() - m_snapshotAt >= m_options.snapshotInterval;
+}
+
+void ConfigurationFollower::noteSnapshot(LogOffset offset)
+{
+    if (offset <= m_lastSnapshot)
+        return;
+    m_lastSnapshot = offset;
+    m_snapshotAt = m_timers.now();
+}
+
+void ConfigurationFollower::writeSnapshotNow()
+{
+    const LogOffset offset = m_state.nextOffset();
+    auto records =
+        std::make_shared<std::vector<std::string>>(splitSnapshot(writeSnapshot(m_state), offset));
+    m_writingSnapshot = true;
+    appendSnapshotPart(offset, records, 0);
+}
+
+void ConfigurationFollower::appendSnapshotPart(
+    LogOffset offset, const std::shared_ptr<std::vector<std::string>> &records, std::size_t part)
+{
+    if (part == records->size()) {
+        m_writingSnapshot = false;
+        m_snapshotAt = m_timers.now();
+        m_lastSnapshot = std::max(m_lastSnapshot, offset);
+        return;
+    }
+    m_platform.append(SnapshotStream, std::move((*records)[part]),
+                      [this, offset, records, part,
+                       alive = std::weak_ptr(m_alive)](const Result<LogOffset> &appended) {
+                          if (alive.expired())
+                              return;
+                          if (appended)
+                              return appendSnapshotPart(offset, records, part + 1);
+                          // Not whole, so of no use; the next poll considers it anew.
+                          m_writingSnapshot = false;
+                      });
+}
+
+} // namespace dogwoodvalve
--- /dev/null
+++ b/src/core/world.cpp
@@ -0,0 +1,133 @@
+#include <dogwoodvalve/world.h>
+
+#include <algorithm>
+
+namespace dogwoodvalve {
+
+namespace {
+
+constexpr Duration DefaultStepTime = 20ms;
+constexpr Duration FirstEjection = 500ms;
+constexpr Duration LongestEjection = 30s;
+constexpr Duration ProbeTime = 2s;
+/// A load report loses half of its worth in this time.
+constexpr double ReportHalfLifeMicros = 2e6;
+/// Each observation moves a running mean by 1/8.
+constexpr std::int64_t MeanDivisor = 8;
+
+void moveMean(std::atomic<std::int64_t> &mean, std::int64_t observed)
+{
+    const std::int64_t old = mean.load(std::memory_order_relaxed);
+    const std::int64_t next = old == 0 ? observed : old + (observed - old) / MeanDivisor;
+    mean.store(std::max<std::int64_t>(next, 1), std::memory_order_relaxed);
+}
+
+std::int64_t micros(TimePoint at)
+{
+    return at.time_since_epoch().count();
+}
+
+} // namespace
+
+BackendServer::BackendServer(std::string name, std::string address)
+    : m_name(std::move(name))
+    , m_address(std::move(address))
+{ }
+
+void BackendServer::reportLoad(int sequences, TimePoint at)
+{
+    m_inFlightAtReport.store(inFlight(), std::memory_order_relaxed);
+    m_reportedLoad.store(sequences, std::memory_order_relaxed);
+    m_reportedAt.store(micros(at), std::memory_order_relaxed);
+}
+
+double BackendServer::estimatedLoad(TimePoint now) const
+{
+    const int own = inFlight();
+    const std::int64_t reportedAt = m_reportedAt.load(std::memory_order_relaxed);
+    if (reportedAt == 0)
+        return own;
+    const int ownThen = m_inFlightAtReport.load(std::memory_order_relaxed);
+    const int reported = m_reportedLoad.load(std::memory_order_relaxed);
+    const double others = std::max(0, reported - ownThen);
+    const auto age = static_cast<double>(micros(now) - reportedAt);
+    const double worth = ReportHalfLifeMicros / (ReportHalfLifeMicros + std::max(0.0, age));
+    return own + others * worth;
+}
+
+void BackendServer::noteStep(Duration duration, bool prefill)
+{
+    moveMean(prefill ? m_prefillMicros : m_stepMicros, duration.count());
+}
+
+Duration BackendServer::stepTime() const
+{
+    const std::int64_t mean = m_stepMicros.load(std::memory_order_relaxed);
+    return mean == 0 ? DefaultStepTime : Duration(mean);
+}
+
+Duration BackendServer::prefillTime() const
+{
+    const std::int64_t mean = m_prefillMicros.load(std::memory_order_relaxed);
+    return mean == 0 ? stepTime() : Duration(mean);
+}
+
+void BackendServer::noteFailure(TimePoint now)
+{
+    const int failures = m_failures.fetch_add(1, std::memory_order_relaxed);
+    const Duration ejection =
+        std::min(FirstEjection * (1 << std::min(failures, 8)), LongestEjection);
+    m_ejectedUntil.store(micros(now + ejection), std::memory_order_relaxed);
+    m_probeUntil.store(0, std::memory_order_relaxed);
+}
+
+void BackendServer::noteSuccess()
+{
+    if (m_failures.load(std::memory_order_relaxed) == 0)
+        return;
+    m_failures.store(0, std::memory_order_relaxed);
+    m_ejectedUntil.store(0, std::memory_order_relaxed);
+    m_probeUntil.store(0, std::memory_order_relaxed);
+}
+
+bool BackendServer::ejected(TimePoint now) const
+{
+    if (m_failures.load(std::memory_order_relaxed) == 0)
+        return false;
+    return micros(now) < m_ejectedUntil.load(std::memory_order_relaxed)
+        || micros(now) < m_probeUntil.load(std::memory_order_relaxed);
+}
+
+bool BackendServer::claimProbe(TimePoint now)
+{
+    if (m_failures.load(std::memory_order_relaxed) == 0)
+        return true;
+    std::int64_t until = m_probeUntil.load(std::memory_order_relaxed);
+    if (micros(now) < until)
+        return false;
+    return m_probeUntil.compare_exchange_strong(until, micros(now + ProbeTime),
+                                                std::memory_order_relaxed);
+}
+
+std::shared_ptr<BackendServer> BackendServerRegistry::obtain(const std::string &name,
+                                                             const std::string &address)
+{
+    const std::lock_guard lock(m_mutex);
+    auto &server = m_servers[name + '@' + address];
+    if (!server)
+        server = std::make_shared<BackendServer>(name, address);
+    return server;
+}
+
+void BackendServerRegistry::collect()
+{
+    const std::lock_guard lock(m_mutex);
+    for (auto it = m_servers.begin(); it != m_servers.end();) {
+        if (it->second.use_count() == 1)
+            it = m_servers.erase(it);
+        else
+            ++it;
+    }
+}
+
+} // namespace dogwoodvalve
--- /dev/null
+++ b/src/daemon/caller_answers.cpp
@@ -0,0 +1,124 @@
+#include "daemon/caller_answers.h"
+
+#include "net/asio_timer_service.h"
+#include "net/http_text.h"
+
+#include <dogwoodvalve/membership.h>
+
+#include <openssl/sha.h>
+
+#include <algorithm>
+#include <cmath>
+
+namespace dogwoodvalve {
+
+namespace {
+
+constexpr std::string_view BearerPrefix = "Bearer ";
+constexpr std::size_t MaxAddressesNamed = 4;
+
+std::string otherAddresses(const EntryContext &context)
+{
+    std::string list;
+    std::size_t n = 0;
+    for (const Member &member : context.members()) {
+        if (member.state != MemberState::Alive || member.name == context.settings().name)
+            continue;
+        if (n++ == MaxAddressesNamed)
+            break;
+        list += (list.empty() ? "" : ", ") + member.address;
+    }
+    return list;
+}
+
+} // namespace
+
+int statusOf(const Error &error)
+{
+    switch (error.kind) {
+    case ErrorKind::InvalidArgument:
+    case ErrorKind::Malformed:
+        return 400;
+    case ErrorKind::Unauthorized:
+        return 401;
+    case ErrorKind::NotFound:
+        return 404;
+    case ErrorKind::Conflict:
+        return 409;
+    case ErrorKind::TooLarge:
+        return 413;
+    case ErrorKind::Overloaded:
+        return 429;
+    case ErrorKind::Timeout:
+        return 504;
+    case ErrorKind::Unavailable:
+    case ErrorKind::Expired:
+        return 503;
+    case ErrorKind::Internal:
+        return 500;
+    }
+    return 500;
+}
+
+std::vector<HttpField> commonFields(EntryContext &context, std::string_view contentType,
+                                    std::string_view outcome)
+{
+    const KeyPrefix prefix = context.withKeys(
+        [](KeyLedger &keys) { return keys.currentPrefix(AsioTimerService::steadyNow()); });
+    return {{"Content-Type", std::string(contentType)},
+            {"Dogwoodvalve-Outcome", std::string(outcome)},
+            {"Dogwoodvalve-Key-Prefix", prefix.text()},
+            {"Cache-Control", "no-cache"}};
+}
+
+void respondFailure(EntryContext &context, const std::shared_ptr<HttpExchange> &exchange,
+                    int status, const Error &error, Outcome outcome, Duration retryAfter)
+{
+    std::vector<HttpField> fields = commonFields(
+        context, "application/json", outcome == Outcome::NotRun ? "not-run" : "unknown");
+    const bool comeBack = status == 429 || status == 503 || status == 504;
+    if (comeBack) {
+        const auto whole = std::chrono::ceil<std::chrono::seconds>(retryAfter).count();
+        fields.push_back({"Retry-After", std::to_string(std::max<std::int64_t>(whole, 1))});
+        const std::string others = otherAddresses(context);
+        if (!others.empty())
+            fields.push_back({"Dogwoodvalve-Other-Entries", others});
+    }
+    exchange->respond(status, fields, errorBody(error, toString(outcome)));
+    context.metrics().countRequest(outcome);
+    context.metrics().countRefusal(error.kind);
+}
+
+Result<const ConfiguredWorkspace *> authenticate(const Configuration &configuration,
+                                                 const HttpExchange &exchange)
+{
+    const std::string_view header = exchange.header("Authorization");
+    const Error refused{ErrorKind::Unauthorized, "the key is missing or not known",
+                        "send 'Authorization: Bearer KEY' with a key of a workspace"};
+    const bool bearer = header.size() > BearerPrefix.size()
+        && equalsIgnoringCase(header.substr(0, BearerPrefix.size()), BearerPrefix);
+    if (!bearer)
+        return refused;
+    const std::string_view key = header.substr(BearerPrefix.size());
+    // The hash stands for the key: the time of the look-up tells nothing of the key itself.
+    KeyHash hash{};
+    SHA256(reinterpret_cast<const unsigned char *>(key.data()), key.size(), hash.data());
+    const ConfiguredWorkspace *workspace = configuration.workspaceByKey(hash);
+    if (!workspace)
+        return refused;
+    return workspace;
+}
+
+WorkspaceLimits shareOf(const WorkspaceLimits &limits, const EntryContext::WorkspaceHomes &homes)
+{
+    WorkspaceLimits share = limits;
+    const auto n = static_cast<double>(homes.count);
+    share.requestsPerSecond = limits.requestsPerSecond / n;
+    share.tokensPerSecond = limits.tokensPerSecond / n;
+    if (limits.concurrentRequests > 0)
+        share.concurrentRequests =
+            std::max(1, static_cast<int>(std::ceil(limits.concurrentRequests / n)));
+    return share;
+}
+
+} // namespace dogwoodvalve
--- /dev/null
+++ b/src/daemon/caller_api.cpp
@@ -0,0 +1,408 @@
+#include "daemon/caller_api.h"
+
+#include "daemon/caller_answers.h"
+#include "daemon/entry_shard.h"
+#include "net/endpoint.h"
+#include "net/http_text.h"
+
+#include <dogwoodvalve/membership.h>
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+
+namespace dogwoodvalve {
+
+using nlohmann::json;
+
+namespace {
+
+constexpr std::string_view KeyField = "Dogwoodvalve-Request-Key";
+constexpr std::string_view IdempotentField = "Dogwoodvalve-Idempotent";
+constexpr std::string_view ForwardedField = "Dogwoodvalve-Forwarded-By";
+constexpr std::string_view ServicePrefix = "/services/";
+/// How long a caller may keep a list of entry hosts, in seconds.
+constexpr int EntriesTimeToLive = 30;
+constexpr Duration ForwardConnectTimeout = 500ms;
+
+std::string_view workspaceNameOf(const Result<const ConfiguredWorkspace *> &workspace)
+{
+    return workspace ? std::string_view(workspace.value()->name) : std::string_view();
+}
+
+bool markedNotIdempotent(const HttpExchange &exchange)
+{
+    return equalsIgnoringCase(exchange.header(IdempotentField), "false");
+}
+
+Error keyError(KeyVerdict verdict)
+{
+    switch (verdict) {
+    case KeyVerdict::Running:
+        return {ErrorKind::Conflict, "the request with this key is running",
+                "wait for its answer; do not send it again"};
+    case KeyVerdict::Spent:
+        return {ErrorKind::Conflict, "the request with this key has run, or may have",
+                "find out whether it took effect, then use a new key if needed"};
+    case KeyVerdict::Expired:
+        return {ErrorKind::Expired, "the key is too old to tell whether it has run",
+                "find out whether it took effect, then use a new key if needed"};
+    case KeyVerdict::Full:
+        return {ErrorKind::Overloaded, "too many keys were used for now", "send it again later"};
+    default:
+        return {ErrorKind::Unavailable, "the host that issued the key can't be reached",
+                "find out whether the request took effect, then use a new key if needed"};
+    }
+}
+
+/// Whether an earlier request with the same key may have run.
+Outcome keyOutcome(KeyVerdict verdict)
+{
+    return verdict == KeyVerdict::Full ? Outcome::NotRun : Outcome::Unknown;
+}
+
+} // namespace
+
+void CallerApi::handle(const Exchange &exchange)
+{
+    const std::string_view path = pathOf(exchange->target());
+    const std::string_view method = exchange->method();
+    if (path.substr(0, ServicePrefix.size()) == ServicePrefix)
+        return handleService(exchange);
+    const bool chat = path == "/v1/chat/completions";
+    if (chat || path == "/v1/completions") {
+        if (method != "POST")
+            return respondFailure(m_shard.context(), exchange, 405,
+                                  {ErrorKind::InvalidArgument, "only POST is served here", ""},
+                                  Outcome::NotRun, 1s);
+        return handleCompletion(exchange, chat ? CompletionKind::Chat : CompletionKind::Text);
+    }
+    if (method == "GET" && path == "/v1/entries")
+        return respondEntries(exchange);
+    if (method == "GET" && path == "/v1/models")
+        return respondModels(exchange);
+    if (method == "GET" && path == "/healthz")
+        return respondHealth(exchange);
+    if (method == "GET" && path == "/readyz")
+        return respondReady(exchange);
+    refuse(exchange, {ErrorKind::NotFound, "nothing is served at this path", "see docs/HTTP.md"},
+           Outcome::NotRun);
+}
+
+void CallerApi::refuse(const Exchange &exchange, const Error &error, Outcome outcome)
+{
+    respondFailure(m_shard.context(), exchange, statusOf(error), error, outcome, 1s);
+}
+
+/// Whether this host may not begin new work; the caller is then told where else to go.
+bool CallerApi::refuseNewWork(const Exchange &exchange)
+{
+    EntryContext &context = m_shard.context();
+    std::string reason;
+    if (context.draining.load(std::memory_order_relaxed))
+        reason = "this host is draining";
+    else if (context.isolated.load(std::memory_order_relaxed))
+        reason = "this host can't confirm that its configuration is current";
+    if (reason.empty())
+        return false;
+    respondFailure(context, exchange, 503,
+                   {ErrorKind::Unavailable, reason, "send it to another entry host"},
+                   Outcome::NotRun, 1s);
+    return true;
+}
+
+/// A host without a configuration knows neither callers nor keys.
+bool CallerApi::refuseUnready(const Exchange &exchange)
+{
+    EntryContext &context = m_shard.context();
+    if (context.ready.load(std::memory_order_relaxed))
+        return false;
+    respondFailure(context, exchange, 503,
+                   {ErrorKind::Unavailable, "this host has no confirmed configuration yet",
+                    "send it to another entry host"},
+                   exchange->header(KeyField).empty() ? Outcome::NotRun : Outcome::Unknown, 1s);
+    return true;
+}
+
+std::optional<CallerApi::Caller> CallerApi::identify(const Exchange &exchange)
+{
+    Caller caller;
+    caller.configuration = m_shard.context().configuration();
+    const auto workspace = authenticate(*caller.configuration, *exchange);
+    if (!workspace) {
+        refuse(exchange, workspace.error(), Outcome::NotRun);
+        return std::nullopt;
+    }
+    caller.workspace = workspace.value();
+    const std::string_view keyText = exchange->header(KeyField);
+    if (keyText.empty())
+        return caller;
+    Result<RequestKey> key = RequestKey::parse(keyText);
+    if (!key) {
+        refuse(exchange, key.error(), Outcome::NotRun);
+        return std::nullopt;
+    }
+    caller.key = std::move(key).value();
+    return caller;
+}
+
+void CallerApi::settle(const Caller &caller, Outcome outcome)
+{
+    if (!caller.key)
+        return;
+    m_shard.context().withKeys(
+        [&](KeyLedger &keys) { keys.settle(caller.workspace->name, *caller.key, outcome); });
+}
+
+/// Answers or passes on a request whose key does not let it run here; returns whether it did.
+bool CallerApi::answerKey(const Exchange &exchange, const Caller &caller, KeyVerdict verdict)
+{
+    if (verdict == KeyVerdict::Run)
+        return false;
+    if (verdict == KeyVerdict::OtherOwner && forwardToOwner(exchange, caller))
+        return true;
+    refuse(exchange, keyError(verdict), keyOutcome(verdict));
+    return true;
+}
+
+/// The last check before a request runs: its key counts as used from here on.
+bool CallerApi::admitKey(const Exchange &exchange, const Caller &caller)
+{
+    if (!caller.key)
+        return true;
+    const KeyVerdict verdict = m_shard.context().withKeys([&](KeyLedger &keys) {
+        return keys.admit(caller.workspace->name, *caller.key, m_shard.timers().now());
+    });
+    return !answerKey(exchange, caller, verdict);
+}
+
+/// Takes in a request for work. What is known of its key is told first: "not run" must not be
+/// said of a key whose request has run before, however this host is.
+std::optional<CallerApi::Caller> CallerApi::receive(const Exchange &exchange)
+{
+    if (refuseUnready(exchange))
+        return std::nullopt;
+    std::optional<Caller> caller = identify(exchange);
+    if (!caller)
+        return std::nullopt;
+    if (caller->key) {
+        const KeyVerdict verdict = m_shard.context().withKeys([&](KeyLedger &keys) {
+            return keys.peek(caller->workspace->name, *caller->key, m_shard.timers().now());
+        });
+        if (answerKey(exchange, *caller, verdict))
+            return std::nullopt;
+    }
+    if (refuseNewWork(exchange))
+        return std::nullopt;
+    return caller;
+}
+
+/// Only the process that issued a key may run a request with it.
+bool CallerApi::forwardToOwner(const Exchange &exchange, const Caller &caller)
+{
+    if (!exchange->header(ForwardedField).empty())
+        return false;
+    const std::vector<Member> members = m_shard.context().members();
+    const auto owner = std::find_if(members.begin(), members.end(), [&](const Member &member) {
+        return member.name == caller.key->prefix.entry && member.boot == caller.key->prefix.boot
+            && member.state != MemberState::Dead;
+    });
+    if (owner == members.end())
+        return false;
+    forward(exchange, *owner, caller.workspace->name, [this, exchange] {
+        refuse(exchange, keyError(KeyVerdict::OtherOwner), Outcome::Unknown);
+    });
+    return true;
+}
+
+/// A workspace with limits is served where its limits are counted.
+bool CallerApi::forwardToHome(const Exchange &exchange, CompletionKind kind, const Caller &caller)
+{
+    const WorkspaceLimits &limits = caller.workspace->spec->limits;
+    const bool limited =
+        limits.requestsPerSecond > 0 || limits.concurrentRequests > 0 || limits.tokensPerSecond > 0;
+    if (!limited || caller.key || !exchange->header(ForwardedField).empty())
+        return false;
+    const auto homes = m_shard.context().homesOf(caller.workspace->name);
+    if (homes.here)
+        return false;
+    forward(exchange, homes.first, caller.workspace->name,
+            [this, exchange, kind, caller] { complete(exchange, kind, caller); });
+    return true;
+}
+
+void CallerApi::forward(const Exchange &exchange, const Member &member, std::string_view workspace,
+                        std::function<void()> unreachable)
+{
+    const auto endpoint = parseEndpoint(member.address);
+    if (!endpoint)
+        return unreachable();
+    ProxyRequest request;
+    request.targets = {{member.name, endpoint.value(), nullptr}};
+    request.path = exchange->target();
+    request.addedFields = {{std::string(ForwardedField), m_shard.context().settings().name}};
+    request.passAuthorization = true;
+    request.timeout = m_shard.context().settings().requestTimeout;
+    request.connectTimeout = ForwardConnectTimeout;
+    request.workspace = workspace;
+    request.kind = "forward";
+    m_shard.context().openRequests.fetch_add(1, std::memory_order_relaxed);
+    const auto session = std::make_shared<ProxySession>(
+        m_shard.context(), m_shard.timers(), m_shard.loop(), exchange, std::move(request),
+        [this](Outcome) {
+            m_shard.context().openRequests.fetch_sub(1, std::memory_order_relaxed);
+        });
+    session->onUnreachable([this, unreachable = std::move(unreachable)] {
+        m_shard.context().openRequests.fetch_sub(1, std::memory_order_relaxed);
+        unreachable();
+    });
+    session->start();
+}
+
+void CallerApi::handleCompletion(const Exchange &exchange, CompletionKind kind)
+{
+    std::optional<Caller> caller = receive(exchange);
+    if (!caller || forwardToHome(exchange, kind, *caller))
+        return;
+    complete(exchange, kind, std::move(*caller));
+}
+
+void CallerApi::complete(const Exchange &exchange, CompletionKind kind, Caller caller)
+{
+    if (!admitKey(exchange, caller))
+        return;
+    const std::size_t limit = m_shard.context().settings().http.maxBodyBytes;
+    exchange->readBody(
+        limit, [this, exchange, kind, caller = std::move(caller)](Result<std::string> body) {
+            if (body)
+                return runCompletion(exchange, kind, caller, body.value());
+            settle(caller, Outcome::NotRun);
+            refuse(exchange, body.error(), Outcome::NotRun);
+        });
+}
+
+void CallerApi::runCompletion(const Exchange &exchange, CompletionKind kind, Caller caller,
+                              std::string_view body)
+{
+    Result<CompletionRequest> request = readCompletionRequest(kind, body);
+    Result<void> good = BOOST_OUTCOME_V2_NAMESPACE::success();
+    if (!request)
+        good = request.error();
+    else if (!caller.configuration->pipeline(request.value().model))
+        good = Error{ErrorKind::NotFound, "there is no pipeline '" + request.value().model + "'",
+                     "GET /v1/models lists the pipelines"};
+    if (!good) {
+        settle(caller, Outcome::NotRun);
+        return refuse(exchange, good.error(), Outcome::NotRun);
+    }
+    const bool idempotent = !caller.key && !markedNotIdempotent(*exchange);
+    m_shard.run(std::make_shared<CompletionSession>(m_shard, exchange, caller.configuration,
+                                                    *caller.workspace, std::move(request).value(),
+                                                    idempotent, caller.key));
+}
+
+void CallerApi::handleService(const Exchange &exchange)
+{
+    std::optional<Caller> caller = receive(exchange);
+    if (!caller)
+        return;
+    const std::string_view rest = exchange->target().substr(ServicePrefix.size());
+    const std::size_t end = std::min(rest.find_first_of("/?"), rest.size());
+    const ConfiguredService *service = caller->configuration->service(rest.substr(0, end));
+    if (!service)
+        return refuse(exchange,
+                      {ErrorKind::NotFound,
+                       "there is no service '" + std::string(rest.substr(0, end)) + "'",
+                       "ask the operator for the name of the service"},
+                      Outcome::NotRun);
+    if (!admitKey(exchange, *caller))
+        return;
+    ProxyRequest request;
+    request.path = rest.substr(end);
+    if (request.path.empty() || request.path.front() != '/')
+        request.path.insert(0, "/");
+    const TimePoint now = m_shard.timers().now();
+    for (const std::uint32_t i : service->candidates[caller->workspace->placementClass]) {
+        const ConfiguredServer &server = caller->configuration->servers()[i];
+        const auto endpoint = parseEndpoint(server.spec->address);
+        if (!endpoint || server.spec->draining || server.state->leaving()
+            || server.state->ejected(now))
+            continue;
+        request.targets.push_back({server.name, endpoint.value(), server.state});
+    }
+    std::stable_sort(request.targets.begin(), request.targets.end(),
+                     [](const ProxyTarget &a, const ProxyTarget &b) {
+                         return a.server->inFlight() < b.server->inFlight();
+                     });
+    const auto &methods = service->spec->idempotentMethods;
+    request.idempotent = !caller->key && !markedNotIdempotent(*exchange)
+        && std::find(methods.begin(), methods.end(), exchange->method()) != methods.end();
+    request.addedFields = {{"Dogwoodvalve-Workspace", caller->workspace->name}};
+    request.timeout = m_shard.context().settings().requestTimeout;
+    request.workspace = caller->workspace->name;
+    request.kind = "service";
+    m_shard.context().openRequests.fetch_add(1, std::memory_order_relaxed);
+    std::make_shared<ProxySession>(
+        m_shard.context(), m_shard.timers(), m_shard.loop(), exchange, std::move(request),
+        [this, caller = *caller](Outcome outcome) {
+            settle(caller, outcome);
+            m_shard.context().openRequests.fetch_sub(1, std::memory_order_relaxed);
+        })
+        ->start();
+}
+
+void CallerApi::respondEntries(const Exchange &exchange)
+{
+    EntryContext &context = m_shard.context();
+    const ConfigurationPointer configuration = context.configuration();
+    const auto workspace = authenticate(*configuration, *exchange);
+    const std::string ranked =
+        workspace ? std::string(workspaceNameOf(workspace)) : exchange->remoteAddress();
+    json list = json::array();
+    for (const Member &member : rankEntries(context.members(), ranked))
+        list.push_back({{"name", member.name},
+                        {"address", member.address},
+                        {"zone", member.zone},
+                        {"region", member.region}});
+    const KeyPrefix prefix = context.withKeys(
+        [&](KeyLedger &keys) { return keys.currentPrefix(m_shard.timers().now()); });
+    const json body = {{"entries", list},
+                       {"ttl", EntriesTimeToLive},
+                       {"keyPrefix", prefix.text()},
+                       {"self", context.settings().name}};
+    exchange->respond(200, commonFields(context, "application/json", "complete"), body.dump());
+}
+
+void CallerApi::respondModels(const Exchange &exchange)
+{
+    const std::optional<Caller> caller = identify(exchange);
+    if (!caller)
+        return;
+    json list = json::array();
+    for (const ConfiguredPipeline &pipeline : caller->configuration->pipelines())
+        list.push_back({{"id", pipeline.name},
+                        {"object", "model"},
+                        {"created", 0},
+                        {"owned_by", "dogwoodvalve"}});
+    const json body = {{"object", "list"}, {"data", list}};
+    exchange->respond(200, commonFields(m_shard.context(), "application/json", "complete"),
+                      body.dump());
+}
+
+void CallerApi::respondHealth(const Exchange &exchange)
+{
+    const json body = {{"ok", true},
+                       {"configuration", m_shard.context().configuration()->nextOffset()},
+                       {"boot", m_shard.context().boot()}};
+    exchange->respond(200, commonFields(m_shard.context(), "application/json", "complete"),
+                      body.dump());
+}
+
+void CallerApi::respondReady(const Exchange &exchange)
+{
+    if (refuseUnready(exchange) || refuseNewWork(exchange))
+        return;
+    respondHealth(exchange);
+}
+
+} // namespace dogwoodvalve
--- /dev/null
+++ b/src/daemon/caller_api.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include "daemon/completion_session.h"
+#include "daemon/proxy_session.h"
+#include "net/http_server.h"
+
+#include <memory>
+#include <optional>
+#include <string_view>
+
+namespace dogwoodvalve {
+
+class EntryShard;
+
+/// The interface towards callers: completions, models, entry addresses and plain services.
+class CallerApi : public HttpHandler
+{
+public:
+    explicit CallerApi(EntryShard &shard)
+        : m_shard(shard)
+    { }
+
+    void handle(const std::shared_ptr<HttpExchange> &exchange) override;
+
+private:
+    using Exchange = std::shared_ptr<HttpExchange>;
+
+    /// What a request brings along once its caller is known.
+    struct Caller
+    {
+        ConfigurationPointer configuration;
+        const ConfiguredWorkspace *workspace = nullptr;
+        std::optional<RequestKey> key;
+    };
+
+    bool refuseNewWork(const Exchange &exchange);
+    bool refuseUnready(const Exchange &exchange);
+    std::optional<Caller> identify(const Exchange &exchange);
+    std::optional<Caller> receive(const Exchange &exchange);
+    bool answerKey(const Exchange &exchange, const Caller &caller, KeyVerdict verdict);
+    bool admitKey(const Exchange &exchange, const Caller &caller);
+    bool forwardToOwner(const Exchange &exchange, const Caller &caller);
+    bool forwardToHome(const Exchange &exchange, CompletionKind kind, const Caller &caller);
+    void forward(const Exchange &exchange, const Member &member, std::string_view workspace,
+                 std::function<void()> unreachable);
+    void handleCompletion(const Exchange &exchange, CompletionKind kind);
+    void complete(const Exchange &exchange, CompletionKind kind, Caller caller);
+    void runCompletion(const Exchange &exchange, CompletionKind kind, Caller caller,
+                       std::string_view body);
+    void handleService(const Exchange &exchange);
+    void respondEntries(const Exchange &exchange);
+    void respondModels(const Exchange &exchange);
+    void respondHealth(const Exchange &exchange);
+    void respondReady(const Exchange &exchange);
+    void refuse(const Exchange &exchange, const Error &error, Outcome outcome);
+    void settle(const Caller &caller, Outcome outcome);
+
+    EntryShard &m_shard;
+};
+
+} // namespace dogwoodvalve
--- /dev/null
+++ b/src/daemon/completion_session.cpp
@@ -0,0 +1,363 @@
+#include "daemon/completion_session.h"
+
+#include "daemon/caller_answers.h"
+#include "daemon/log.h"
+#include "net/http_text.h"
+
+#include <dogwoodvalve/hash.h>
+
+#include <boost/asio/post.hpp>
+
+#include <algorithm>
+#include <chrono>
+#include <cstdio>
+
+namespace dogwoodvalve {
+
+namespace {
+
+constexpr Duration ShortestStepTimeout = 2s;
+constexpr Duration LongestStepTimeout = 60s;
+/// A step counts as lost after this many times its expected duration.
+constexpr std::int64_t StepTimeoutFactor = 10;
+constexpr Duration TimeoutPerPosition = 2ms;
+/// More unsent bytes than this stop the making of tokens.
+constexpr std::size_t StreamHighWater = 64 * 1024;
+constexpr std::size_t CharactersPerToken = 4;
+
+std::int64_t wallSeconds()
+{
+    const auto now = std::chrono::system_clock::now().time_since_epoch();
+    return std::chrono::duration_cast<std::chrono::seconds>(now).count();
+}
+
+} // namespace
+
+CompletionSession::CompletionSession(SessionHost &host, std::shared_ptr<HttpExchange> exchange,
+                                     ConfigurationPointer configuration,
+                                     const ConfiguredWorkspace &workspace,
+                                     CompletionRequest request, bool idempotent,
+                                     std::optional<RequestKey> key)
+    : m_host(host)
+    , m_exchange(std::move(exchange))
+    , m_configuration(std::move(configuration))
+    , m_workspace(workspace)
+    , m_pipeline(m_configuration->pipeline(request.model))
+    , m_request(std::move(request))
+    , m_idempotent(idempotent)
+    , m_key(std::move(key))
+    , m_id{host.context().boot(), host.context().nextSequence()}
+    , m_zone(m_configuration->zoneIndex(host.context().settings().zone))
+    , m_arrivedAt(host.timers().now())
+{
+    const std::uint64_t salt = stableHash(m_pipeline->name, stableHash(m_workspace.name));
+    m_prefixBlocks = PrefixIndex::blocksOf(m_request.prompt, salt);
+}
+
+CompletionSession::~CompletionSession() = default;
+
+std::string CompletionSession::requestId() const
+{
+    char text[48];
+    std::snprintf(text, sizeof(text), "%llx-%llx", static_cast<unsigned long long>(m_id.origin),
+                  static_cast<unsigned long long>(m_id.number));
+    return text;
+}
+
+void CompletionSession::start()
+{
+    EntryContext &context = m_host.context();
+    m_exchange->onClosed([weak = weak_from_this()] {
+        if (const auto self = weak.lock())
+            self->end(Outcome::Unknown, "the caller went away");
+    });
+    const auto homes = context.homesOf(m_workspace.name);
+    AdmissionRequest admission;
+    admission.workspace = m_workspace.name;
+    admission.pipeline = m_pipeline->name;
+    admission.limits = shareOf(m_workspace.spec->limits, homes);
+    const int wanted = m_request.maxTokens > 0 ? m_request.maxTokens : m_pipeline->spec->maxTokens;
+    admission.cost = static_cast<double>(m_request.prompt.size() / CharactersPerToken) + wanted;
+    admission.startBy = m_arrivedAt + context.settings().queueTimeout;
+    context.noteRequest(m_pipeline->spec->pool, m_pipeline->pool->retryPercent);
+    // The decision may come on any thread and under a lock, so it is passed on. It keeps the
+    // session alive, since an admission must be given back.
+    const auto decide = [self = shared_from_this(), &loop = m_host.loop()](const Refusal *refusal) {
+        std::optional<Refusal> copy;
+        if (refusal)
+            copy = *refusal;
+        boost::asio::post(loop, [self, copy] { self->decided(copy ? &*copy : nullptr); });
+    };
+    m_ticket = context.withAdmission([&](AdmissionController &controller) {
+        return controller.submit(std::move(admission), m_arrivedAt, decide);
+    });
+}
+
+void CompletionSession::decided(const Refusal *refusal)
+{
+    if (!refusal)
+        m_admitted = true;
+    if (m_ended) {
+        // The caller left between the decision and this turn.
+        if (m_admitted)
+            m_host.context().withAdmission([&](AdmissionController &controller) {
+                controller.release(m_ticket, 0, m_host.timers().now());
+            });
+        return;
+    }
+    if (!refusal)
+        return startSequence();
+    failed({Outcome::NotRun, refusal->error, refusal->retryAfter});
+}
+
+void CompletionSession::startSequence()
+{
+    SequenceRequest request;
+    request.id = m_id;
+    request.stages = m_pipeline->spec->stages;
+    request.prompt = m_request.prompt;
+    request.maxTokens = m_pipeline->spec->maxTokens;
+    if (m_request.maxTokens > 0)
+        request.maxTokens = std::min(request.maxTokens, m_request.maxTokens);
+    request.idempotent = m_idempotent;
+    request.weight = m_workspace.spec->limits.weight;
+    request.deadline = m_arrivedAt + m_host.context().settings().requestTimeout;
+    m_writer = std::make_unique<CompletionWriter>(
+        m_request.kind,
+        (m_request.kind == CompletionKind::Chat ? "chatcmpl-" : "cmpl-") + requestId(),
+        m_request.model, wallSeconds());
+    m_sequence = std::make_unique<Sequence>(*this, std::move(request));
+    m_sequence->start();
+}
+
+void CompletionSession::onAnswer(const StepAnswer &answer)
+{
+    if (!m_sequence)
+        return;
+    const int dropped = m_sequence->statistics().droppedAnswers;
+    const Duration took = m_host.timers().now() - m_stepSentAt;
+    for (std::size_t i = 0; i < m_sequence->stageCount(); ++i) {
+        const bool fits =
+            m_pipeline->spec->stages[i] == answer.layers && answer.fault == StepFault::None;
+        if (fits && m_sequence->server(i))
+            const_cast<BackendServer *>(m_sequence->server(i))->noteStep(took, m_stepIsPrefill);
+    }
+    m_sequence->onAnswer(answer);
+    m_host.context().metrics().countDroppedAnswers(m_sequence->statistics().droppedAnswers
+                                                   - dropped);
+}
+
+void CompletionSession::onServerLost(const BackendServer &server)
+{
+    if (m_sequence)
+        m_sequence->onServerLost(server);
+}
+
+Result<std::shared_ptr<BackendServer>>
+CompletionSession::chooseServer(std::size_t stage, std::span<const BackendServer *const> excluded)
+{
+    // A choice made late in a request's life follows the configuration of that moment.
+    const ConfigurationPointer current = m_host.context().configuration();
+    const ConfiguredPipeline *pipeline = current->pipeline(m_pipeline->name);
+    const ConfiguredWorkspace *workspace = current->workspaceByName(m_workspace.name);
+    if (!pipeline || !workspace || pipeline->spec->stages != m_pipeline->spec->stages)
+        return Error{ErrorKind::Unavailable, "the pipeline has changed under the request",
+                     "send it again"};
+    RoutingQuery query;
+    query.pipeline = pipeline;
+    query.stage = stage;
+    query.placementClass = workspace->placementClass;
+    query.entryZone = current->zoneIndex(m_host.context().settings().zone);
+    query.prefixBlocks = m_prefixBlocks;
+    query.excluded = excluded;
+    query.now = m_host.timers().now();
+    const auto choice = m_host.router().choose(*current, query);
+    if (!choice) {
+        LogEvent::decision("route")
+            .field("request", requestId())
+            .field("workspace", m_workspace.name)
+            .field("pipeline", m_pipeline->name)
+            .field("stage", stage)
+            .field("server", "none")
+            .field("reason", choice.error().message);
+        return choice.error();
+    }
+    logRoute(stage, choice.value());
+    return choice.value().candidate.server->state;
+}
+
+void CompletionSession::logRoute(std::size_t stage, const RoutingChoice &choice) const
+{
+    const Candidate &chosen = choice.candidate;
+    LogEvent::decision("route")
+        .field("request", requestId())
+        .field("workspace", m_workspace.name)
+        .field("pipeline", m_pipeline->name)
+        .field("stage", stage)
+        .field("server", chosen.server->name)
+        .field("reason", m_host.router().policy().name())
+        .field("score_us", chosen.score())
+        .field("load", chosen.load)
+        .field("step_us", chosen.stepCost)
+        .field("link_us", chosen.linkCost)
+        .field("prefix_us", chosen.prefixCredit)
+        .field("considered", choice.considered)
+        .field("draining", choice.filtered.draining)
+        .field("ejected", choice.filtered.ejected)
+        .field("excluded", choice.filtered.excluded);
+}
+
+bool CompletionSession::send(BackendServer &server, const StepRequest &request)
+{
+    m_stepSentAt = m_host.timers().now();
+    m_stepIsPrefill = request.basePosition == 0;
+    return m_host.sendStep(server, request);
+}
+
+void CompletionSession::release(BackendServer &server, SequenceId sequence)
+{
+    m_host.releaseSequence(server, sequence);
+}
+
+Duration CompletionSession::stepTimeout(const BackendServer &server, int positions)
+{
+    const Duration expected = server.stepTime() * StepTimeoutFactor;
+    const Duration prefill = positions > 1 ? TimeoutPerPosition * positions : Duration::zero();
+    return std::clamp<Duration>(expected + prefill, ShortestStepTimeout, LongestStepTimeout);
+}
+
+bool CompletionSession::takeRetry()
+{
+    return m_host.context().takeRetry(m_pipeline->spec->pool);
+}
+
+void CompletionSession::recovering(std::size_t stage, const BackendServer &lost,
+                                   std::string_view cause)
+{
+    m_host.context().metrics().countRetry();
+    LogEvent::decision("recover")
+        .field("request", requestId())
+        .field("workspace", m_workspace.name)
+        .field("stage", stage)
+        .field("lost", lost.name())
+        .field("reason", cause)
+        .field("tokens", m_sequence->statistics().tokens);
+}
+
+bool CompletionSession::wantsMore()
+{
+    if (!m_streaming || m_exchange->pendingBytes() < StreamHighWater)
+        return true;
+    m_exchange->onDrained([weak = weak_from_this()] {
+        const auto self = weak.lock();
+        if (self && self->m_sequence)
+            self->m_sequence->resume();
+    });
+    return false;
+}
+
+void CompletionSession::beginStream()
+{
+    m_streaming = true;
+    auto fields = commonFields(m_host.context(), "text/event-stream", "streaming");
+    fields.push_back({"Dogwoodvalve-Request", requestId()});
+    m_exchange->beginStream(200, fields);
+    m_chunk.clear();
+    m_writer->appendFirst(m_chunk);
+    m_exchange->write(m_chunk);
+}
+
+void CompletionSession::emitToken(std::size_t index, std::string_view text)
+{
+    const TimePoint now = m_host.timers().now();
+    if (index == 0)
+        m_host.context().metrics().observeFirstToken(now - m_arrivedAt);
+    else
+        m_host.context().metrics().observeTokenGap(now - m_lastTokenAt);
+    m_lastTokenAt = now;
+    if (!m_request.stream) {
+        m_text += text;
+        return;
+    }
+    if (!m_streaming)
+        beginStream();
+    m_chunk.clear();
+    m_writer->appendPiece(m_chunk, text);
+    m_exchange->write(m_chunk);
+}
+
+void CompletionSession::completed(FinishReason reason)
+{
+    const SequenceStatistics &statistics = m_sequence->statistics();
+    if (m_request.stream) {
+        if (!m_streaming)
+            beginStream();
+        m_chunk.clear();
+        m_writer->appendEnd(m_chunk, reason, m_request.includeUsage, statistics.promptTokens,
+                            statistics.tokens);
+        m_exchange->write(m_chunk);
+        m_exchange->endStream();
+    } else {
+        auto fields = commonFields(m_host.context(), "application/json", "complete");
+        fields.push_back({"Dogwoodvalve-Request", requestId()});
+        m_exchange->respond(
+            200, fields,
+            m_writer->whole(m_text, reason, statistics.promptTokens, statistics.tokens));
+    }
+    m_host.context().metrics().countRequest(Outcome::Complete);
+    end(Outcome::Complete, reason == FinishReason::EndOfText ? "end of text" : "token limit");
+}
+
+void CompletionSession::failed(const SequenceFailure &failure)
+{
+    if (m_streaming) {
+        // The status has been sent, so an error event tells the caller that the answer is cut.
+        m_exchange->write("data: " + errorBody(failure.error, toString(failure.outcome)) + "\n\n");
+        m_exchange->endStream();
+        m_host.context().metrics().countRequest(failure.outcome);
+    } else {
+        const bool busy = failure.error.kind == ErrorKind::Overloaded;
+        const int status = busy && failure.outcome == Outcome::NotRun ? 429
+            : failure.error.kind == ErrorKind::Overloaded             ? 503
+                                                                      : statusOf(failure.error);
+        respondFailure(m_host.context(), m_exchange, status, failure.error, failure.outcome,
+                       failure.retryAfter);
+    }
+    end(failure.outcome, failure.error.message);
+}
+
+void CompletionSession::end(Outcome outcome, std::string_view reason)
+{
+    if (m_ended)
+        return;
+    m_ended = true;
+    EntryContext &context = m_host.context();
+    const TimePoint now = m_host.timers().now();
+    if (m_sequence)
+        m_sequence->cancel();
+    const bool ran = m_sequence != nullptr;
+    const int tokens = ran ? m_sequence->statistics().tokens : 0;
+    context.withAdmission([&](AdmissionController &controller) {
+        if (m_admitted)
+            controller.release(m_ticket, tokens, now);
+        else
+            controller.withdraw(m_ticket);
+    });
+    if (m_key)
+        context.withKeys([&](KeyLedger &keys) {
+            keys.settle(m_workspace.name, *m_key, ran ? outcome : Outcome::NotRun);
+        });
+    context.metrics().countTokens(tokens);
+    LogEvent("request")
+        .field("request", requestId())
+        .field("workspace", m_workspace.name)
+        .field("pipeline", m_pipeline->name)
+        .field("outcome", toString(outcome))
+        .field("reason", reason)
+        .field("tokens", tokens)
+        .field("recoveries", ran ? m_sequence->statistics().recoveries : 0)
+        .field("ms", (now - m_arrivedAt).count() / 1000);
+    m_host.sessionEnded(m_id.number);
+}
+
+} // namespace dogwoodvalve
--- /dev/null
+++ b/src/daemon/completion_session.h
@@ -0,0 +1,97 @@
+#pragma once
+
+#include "codec/completion_codec.h"
+#include "daemon/entry_context.h"
+#include "net/http_server.h"
+
+#include <dogwoodvalve/routing.h>
+#include <dogwoodvalve/sequence.h>
+
+#include <boost/asio/io_context.hpp>
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace dogwoodvalve {
+
+/// What a session needs from the thread that it runs on.
+class SessionHost
+{
+public:
+    virtual ~SessionHost() = default;
+    virtual EntryContext &context() = 0;
+    virtual TimerService &timers() = 0;
+    virtual boost::asio::io_context &loop() = 0;
+    virtual Router &router() = 0;
+    virtual bool sendStep(BackendServer &server, const StepRequest &request) = 0;
+    virtual void releaseSequence(BackendServer &server, SequenceId sequence) = 0;
+    /// The session has ended and may be forgotten, but not before this turn of the loop is over.
+    virtual void sessionEnded(std::uint64_t number) = 0;
+};
+
+/// One completion request from its admission to its last byte.
+class CompletionSession : public SequenceEnvironment,
+                          public std::enable_shared_from_this<CompletionSession>
+{
+public:
+    CompletionSession(SessionHost &host, std::shared_ptr<HttpExchange> exchange,
+                      ConfigurationPointer configuration, const ConfiguredWorkspace &workspace,
+                      CompletionRequest request, bool idempotent, std::optional<RequestKey> key);
+    ~CompletionSession() override;
+
+    std::uint64_t number() const { return m_id.number; }
+
+    /// Asks for admission; the rest follows from there.
+    void start();
+    void onAnswer(const StepAnswer &answer);
+    void onServerLost(const BackendServer &server);
+
+    TimerService &timers() override { return m_host.timers(); }
+    Result<std::shared_ptr<BackendServer>>
+    chooseServer(std::size_t stage, std::span<const BackendServer *const> excluded) override;
+    bool send(BackendServer &server, const StepRequest &request) override;
+    void release(BackendServer &server, SequenceId sequence) override;
+    Duration stepTimeout(const BackendServer &server, int positions) override;
+    bool takeRetry() override;
+    bool wantsMore() override;
+    void emitToken(std::size_t index, std::string_view text) override;
+    void completed(FinishReason reason) override;
+    void failed(const SequenceFailure &failure) override;
+    void recovering(std::size_t stage, const BackendServer &lost, std::string_view cause) override;
+
+private:
+    void decided(const Refusal *refusal);
+    void startSequence();
+    void beginStream();
+    void end(Outcome outcome, std::string_view reason);
+    void logRoute(std::size_t stage, const RoutingChoice &choice) const;
+    std::string requestId() const;
+
+    SessionHost &m_host;
+    std::shared_ptr<HttpExchange> m_exchange;
+    ConfigurationPointer m_configuration;
+    const ConfiguredWorkspace &m_workspace;
+    const ConfiguredPipeline *m_pipeline;
+    CompletionRequest m_request;
+    bool m_idempotent;
+    std::optional<RequestKey> m_key;
+    SequenceId m_id;
+    ZoneIndex m_zone;
+    std::vector<std::uint64_t> m_prefixBlocks;
+    std::unique_ptr<Sequence> m_sequence;
+    std::unique_ptr<CompletionWriter> m_writer;
+    std::string m_text;
+    std::string m_chunk;
+    AdmissionController::Ticket m_ticket = 0;
+    TimePoint m_arrivedAt;
+    TimePoint m_lastTokenAt{};
+    TimePoint m_stepSentAt{};
+    bool m_stepIsPrefill = false;
+    bool m_admitted = false;
+    bool m_streaming = false;
+    bool m_ended = false;
+};
+
+} // namespace dogwoodvalve
--- /dev/null
+++ b/src/daemon/control_plane.cpp
@@ -0,0 +1,217 @@
+#include "daemon/control_plane.h"
+
+#include "codec/change_codec.h"
+#include "daemon/log.h"
+
+#include <dogwoodvalve/hash.h>
+
+#include <algorithm>
+
+namespace dogwoodvalve {
+
+namespace {
+
+constexpr Duration HostListInterval = 1s;
+constexpr Duration RefreshInterval = 200ms;
+/// How long the fate of a change is waited for.
+constexpr Duration ChangeTimeout = 10s;
+
+Member selfMember(const EntryContext &context)
+{
+    const EntrySettings &settings = context.settings();
+    Member self;
+    self.name = settings.name;
+    self.address = settings.listen;
+    self.peerAddress = settings.peerListen;
+    self.zone = settings.zone;
+    self.region = settings.region;
+    self.boot = context.boot();
+    return self;
+}
+
+} // namespace
+
+ControlPlane::ControlPlane(boost::asio::io_context &loop, EntryContext &context,
+                           std::function<void()> configurationChanged)
+    : m_context(context)
+    , m_configurationChanged(std::move(configurationChanged))
+    , m_timers(loop)
+    , m_platform(loop, context.settings().platform)
+    , m_links(loop, context.settings().peerSecrets, context.metrics(), *this)
+    , m_membership(selfMember(context), context.settings().seeds, MembershipOptions{}, m_timers,
+                   m_links, *this)
+    , m_follower(m_platform, m_timers, *this, ConfigurationFollowerOptions{})
+{ }
+
+ControlPlane::~ControlPlane() = default;
+
+Result<void> ControlPlane::start()
+{
+    const Result<void> listening = m_links.listen(m_context.settings().peerListen);
+    if (!listening)
+        return listening;
+    membersChanged();
+    m_membership.start();
+    m_follower.start();
+    pollHosts();
+    refresh();
+    return listening;
+}
+
+void ControlPlane::leave()
+{
+    m_membership.leave();
+    m_links.stop();
+}
+
+void ControlPlane::pollHosts()
+{
+    m_platform.listHosts([this](const Result<std::vector<HostStatus>> &hosts) {
+        if (hosts) {
+            m_hosts = hosts.value();
+            applyHosts(m_hosts);
+        }
+        m_timers.subscribe(m_timers.now() + HostListInterval, [this] { pollHosts(); });
+    });
+}
+
+/// Servers that the list calls leaving take no new work. A server that is not on the list, or a
+/// list that can't be had, changes nothing: the list lags.
+void ControlPlane::applyHosts(const std::vector<HostStatus> &hosts)
+{
+    m_context.servers().forEach([&](BackendServer &server) {
+        const auto it = std::find_if(hosts.begin(), hosts.end(), [&](const HostStatus &host) {
+            return host.address == server.address();
+        });
+        if (it == hosts.end() || it->leaving == server.leaving())
+            return;
+        server.setLeaving(it->leaving);
+        LogEvent("server_leaving")
+            .field("server", server.name())
+            .field("leaving", it->leaving ? "true" : "false")
+            .field("reason", "host list");
+    });
+}
+
+void ControlPlane::refresh()
+{
+    m_context.ready.store(m_follower.ready(), std::memory_order_relaxed);
+    m_context.isolated.store(m_follower.isolated(), std::memory_order_relaxed);
+    Metrics &metrics = m_context.metrics();
+    metrics.setIsolated(m_follower.isolated());
+    metrics.setLogReachable(m_follower.logReachable());
+    metrics.setOpenRequests(static_cast<std::size_t>(
+        std::max(0, m_context.openRequests.load(std::memory_order_relaxed))));
+    m_context.withAdmission(
+        [this](AdmissionController &controller) { controller.collect(m_timers.now()); });
+    settleAwaited();
+    m_timers.subscribe(m_timers.now() + RefreshInterval, [this] { refresh(); });
+}
+
+void ControlPlane::publishChange(const Change &change,
+                                 std::function<void(const Result<ChangeOutcome> &)> done)
+{
+    m_awaited.push_back({change.id, m_timers.now() + ChangeTimeout, std::move(done)});
+    m_platform.append(ConfigurationStream, writeChange(change),
+                      [this, id = change.id](const Result<LogOffset> &appended) {
+                          LogEvent("change_appended")
+                              .field("change", id)
+                              .field("result", appended ? "appended" : appended.error().message);
+                          m_follower.pollNow();
+                      });
+}
+
+/// Answers the operators whose changes have been read back from the log, or will not be in time.
+void ControlPlane::settleAwaited()
+{
+    std::vector<Awaited> rest;
+    for (Awaited &awaited : std::exchange(m_awaited, {})) {
+        if (const ChangeOutcome *outcome = m_follower.state().outcome(awaited.id))
+            awaited.done(*outcome);
+        else if (m_timers.now() >= awaited.until)
+            awaited.done(
+                Error{ErrorKind::Timeout,
+                      "the fate of change " + awaited.id + " is not known: the log does not answer",
+                      "ask later with 'dogwoodvalve get --change ID', or apply again "
+                      "with the same --change-id"});
+        else
+            rest.push_back(std::move(awaited));
+    }
+    m_awaited.insert(m_awaited.end(), std::make_move_iterator(rest.begin()),
+                     std::make_move_iterator(rest.end()));
+}
+
+std::size_t ControlPlane::liveMembers() const
+{
+    return m_membership.liveCount() - 1;
+}
+
+std::size_t ControlPlane::snapshotRank(LogOffset offset) const
+{
+    const std::string key = "snapshot-" + std::to_string(offset);
+    const std::uint64_t own = rendezvousWeight(key, m_membership.self().name);
+    const auto members = m_membership.members();
+    return static_cast<std::size_t>(
+        std::count_if(members.begin(), members.end(), [&](const Member &member) {
+            return member.state == MemberState::Alive && rendezvousWeight(key, member.name) > own;
+        }));
+}
+
+void ControlPlane::askPeer(std::string_view peer, LogOffset from)
+{
+    m_membership.sendTo(peer, ConfigurationRequestMessage{from});
+}
+
+void ControlPlane::pushToPeers(const ConfigurationTransfer &transfer, std::string_view except)
+{
+    m_membership.broadcast(ConfigurationMessage{transfer}, except);
+}
+
+void ControlPlane::inForce(const ConfigurationState &state)
+{
+    m_context.publishConfiguration(
+        Configuration::compile(state, m_context.servers(), m_context.settings().name));
+    m_context.servers().collect();
+    applyHosts(m_hosts);
+    LogEvent("configuration_in_force")
+        .field("offset", state.nextOffset())
+        .field("objects", state.objects().size());
+    m_configurationChanged();
+}
+
+void ControlPlane::membersChanged()
+{
+    m_context.publishMembers(m_membership.members());
+    m_context.metrics().setMembers(m_membership.liveCount());
+    LogEvent("members").field("live", m_membership.liveCount());
+}
+
+void ControlPlane::configurationMessage(std::string_view peer, const PeerMessage &message)
+{
+    if (const auto *heartbeat = std::get_if<HeartbeatMessage>(&message))
+        m_follower.onPeerOffset(peer, heartbeat->nextOffset, heartbeat->snapshot);
+    else if (const auto *request = std::get_if<ConfigurationRequestMessage>(&message))
+        m_membership.sendTo(peer, ConfigurationMessage{m_follower.answerPeer(request->from)});
+    else if (const auto *configuration = std::get_if<ConfigurationMessage>(&message))
+        m_follower.onTransfer(peer, configuration->transfer);
+}
+
+HeartbeatMessage ControlPlane::heartbeatContent()
+{
+    return {m_follower.state().nextOffset(), m_follower.lastSnapshot(), 0};
+}
+
+void ControlPlane::bootRaised(std::uint64_t boot)
+{
+    LogEvent("boot_raised", LogLevel::Warning)
+        .field("boot", boot)
+        .field("reason", "another process has used this host's name");
+    m_context.rebootKeys(boot);
+}
+
+void ControlPlane::peerMessage(LinkId link, const PeerMessage &message)
+{
+    m_membership.messageReceived(link, message);
+}
+
+} // namespace dogwoodvalve
--- /dev/null
+++ b/src/daemon/control_plane.h
@@ -0,0 +1,82 @@
+#pragma once
+
+#include "daemon/entry_context.h"
+#include "daemon/http_platform.h"
+#include "daemon/peer_links.h"
+#include "net/asio_timer_service.h"
+
+#include <dogwoodvalve/configuration_follower.h>
+#include <dogwoodvalve/membership.h>
+
+#include <boost/asio/io_context.hpp>
+
+#include <functional>
+#include <string>
+
+namespace dogwoodvalve {
+
+/// What an entry process does besides requests: it follows the configuration, knows the other
+/// entry hosts and reads the host list. It runs on the control thread.
+class ControlPlane : public ConfigurationFollowerHooks,
+                     public MembershipHooks,
+                     public PeerLinkEvents
+{
+public:
+    ControlPlane(boost::asio::io_context &loop, EntryContext &context,
+                 std::function<void()> configurationChanged);
+    ~ControlPlane() override;
+
+    Result<void> start();
+    void announceDraining() { m_membership.announceDraining(); }
+    void leave();
+
+    /// Publishes a change and calls back once its fate is known, or Timeout if it is not.
+    void publishChange(const Change &change,
+                       std::function<void(const Result<ChangeOutcome> &)> done);
+
+    const ConfigurationFollower &follower() const { return m_follower; }
+    const Membership &membership() const { return m_membership; }
+    TimerService &timers() { return m_timers; }
+    EntryContext &context() { return m_context; }
+
+    std::size_t liveMembers() const override;
+    std::size_t snapshotRank(LogOffset offset) const override;
+    void askPeer(std::string_view peer, LogOffset from) override;
+    void pushToPeers(const ConfigurationTransfer &transfer, std::string_view except) override;
+    void inForce(const ConfigurationState &state) override;
+
+    void membersChanged() override;
+    void configurationMessage(std::string_view peer, const PeerMessage &message) override;
+    HeartbeatMessage heartbeatContent() override;
+    void bootRaised(std::uint64_t boot) override;
+
+    void peerLinkUp(LinkId link, bool outgoing) override { m_membership.linkUp(link, outgoing); }
+    void peerLinkDown(LinkId link) override { m_membership.linkDown(link); }
+    void peerMessage(LinkId link, const PeerMessage &message) override;
+
+private:
+    /// A change whose fate an operator waits for.
+    struct Awaited
+    {
+        std::string id;
+        TimePoint until{};
+        std::function<void(const Result<ChangeOutcome> &)> done;
+    };
+
+    void pollHosts();
+    void applyHosts(const std::vector<HostStatus> &hosts);
+    void refresh();
+    void settleAwaited();
+
+    EntryContext &m_context;
+    std::function<void()> m_configurationChanged;
+    AsioTimerService m_timers;
+    HttpPlatform m_platform;
+    PeerLinks m_links;
+    Membership m_membership;
+    ConfigurationFollower m_follower;
+    std::vector<Awaited> m_awaited;
+    std::vector<HostStatus> m_hosts;
+};
+
+} // namespace dogwoodvalve
--- /dev/null
+++ b/src/daemon/entry_context.cpp
@@ -0,0 +1,90 @@
+#include "daemon/entry_context.h"
+
+#include "net/asio_timer_service.h"
+
+#include <dogwoodvalve/membership.h>
+
+#include <algorithm>
+
+namespace dogwoodvalve {
+
+namespace {
+
+std::unique_ptr<QueueDiscipline> makeQueue(std::string_view name)
+{
+    return name == "priority" ? makePriorityQueue() : makeWeightedFairQueue();
+}
+
+} // namespace
+
+EntryContext::EntryContext(EntrySettings settings, std::uint64_t boot)
+    : m_settings(std::move(settings))
+    , m_configuration(
+          std::make_unique<ConfigurationPointer>(std::make_shared<const Configuration>()))
+    , m_members(std::make_unique<std::vector<Member>>())
+    , m_capacity([this] { return configuration(); }, &AsioTimerService::steadyNow)
+    , m_admission(m_capacity, makeQueue(m_settings.queue))
+    , m_keys(std::make_unique<KeyLedger>(m_settings.name, boot, AsioTimerService::steadyNow(),
+                                         m_settings.keys))
+    , m_boot(boot)
+{ }
+
+ConfigurationPointer EntryContext::configuration() const
+{
+    const RcuPointer<ConfigurationPointer>::Reader reader(m_configuration);
+    return *reader;
+}
+
+void EntryContext::publishConfiguration(ConfigurationPointer configuration)
+{
+    m_metrics.setConfigurationOffset(configuration->nextOffset());
+    m_configuration.publish(std::make_unique<ConfigurationPointer>(std::move(configuration)));
+}
+
+std::vector<Member> EntryContext::members() const
+{
+    const RcuPointer<std::vector<Member>>::Reader reader(m_members);
+    return *reader;
+}
+
+void EntryContext::publishMembers(std::vector<Member> members)
+{
+    m_members.publish(std::make_unique<std::vector<Member>>(std::move(members)));
+}
+
+EntryContext::WorkspaceHomes EntryContext::homesOf(std::string_view workspace) const
+{
+    const std::vector<Member> ranked = rankEntries(members(), workspace);
+    WorkspaceHomes homes;
+    homes.count = std::min<std::size_t>(std::max<std::size_t>(ranked.size(), 1),
+                                        static_cast<std::size_t>(m_settings.homesPerWorkspace));
+    if (ranked.empty())
+        return homes;
+    homes.first = ranked.front();
+    homes.here =
+        std::any_of(ranked.begin(), ranked.begin() + static_cast<std::ptrdiff_t>(homes.count),
+                    [this](const Member &it) { return it.name == m_settings.name; });
+    return homes;
+}
+
+void EntryContext::rebootKeys(std::uint64_t boot)
+{
+    const std::lock_guard lock(m_keysMutex);
+    m_boot.store(boot, std::memory_order_relaxed);
+    m_keys = std::make_unique<KeyLedger>(m_settings.name, boot, AsioTimerService::steadyNow(),
+                                         m_settings.keys);
+}
+
+void EntryContext::noteRequest(const std::string &pool, int retryPercent)
+{
+    const std::lock_guard lock(m_retryMutex);
+    m_retryBudgets[pool].noteRequest(retryPercent);
+}
+
+bool EntryContext::takeRetry(const std::string &pool)
+{
+    const std::lock_guard lock(m_retryMutex);
+    return m_retryBudgets[pool].take();
+}
+
+} // namespace dogwoodvalve
--- /dev/null
+++ b/src/daemon/entry_process.cpp
@@ -0,0 +1,166 @@
+#include "daemon/entry_process.h"
+
+#include "daemon/control_plane.h"
+#include "daemon/entry_shard.h"
+#include "daemon/log.h"
+#include "daemon/operator_api.h"
+#include "net/endpoint.h"
+
+#include <dogwoodvalve/invariant.h>
+
+#include <boost/asio/signal_set.hpp>
+#include <openssl/rand.h>
+
+#include <algorithm>
+#include <chrono>
+#include <csignal>
+#include <cstdio>
+#include <cstdlib>
+#include <vector>
+
+namespace dogwoodvalve {
+
+namespace {
+
+constexpr Duration DrainPollInterval = 50ms;
+/// How long a drained host still answers, so that callers who just asked hear where to go.
+constexpr Duration DrainLinger = 1s;
+
+/// A number that grows with each start of a host, unique even for two starts in a millisecond.
+std::uint64_t makeBootNumber()
+{
+    const auto now = std::chrono::system_clock::now().time_since_epoch();
+    const auto millis = std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
+    std::uint16_t noise = 0;
+    RAND_bytes(reinterpret_cast<unsigned char *>(&noise), sizeof(noise));
+    return (static_cast<std::uint64_t>(millis) << 16) + noise;
+}
+
+void logInvariantFailure(std::string_view description)
+{
+    LogEvent("invariant_failed", LogLevel::Error).field("invariant", description);
+    if (std::getenv("DOGWOODVALVE_ABORT_ON_INVARIANT"))
+        std::abort();
+}
+
+/// All parts of an entry process, and its end in good order.
+class EntryProcess
+{
+public:
+    explicit EntryProcess(const EntrySettings &settings)
+        : m_context(settings, makeBootNumber())
+        , m_signals(m_loop, SIGTERM, SIGINT)
+        , m_control(m_loop, m_context, [this] { configurationChanged(); })
+        , m_operatorApi(m_control, [this] { drain(); })
+        , m_operatorServer(m_loop, m_operatorApi, settings.http)
+    {
+        for (int i = 0; i < settings.threads; ++i)
+            m_shards.push_back(std::make_unique<EntryShard>(
+                m_context, m_context.boot() + static_cast<std::uint64_t>(i)));
+    }
+
+    int run()
+    {
+        const Result<void> started = start();
+        if (!started) {
+            std::fprintf(stderr, "dogwoodvalve: %s\n", started.error().describe().c_str());
+            return EXIT_FAILURE;
+        }
+        LogEvent("started")
+            .field("name", m_context.settings().name)
+            .field("listen", m_context.settings().listen)
+            .field("boot", m_context.boot());
+        m_loop.run();
+        for (const auto &shard : m_shards)
+            shard->stop();
+        LogEvent("stopped").field("name", m_context.settings().name);
+        return EXIT_SUCCESS;
+    }
+
+private:
+    Result<void> start()
+    {
+        const auto operatorEndpoint = parseEndpoint(m_context.settings().operatorListen);
+        if (!operatorEndpoint)
+            return operatorEndpoint.error();
+        Result<void> result = m_operatorServer.listen(operatorEndpoint.value());
+        if (result)
+            result = m_control.start();
+        for (const auto &shard : m_shards) {
+            if (result)
+                result = shard->start();
+        }
+        awaitSignal();
+        return result;
+    }
+
+    void configurationChanged()
+    {
+        for (const auto &shard : m_shards)
+            shard->configurationChanged();
+    }
+
+    void awaitSignal()
+    {
+        m_signals.async_wait([this](boost::system::error_code ec, int signal) {
+            if (ec)
+                return;
+            LogEvent("signal").field("number", signal);
+            if (m_context.draining.load())
+                return finish();
+            drain();
+            awaitSignal();
+        });
+    }
+
+    void drain()
+    {
+        if (m_context.draining.exchange(true))
+            return;
+        LogEvent("draining").field("open", m_context.openRequests.load());
+        m_control.announceDraining();
+        m_drainStarted = m_control.timers().now();
+        awaitEmpty();
+    }
+
+    void awaitEmpty()
+    {
+        const TimePoint now = m_control.timers().now();
+        const bool answered = std::all_of(m_shards.begin(), m_shards.end(), [](const auto &shard) {
+            return shard->unfinishedExchanges() == 0;
+        });
+        if (answered && m_context.openRequests.load() <= 0 && now - m_drainStarted >= DrainLinger)
+            return finish();
+        m_control.timers().subscribe(now + DrainPollInterval, [this] { awaitEmpty(); });
+    }
+
+    void finish()
+    {
+        m_control.leave();
+        // The goodbyes go out before the loop ends.
+        m_control.timers().subscribe(m_control.timers().now() + DrainPollInterval,
+                                     [this] { m_loop.stop(); });
+    }
+
+    const RcuThread m_registration;
+    boost::asio::io_context m_loop{1};
+    EntryContext m_context;
+    boost::asio::signal_set m_signals;
+    ControlPlane m_control;
+    OperatorApi m_operatorApi;
+    HttpServer m_operatorServer;
+    std::vector<std::unique_ptr<EntryShard>> m_shards;
+    TimePoint m_drainStarted{};
+};
+
+} // namespace
+
+int runEntryProcess(const EntrySettings &settings)
+{
+    startLog(settings.logLevel, settings.logFile);
+    setDecisionLogRate(static_cast<std::uint32_t>(settings.decisionLogRate));
+    setInvariantHandler(&logInvariantFailure);
+    return EntryProcess(settings).run();
+}
+
+} // namespace dogwoodvalve
--- /dev/null
+++ b/src/daemon/log.cpp
@@ -0,0 +1,196 @@
+#include "daemon/log.h"
+
+#include <log4cplus/consoleappender.h>
+#include <log4cplus/fileappender.h>
+#include <log4cplus/initializer.h>
+#include <log4cplus/layout.h>
+#include <log4cplus/logger.h>
+
+#include <array>
+#include <atomic>
+#include <charconv>
+#include <chrono>
+#include <memory>
+
+namespace dogwoodvalve {
+
+namespace {
+
+log4cplus::LogLevel nativeLevel(LogLevel level)
+{
+    switch (level) {
+    case LogLevel::Debug:
+        return log4cplus::DEBUG_LOG_LEVEL;
+    case LogLevel::Info:
+        return log4cplus::INFO_LOG_LEVEL;
+    case LogLevel::Warning:
+        return log4cplus::WARN_LOG_LEVEL;
+    case LogLevel::Error:
+        return log4cplus::ERROR_LOG_LEVEL;
+    }
+    return log4cplus::INFO_LOG_LEVEL;
+}
+
+std::string_view levelText(LogLevel level)
+{
+    switch (level) {
+    case LogLevel::Debug:
+        return "debug";
+    case LogLevel::Info:
+        return "info";
+    case LogLevel::Warning:
+        return "warning";
+    case LogLevel::Error:
+        return "error";
+    }
+    return "info";
+}
+
+log4cplus::Logger &logger()
+{
+    static log4cplus::Logger instance = log4cplus::Logger::getInstance("dogwoodvalve");
+    return instance;
+}
+
+std::atomic<bool> started{false};
+std::atomic<int> currentLevel{static_cast<int>(LogLevel::Info)};
+std::atomic<std::uint32_t> decisionRate{0};
+std::atomic<std::int64_t> decisionSecond{0};
+std::atomic<std::uint32_t> decisionCount{0};
+std::atomic<std::uint32_t> decisionsLeftOut{0};
+
+bool isEnabled(LogLevel level)
+{
+    return started.load(std::memory_order_acquire)
+        && static_cast<int>(level) >= currentLevel.load(std::memory_order_relaxed);
+}
+
+bool decisionAllowed()
+{
+    const std::uint32_t rate = decisionRate.load(std::memory_order_relaxed);
+    if (rate == 0)
+        return true;
+    const auto now = std::chrono::duration_cast<std::chrono::seconds>(
+                         std::chrono::steady_clock::now().time_since_epoch())
+                         .count();
+    if (decisionSecond.exchange(now, std::memory_order_relaxed) != now)
+        decisionCount.store(0, std::memory_order_relaxed);
+    if (decisionCount.fetch_add(1, std::memory_order_relaxed) < rate)
+        return true;
+    decisionsLeftOut.fetch_add(1, std::memory_order_relaxed);
+    return false;
+}
+
+bool needsQuotes(std::string_view value)
+{
+    return value.empty() || value.find_first_of(" \t\r\n\"=") != std::string_view::npos;
+}
+
+} // namespace
+
+Result<LogLevel> logLevelFromString(std::string_view text)
+{
+    for (const LogLevel level :
+         {LogLevel::Debug, LogLevel::Info, LogLevel::Warning, LogLevel::Error}) {
+        if (levelText(level) == text)
+            return level;
+    }
+    return Error{ErrorKind::InvalidArgument, "unknown log level '" + std::string(text) + "'",
+                 "use debug, info, warning or error"};
+}
+
+void startLog(LogLevel level, const std::string &file)
+{
+    static log4cplus::Initializer initializer;
+    log4cplus::SharedAppenderPtr appender;
+    if (file.empty())
+        appender = new log4cplus::ConsoleAppender(true, true);
+    else
+        appender = new log4cplus::FileAppender(file, std::ios_base::app);
+    appender->setLayout(
+        std::make_unique<log4cplus::PatternLayout>("time=%d{%Y-%m-%dT%H:%M:%S.%q}Z %m%n"));
+    logger().removeAllAppenders();
+    logger().addAppender(appender);
+    setLogLevel(level);
+    started.store(true, std::memory_order_release);
+}
+
+void setLogLevel(LogLevel level)
+{
+    currentLevel.store(static_cast<int>(level), std::memory_order_relaxed);
+    logger().setLogLevel(nativeLevel(level));
+}
+
+void setDecisionLogRate(std::uint32_t linesPerSecond)
+{
+    decisionRate.store(linesPerSecond, std::memory_order_relaxed);
+}
+
+LogEvent::LogEvent(std::string_view event, LogLevel level)
+    : LogEvent(event, level, isEnabled(level))
+{ }
+
+LogEvent::LogEvent(std::string_view event, LogLevel level, bool enabled)
+    : m_level(level)
+    , m_enabled(enabled)
+{
+    if (!m_enabled)
+        return;
+    m_line.reserve(256);
+    m_line = "level=";
+    m_line += levelText(level);
+    field("event", event);
+}
+
+LogEvent LogEvent::decision(std::string_view event)
+{
+    return LogEvent(event, LogLevel::Info, isEnabled(LogLevel::Info) && decisionAllowed());
+}
+
+LogEvent::~LogEvent()
+{
+    if (!m_enabled)
+        return;
+    if (const std::uint32_t leftOut = decisionsLeftOut.exchange(0, std::memory_order_relaxed))
+        field("lines_left_out", leftOut);
+    logger().log(nativeLevel(m_level), m_line);
+}
+
+LogEvent &LogEvent::field(std::string_view key, std::string_view value)
+{
+    if (!m_enabled)
+        return *this;
+    m_line += ' ';
+    m_line += key;
+    m_line += '=';
+    if (!needsQuotes(value)) {
+        m_line += value;
+        return *this;
+    }
+    m_line += '"';
+    for (const char c : value) {
+        if (c == '"' || c == '\\')
+            m_line += '\\';
+        m_line += static_cast<unsigned char>(c) < ' ' ? ' ' : c;
+    }
+    m_line += '"';
+    return *this;
+}
+
+LogEvent &LogEvent::field(std::string_view key, std::int64_t value)
+{
+    std::array<char, 24> text{};
+    const auto end = std::to_chars(text.data(), text.data() + text.size(), value).ptr;
+    return field(key, std::string_view(text.data(), static_cast<std::size_t>(end - text.data())));
+}
+
+LogEvent &LogEvent::field(std::string_view key, double value)
+{
+    std::array<char, 32> text{};
+    const auto end =
+        std::to_chars(text.data(), text.data() + text.size(), value, std::chars_format::fixed, 1)
+            .ptr;
+    return field(key, std::string_view(text.data(), static_cast<std::size_t>(end - text.data())));
+}
+
+} // namespace dogwoodvalve
--- /dev/null
+++ b/src/daemon/proxy_session.cpp
@@ -0,0 +1,266 @@
+#include "daemon/proxy_session.h"
+
+#include "daemon/caller_answers.h"
+#include "daemon/log.h"
+#include "net/http_text.h"
+
+#include <algorithm>
+#include <array>
+
+namespace dogwoodvalve {
+
+namespace {
+
+/// Unsent bytes beyond which the other side is not read.
+constexpr std::size_t HighWater = 256 * 1024;
+
+/// Fields that concern one connection only, and lengths, which are made anew.
+bool isHopByHop(std::string_view name)
+{
+    static constexpr std::array<std::string_view, 11> Names{
+        "connection", "keep-alive",       "proxy-authenticate", "proxy-authorization",
+        "te",         "trailer",          "transfer-encoding",  "upgrade",
+        "host",       "proxy-connection", "content-length"};
+    return std::any_of(Names.begin(), Names.end(),
+                       [name](std::string_view it) { return equalsIgnoringCase(it, name); });
+}
+
+/// Whether a field is named in the Connection field, which makes it hop-by-hop too.
+bool namedInConnection(std::string_view connection, std::string_view name)
+{
+    while (!connection.empty()) {
+        const std::size_t end = std::min(connection.find(','), connection.size());
+        std::string_view token = connection.substr(0, end);
+        while (!token.empty() && token.front() == ' ')
+            token.remove_prefix(1);
+        while (!token.empty() && token.back() == ' ')
+            token.remove_suffix(1);
+        if (equalsIgnoringCase(token, name))
+            return true;
+        connection.remove_prefix(std::min(end + 1, connection.size()));
+    }
+    return false;
+}
+
+std::vector<HttpField> endToEndFields(std::span<const HttpField> fields)
+{
+    const std::string_view connection = findField(fields, "Connection");
+    std::vector<HttpField> kept;
+    for (const HttpField &field : fields) {
+        if (!isHopByHop(field.name) && !namedInConnection(connection, field.name))
+            kept.push_back(field);
+    }
+    return kept;
+}
+
+} // namespace
+
+ProxySession::ProxySession(EntryContext &context, TimerService &timers,
+                           boost::asio::io_context &loop, std::shared_ptr<HttpExchange> exchange,
+                           ProxyRequest request, Finished finished)
+    : m_context(context)
+    , m_timers(timers)
+    , m_loop(loop)
+    , m_exchange(std::move(exchange))
+    , m_proxied(std::move(request))
+    , m_finished(std::move(finished))
+    , m_startedAt(timers.now())
+{ }
+
+ProxySession::~ProxySession()
+{
+    m_timers.cancel(m_timer);
+}
+
+bool ProxySession::bodyless() const
+{
+    const std::string_view length = m_exchange->header("Content-Length");
+    return m_exchange->header("Transfer-Encoding").empty() && (length.empty() || length == "0");
+}
+
+void ProxySession::start()
+{
+    m_self = shared_from_this();
+    m_exchange->onClosed([weak = weak_from_this()] {
+        if (const auto self = weak.lock())
+            self->finish(self->m_sent ? Outcome::Unknown : Outcome::NotRun, "the caller went away");
+    });
+    m_timer = m_timers.subscribe(m_startedAt + m_proxied.timeout, [this] {
+        m_timer = 0;
+        onError({ErrorKind::Timeout, "no whole answer in time", "ask again later"});
+    });
+    tryNext();
+}
+
+void ProxySession::tryNext()
+{
+    if (m_next < m_proxied.targets.size()) {
+        const ProxyTarget &target = m_proxied.targets[m_next++];
+        m_counted = target.server;
+        if (m_counted)
+            m_counted->addInFlight(1);
+        m_client = HttpClientRequest::create(m_loop);
+        return m_client->start(target.endpoint, makeHead(), m_proxied.connectTimeout, *this);
+    }
+    if (m_onUnreachable && !m_bodyBegun) {
+        const auto callback = std::exchange(m_onUnreachable, nullptr);
+        const auto keep = shared_from_this();
+        m_ended = true;
+        m_timers.cancel(m_timer);
+        m_exchange->onClosed(nullptr);
+        m_self.reset();
+        return callback();
+    }
+    respondFailure(m_context, m_exchange, 503,
+                   {ErrorKind::Unavailable, "no server could be reached", "send it again later"},
+                   m_sent ? Outcome::Unknown : Outcome::NotRun, 1s);
+    finish(m_sent ? Outcome::Unknown : Outcome::NotRun, "no server could be reached");
+}
+
+HttpRequestHead ProxySession::makeHead() const
+{
+    HttpRequestHead head;
+    head.method = m_exchange->method();
+    head.target = m_proxied.path;
+    head.fields = endToEndFields(m_exchange->headers());
+    if (!m_proxied.passAuthorization)
+        std::erase_if(head.fields, [](const HttpField &field) {
+            return equalsIgnoringCase(field.name, "Authorization");
+        });
+    head.fields.insert(head.fields.end(), m_proxied.addedFields.begin(),
+                       m_proxied.addedFields.end());
+    head.chunked = !m_exchange->header("Transfer-Encoding").empty();
+    const std::string_view length = m_exchange->header("Content-Length");
+    if (!length.empty())
+        head.bodyBytes = std::strtoull(std::string(length).c_str(), nullptr, 10);
+    return head;
+}
+
+void ProxySession::onConnected()
+{
+    m_sent = true;
+    LogEvent::decision("route")
+        .field("kind", m_proxied.kind)
+        .field("workspace", m_proxied.workspace)
+        .field("path", m_proxied.path)
+        .field("server", m_proxied.targets[m_next - 1].name)
+        .field("reason", m_next == 1 ? "least load" : "the one before failed");
+    if (!m_bodyBegun)
+        pumpBody();
+}
+
+void ProxySession::pumpBody()
+{
+    m_bodyBegun = true;
+    m_exchange->readPart([weak = weak_from_this()](Result<std::string_view> part) {
+        const auto self = weak.lock();
+        if (!self || self->m_ended)
+            return;
+        if (!part) {
+            if (!self->m_exchange->responded() && part.error().kind != ErrorKind::Unavailable)
+                respondFailure(self->m_context, self->m_exchange, statusOf(part.error()),
+                               part.error(), Outcome::Unknown, 1s);
+            return self->finish(Outcome::Unknown, part.error().message);
+        }
+        if (part.value().empty())
+            return self->m_client->finishBody();
+        self->m_client->write(part.value());
+        if (self->m_client->pendingBytes() > HighWater)
+            self->m_bodyPaused = true;
+        else
+            self->pumpBody();
+    });
+}
+
+void ProxySession::onDrained()
+{
+    if (!m_bodyPaused)
+        return;
+    m_bodyPaused = false;
+    pumpBody();
+}
+
+void ProxySession::onHead(int status, std::span<const HttpField> fields)
+{
+    const std::vector<HttpField> kept = endToEndFields(fields);
+    const bool hasBody =
+        m_exchange->method() != "HEAD" && status != 204 && status != 304 && status >= 200;
+    if (hasBody)
+        m_exchange->beginStream(status, kept);
+    else
+        m_exchange->respond(status, kept, "");
+}
+
+void ProxySession::onBody(std::string_view part)
+{
+    m_exchange->write(part);
+    if (m_exchange->pendingBytes() <= HighWater)
+        return;
+    m_client->pauseReading(true);
+    m_exchange->onDrained([weak = weak_from_this()] {
+        const auto self = weak.lock();
+        if (self && !self->m_ended)
+            self->m_client->pauseReading(false);
+    });
+}
+
+void ProxySession::onEnd()
+{
+    m_exchange->endStream();
+    const auto &target = m_proxied.targets[m_next - 1];
+    if (target.server)
+        target.server->noteSuccess();
+    m_context.metrics().countRequest(Outcome::Complete);
+    finish(Outcome::Complete, "");
+}
+
+void ProxySession::onError(const Error &error)
+{
+    if (m_ended)
+        return;
+    const auto &target = m_proxied.targets[m_next - 1];
+    if (target.server)
+        target.server->noteFailure(m_timers.now());
+    uncount();
+    const bool timedOut = m_timer == 0;
+    m_client->close();
+    const bool nothingSent = !m_client->anyByteSent() && !m_bodyBegun;
+    const bool again = m_proxied.idempotent && bodyless() && !m_exchange->responded();
+    if (!timedOut && (nothingSent || again))
+        return tryNext();
+    if (m_exchange->responded())
+        m_exchange->abort();
+    else
+        respondFailure(m_context, m_exchange, timedOut ? 504 : 502, error,
+                       m_sent ? Outcome::Unknown : Outcome::NotRun, 1s);
+    finish(m_sent ? Outcome::Unknown : Outcome::NotRun, error.message);
+}
+
+void ProxySession::uncount()
+{
+    if (const auto server = std::exchange(m_counted, nullptr))
+        server->addInFlight(-1);
+}
+
+void ProxySession::finish(Outcome outcome, std::string_view reason)
+{
+    if (m_ended)
+        return;
+    m_ended = true;
+    const auto keep = std::move(m_self);
+    m_timers.cancel(m_timer);
+    m_timer = 0;
+    uncount();
+    if (m_client)
+        m_client->close();
+    LogEvent("request")
+        .field("kind", m_proxied.kind)
+        .field("workspace", m_proxied.workspace)
+        .field("path", m_proxied.path)
+        .field("outcome", toString(outcome))
+        .field("reason", reason)
+        .field("ms", (m_timers.now() - m_startedAt).count() / 1000);
+    m_finished(outcome);
+}
+
+} // namespace dogwoodvalve
--- /dev/null
+++ b/src/daemon/rcu_pointer.h
@@ -0,0 +1,97 @@
+#pragma once
+
+#include <urcu/urcu-memb.h>
+
+#include <memory>
+
+#if defined(__SANITIZE_THREAD__)
+extern "C" void __tsan_acquire(void *address);
+extern "C" void __tsan_release(void *address);
+#endif
+
+namespace dogwoodvalve {
+
+/// Registers the calling thread as a reader for as long as it lives.
+class RcuThread
+{
+public:
+    RcuThread() { urcu_memb_register_thread(); }
+    ~RcuThread() { urcu_memb_unregister_thread(); }
+
+    RcuThread(const RcuThread &) = delete;
+    RcuThread &operator=(const RcuThread &) = delete;
+};
+
+/// A value that many threads read without waiting and one replaces now and then. Readers must be
+/// registered threads. The thread that publishes waits until no reader holds the old value.
+template <class T>
+class RcuPointer
+{
+public:
+    explicit RcuPointer(std::unique_ptr<T> value)
+        : m_value(value.release())
+    { }
+
+    ~RcuPointer() { delete m_value; }
+
+    RcuPointer(const RcuPointer &) = delete;
+    RcuPointer &operator=(const RcuPointer &) = delete;
+
+    /// Gives access to the value for as long as the object lives, which must be short.
+    class Reader
+    {
+    public:
+        explicit Reader(const RcuPointer &pointer)
+            : m_pointer(pointer)
+        {
+            urcu_memb_read_lock();
+            m_value = rcu_dereference(m_pointer.m_value);
+        }
+
+        ~Reader()
+        {
+            m_pointer.noteReadEnd();
+            urcu_memb_read_unlock();
+        }
+
+        Reader(const Reader &) = delete;
+        Reader &operator=(const Reader &) = delete;
+
+        const T &operator*() const { return *m_value; }
+        const T *operator->() const { return m_value; }
+
+    private:
+        const RcuPointer &m_pointer;
+        const T *m_value;
+    };
+
+    /// Replaces the value. Only one thread may publish at a time.
+    void publish(std::unique_ptr<T> value)
+    {
+        T *old = m_value;
+        rcu_assign_pointer(m_value, value.release());
+        urcu_memb_synchronize_rcu();
+        noteGracePeriod();
+        delete old;
+    }
+
+private:
+    // The thread sanitizer cannot see the ordering that liburcu gives, so it is told of it.
+    void noteReadEnd() const
+    {
+#if defined(__SANITIZE_THREAD__)
+        __tsan_release(const_cast<RcuPointer *>(this));
+#endif
+    }
+
+    void noteGracePeriod() const
+    {
+#if defined(__SANITIZE_THREAD__)
+        __tsan_acquire(const_cast<RcuPointer *>(this));
+#endif
+    }
+
+    T *m_value;
+};
+
+} // namespace dogwoodvalve
--- /dev/null
+++ b/src/daemon/settings.cpp
@@ -0,0 +1,161 @@
+#include "daemon/settings.h"
+
+#include "codec/object_reader.h"
+#include "codec/yaml_reader.h"
+#include "net/endpoint.h"
+
+#include <dogwoodvalve/routing.h>
+
+namespace dogwoodvalve {
+
+using nlohmann::json;
+
+namespace {
+
+constexpr std::int64_t LongestMillis = 24LL * 3600 * 1000;
+constexpr std::size_t ShortestSecret = 16;
+
+Duration readMillis(ObjectReader &reader, std::string_view key, Duration fallback)
+{
+    const std::int64_t millis = reader.integer(key, fallback.count() / 1000, 1, LongestMillis);
+    return std::chrono::milliseconds(millis);
+}
+
+std::string readAddress(ObjectReader &reader, std::string_view key)
+{
+    const std::string address = reader.requiredText(key);
+    const auto endpoint = parseEndpoint(address);
+    if (!address.empty() && !endpoint)
+        reader.fail(key, endpoint.error().message, endpoint.error().remedy);
+    return address;
+}
+
+const json &partOf(ObjectReader &reader, std::string_view key)
+{
+    static const json Empty = json::object();
+    const json *part = reader.member(key);
+    return part ? *part : Empty;
+}
+
+void readIdentity(ObjectReader &reader, EntrySettings &settings)
+{
+    settings.name = reader.requiredText("name");
+    if (settings.name.find_first_of("/. \t") != std::string::npos)
+        reader.fail("name", "a name has no '/', '.' or space", "use letters, digits and '-'");
+    settings.region = reader.requiredText("region");
+    settings.zone = reader.requiredText("zone");
+    settings.listen = readAddress(reader, "listen");
+    settings.operatorListen = readAddress(reader, "operatorListen");
+    settings.peerListen = readAddress(reader, "peerListen");
+    settings.platform = readAddress(reader, "platform");
+    settings.seeds = reader.textList("seeds");
+    for (const std::string &seed : settings.seeds) {
+        const auto endpoint = parseEndpoint(seed);
+        if (!endpoint)
+            reader.fail("seeds", endpoint.error().message, endpoint.error().remedy);
+    }
+}
+
+void readSecrets(ObjectReader &reader, EntrySettings &settings)
+{
+    settings.operatorToken = reader.requiredText("operatorToken");
+    const json *list = reader.member("peerSecrets");
+    if (!list || !list->is_array() || list->empty()) {
+        reader.fail("peerSecrets", "a list with at least one secret is required",
+                    "add '- {id: 1, secret: TEXT}', the same on all entry hosts");
+        return;
+    }
+    for (const json &it : *list) {
+        ObjectReader part(it, reader.pathOf("peerSecrets"));
+        PeerSecret secret;
+        secret.id = static_cast<std::uint8_t>(part.integer("id", 0, 0, 254));
+        secret.secret = part.requiredText("secret");
+        if (secret.secret.size() < ShortestSecret)
+            part.fail("secret", "the secret is too short", "use at least 16 characters");
+        part.finish();
+        reader.adopt(part);
+        settings.peerSecrets.push_back(secret);
+    }
+}
+
+void readLimits(ObjectReader &reader, EntrySettings &settings)
+{
+    ObjectReader part(partOf(reader, "limits"), reader.pathOf("limits"));
+    HttpServerLimits &http = settings.http;
+    const auto bytes = [&part](std::string_view key, std::size_t fallback, std::int64_t most) {
+        return static_cast<std::size_t>(
+            part.integer(key, static_cast<std::int64_t>(fallback), 1024, most));
+    };
+    http.maxHeaderBytes = bytes("headerBytes", http.maxHeaderBytes, 1 << 20);
+    http.maxBodyBytes = bytes("bodyBytes", http.maxBodyBytes, 1LL << 32);
+    http.maxConnections = static_cast<std::size_t>(
+        part.integer("connections", static_cast<std::int64_t>(http.maxConnections), 1, 1'000'000));
+    http.headerTimeout = readMillis(part, "headerTimeoutMs", http.headerTimeout);
+    http.idleTimeout = readMillis(part, "idleTimeoutMs", http.idleTimeout);
+    http.stallTimeout = readMillis(part, "stallTimeoutMs", http.stallTimeout);
+    settings.queueTimeout = readMillis(part, "queueTimeoutMs", settings.queueTimeout);
+    settings.requestTimeout = readMillis(part, "requestTimeoutMs", settings.requestTimeout);
+    settings.engineSilence = readMillis(part, "engineSilenceMs", settings.engineSilence);
+    settings.homesPerWorkspace =
+        static_cast<int>(part.integer("homesPerWorkspace", settings.homesPerWorkspace, 1, 1000));
+    settings.keys.epochLength = readMillis(part, "keyEpochMs", settings.keys.epochLength);
+    settings.keys.keysPerEpoch = static_cast<std::size_t>(part.integer(
+        "keysPerEpoch", static_cast<std::int64_t>(settings.keys.keysPerEpoch), 1, 100'000'000));
+    part.finish();
+    reader.adopt(part);
+}
+
+void readLog(ObjectReader &reader, EntrySettings &settings)
+{
+    ObjectReader part(partOf(reader, "log"), reader.pathOf("log"));
+    const Result<LogLevel> level = logLevelFromString(part.text("level", "info"));
+    if (level)
+        settings.logLevel = level.value();
+    else
+        part.fail("level", level.error().message, level.error().remedy);
+    settings.logFile = part.text("file");
+    settings.decisionLogRate =
+        static_cast<int>(part.integer("decisionsPerSecond", 0, 0, 1'000'000));
+    part.finish();
+    reader.adopt(part);
+}
+
+} // namespace
+
+Error locateError(const Error &error, std::string_view file, int line)
+{
+    return {error.kind, std::string(file) + ':' + std::to_string(line) + ": " + error.message,
+            error.remedy};
+}
+
+Result<EntrySettings> readSettings(std::string_view yaml, std::string_view file)
+{
+    const auto documents = readYaml(yaml);
+    if (!documents)
+        return Error{documents.error().kind, std::string(file) + ": " + documents.error().message,
+                     documents.error().remedy};
+    if (documents.value().size() != 1)
+        return Error{ErrorKind::Malformed, std::string(file) + ": settings are one YAML document",
+                     "start from docs/entry.sample.yaml"};
+    const YamlDocument &document = documents.value().front();
+    EntrySettings settings;
+    ObjectReader reader(document.value, "");
+    readIdentity(reader, settings);
+    readSecrets(reader, settings);
+    settings.threads = static_cast<int>(reader.integer("threads", settings.threads, 1, 64));
+    settings.policy = reader.text("policy", settings.policy);
+    if (const auto policy = makeRoutingPolicy(settings.policy); !policy)
+        reader.fail("policy", policy.error().message, policy.error().remedy);
+    settings.queue = reader.text("queue", settings.queue);
+    if (settings.queue != "weighted-fair" && settings.queue != "priority")
+        reader.fail("queue", "unknown queue '" + settings.queue + "'",
+                    "use weighted-fair or priority");
+    readLimits(reader, settings);
+    readLog(reader, settings);
+    reader.finish();
+    if (reader.failure())
+        return locateError(*reader.failure(), file, document.lineOf(reader.failedPath()));
+    return settings;
+}
+
+} // namespace dogwoodvalve
--- /dev/null
+++ b/src/net/asio_timer_service.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include <dogwoodvalve/timer_service.h>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+namespace dogwoodvalve {
+
+/// The timer service of one event loop. All calls come from the thread that runs the loop.
+class AsioTimerService : public TimerService
+{
+public:
+    explicit AsioTimerService(boost::asio::io_context &loop);
+
+    TimePoint now() const override { return steadyNow(); }
+    TimerId subscribe(TimePoint at, std::function<void()> callback) override;
+    void cancel(TimerId id) override { m_queue.cancel(id); }
+
+    /// The steady clock of the host as a TimePoint.
+    static TimePoint steadyNow();
+
+private:
+    void arm();
+
+    boost::asio::steady_timer m_timer;
+    ManualTimerService m_queue;
+    TimePoint m_armedFor = TimePoint::max();
+};
+
+} // namespace dogwoodvalve
--- /dev/null
+++ b/src/net/http_server.cpp
@@ -0,0 +1,504 @@
+#include "net/http_server.h"
+
+#include "net/http_text.h"
+
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+#include <sys/socket.h>
+
+#include <array>
+#include <atomic>
+#include <optional>
+
+namespace dogwoodvalve {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using asio::ip::tcp;
+using boost::system::error_code;
+
+namespace {
+
+constexpr std::size_t ReadBufferBytes = 16 * 1024;
+
+Error malformedRequest(const error_code &ec)
+{
+    if (ec == http::error::body_limit)
+        return {ErrorKind::TooLarge, "the body is too large", "send a smaller request"};
+    return {ErrorKind::Malformed, "the request is malformed: " + ec.message(),
+            "send a well-formed HTTP/1.1 request"};
+}
+
+} // namespace
+
+/// What a server counts. Connections may outlive their server.
+struct ServerCounters
+{
+    std::size_t connections = 0;
+    std::atomic<int> exchanges{0};
+};
+
+class HttpServer::Impl : public std::enable_shared_from_this<HttpServer::Impl>
+{
+public:
+    Impl(asio::io_context &loop, HttpHandler &handler, HttpServerLimits limits)
+        : m_loop(loop)
+        , m_acceptor(loop)
+        , m_handler(handler)
+        , m_limits(limits)
+    { }
+
+    Result<void> listen(const tcp::endpoint &endpoint);
+    void accept();
+
+    asio::io_context &m_loop;
+    tcp::acceptor m_acceptor;
+    HttpHandler &m_handler;
+    HttpServerLimits m_limits;
+    std::shared_ptr<ServerCounters> m_counters = std::make_shared<ServerCounters>();
+    bool m_stopped = false;
+};
+
+namespace {
+
+/// One connection; it is also the exchange of the request in hand.
+class HttpConnection : public HttpExchange, public std::enable_shared_from_this<HttpConnection>
+{
+public:
+    HttpConnection(tcp::socket socket, HttpHandler &handler, const HttpServerLimits &limits,
+                   std::shared_ptr<ServerCounters> counters)
+        : m_socket(std::move(socket))
+        , m_timer(m_socket.get_executor())
+        , m_handler(handler)
+        , m_limits(limits)
+        , m_counters(std::move(counters))
+    {
+        m_buffer.reserve(ReadBufferBytes);
+        ++m_counters->connections;
+    }
+
+    ~HttpConnection() override { close(); }
+
+    void start()
+    {
+        watchDeadline();
+        readHead();
+    }
+
+    std::string_view method() const override { return m_method; }
+    std::string_view target() const override { return m_target; }
+    std::string_view header(std::string_view name) const override
+    {
+        return findField(m_fields, name);
+    }
+    std::span<const HttpField> headers() const override { return m_fields; }
+    std::string remoteAddress() const override
+    {
+        error_code ec;
+        return m_socket.remote_endpoint(ec).address().to_string();
+    }
+
+    void readBody(std::size_t limit, std::function<void(Result<std::string>)> done) override;
+    void readPart(std::function<void(Result<std::string_view>)> done) override;
+    void respond(int status, std::span<const HttpField> fields, std::string_view body) override;
+    void beginStream(int status, std::span<const HttpField> fields) override;
+    void write(std::string_view part) override;
+    void endStream() override;
+    void abort() override { close(); }
+    bool responded() const override { return m_responded; }
+    std::size_t pendingBytes() const override { return m_out.size() + m_writing.size(); }
+    void onDrained(std::function<void()> callback) override { m_onDrained = std::move(callback); }
+    void onClosed(std::function<void()> callback) override { m_onClosed = std::move(callback); }
+
+private:
+    using Parser = http::request_parser<http::buffer_body>;
+
+    void readHead();
+    void takeHead();
+    void refuse(int status, const Error &error);
+    void flush();
+    void wrote(error_code ec);
+    void finishExchange();
+    void countExchange(bool open);
+    void watchPeer();
+    void watchDeadline();
+    void setDeadline(Duration after) { m_deadline = std::chrono::steady_clock::now() + after; }
+    void close();
+
+    tcp::socket m_socket;
+    asio::steady_timer m_timer;
+    HttpHandler &m_handler;
+    const HttpServerLimits m_limits;
+    std::shared_ptr<ServerCounters> m_counters;
+    boost::beast::flat_buffer m_buffer;
+    std::optional<Parser> m_parser;
+    std::array<char, ReadBufferBytes> m_part{};
+
+    std::string m_method;
+    std::string m_target;
+    std::vector<HttpField> m_fields;
+
+    std::string m_out;
+    std::string m_writing;
+    std::chrono::steady_clock::time_point m_deadline;
+    std::function<void()> m_onDrained;
+    std::function<void()> m_onClosed;
+    bool m_keepAlive = true;
+    bool m_responded = false;
+    bool m_chunked = false;
+    bool m_ended = false;
+    bool m_bodyRead = false;
+    bool m_closed = false;
+    bool m_counted = false;
+    bool m_watching = false;
+};
+
+void HttpConnection::readHead()
+{
+    m_parser.emplace();
+    m_parser->header_limit(static_cast<std::uint32_t>(m_limits.maxHeaderBytes));
+    m_parser->body_limit(m_limits.maxBodyBytes);
+    m_responded = m_chunked = m_ended = m_bodyRead = false;
+    setDeadline(m_buffer.size() > 0 ? m_limits.headerTimeout : m_limits.idleTimeout);
+    http::async_read_header(
+        m_socket, m_buffer, *m_parser, [self = shared_from_this()](error_code ec, std::size_t) {
+            if (self->m_closed)
+                return;
+            if (ec == http::error::end_of_stream || ec == asio::error::eof
+                || ec == asio::error::connection_reset || ec == asio::error::operation_aborted)
+                return self->close();
+            if (ec == http::error::header_limit)
+                return self->refuse(431,
+                                    {ErrorKind::TooLarge, "the header is too large",
+                                     "send fewer or shorter header fields"});
+            if (ec == http::error::body_limit)
+                return self->refuse(413, malformedRequest(ec));
+            if (ec)
+                return self->refuse(400, malformedRequest(ec));
+            self->takeHead();
+        });
+}
+
+void HttpConnection::takeHead()
+{
+    const auto &head = m_parser->get();
+    m_method.assign(head.method_string().data(), head.method_string().size());
+    m_target.assign(head.target().data(), head.target().size());
+    m_fields.clear();
+    for (const auto &field : head)
+        m_fields.push_back({std::string(field.name_string()), std::string(field.value())});
+    m_keepAlive = m_parser->keep_alive();
+    m_bodyRead = m_parser->is_done();
+    setDeadline(m_limits.stallTimeout);
+    if (head.version() != 11 && head.version() != 10)
+        return refuse(505, {ErrorKind::Malformed, "unknown HTTP version", "use HTTP/1.1"});
+    if (const auto it = head.find(http::field::content_length);
+        it != head.end() && head.count(http::field::transfer_encoding) > 0)
+        return refuse(400,
+                      {ErrorKind::Malformed, "the request gives two lengths",
+                       "send either Content-Length or Transfer-Encoding"});
+    if (boost::beast::iequals(head[http::field::expect], "100-continue") && !m_bodyRead) {
+        m_out += "HTTP/1.1 100 Continue\r\n\r\n";
+        flush();
+    }
+    if (m_bodyRead)
+        watchPeer();
+    countExchange(true);
+    m_handler.handle(shared_from_this());
+}
+
+void HttpConnection::countExchange(bool open)
+{
+    if (m_counted == open)
+        return;
+    m_counted = open;
+    m_counters->exchanges.fetch_add(open ? 1 : -1, std::memory_order_relaxed);
+}
+
+/// Answers a request that could not be taken, and closes the connection behind it: what follows
+/// on the wire can't be told apart from the request's rest.
+void HttpConnection::refuse(int status, const Error &error)
+{
+    m_keepAlive = false;
+    m_bodyRead = true;
+    const std::vector<HttpField> fields{{"Content-Type", "application/json"},
+                                        {"Dogwoodvalve-Outcome", "not-run"}};
+    respond(status, fields, errorBody(error, "not_run"));
+}
+
+void HttpConnection::readBody(std::size_t limit, std::function<void(Result<std::string>)> done)
+{
+    auto whole = std::make_shared<std::string>();
+    auto step = std::make_shared<std::function<void()>>();
+    *step = [self = shared_from_this(), whole, limit, done = std::move(done),
+             weak = std::weak_ptr(step)] {
+        self->readPart(
+            [self, whole, limit, done, step = weak.lock()](Result<std::string_view> part) {
+                if (!part)
+                    return done(part.error());
+                if (part.value().empty())
+                    return done(std::move(*whole));
+                if (whole->size() + part.value().size() > limit)
+                    return done(Error{ErrorKind::TooLarge, "the body is too large",
+                                      "send at most " + std::to_string(limit) + " bytes"});
+                whole->append(part.value());
+                (*step)();
+            });
+    };
+    (*step)();
+}
+
+void HttpConnection::readPart(std::function<void(Result<std::string_view>)> done)
+{
+    if (m_closed)
+        return done(Error{ErrorKind::Unavailable, "the peer went away", ""});
+    if (m_parser->is_done()) {
+        if (!m_bodyRead) {
+            m_bodyRead = true;
+            watchPeer();
+        }
+        return done(std::string_view());
+    }
+    m_parser->get().body().data = m_part.data();
+    m_parser->get().body().size = m_part.size();
+    http::async_read_some(
+        m_socket, m_buffer, *m_parser,
+        [self = shared_from_this(), done = std::move(done)](error_code ec, std::size_t) {
+            if (self->m_closed)
+                return done(Error{ErrorKind::Unavailable, "the peer went away", ""});
+            if (ec == http::error::need_buffer)
+                ec = {};
+            if (ec) {
+                const bool gone = ec == http::error::partial_message || ec == asio::error::eof
+                    || ec.category() == asio::error::get_system_category();
+                self->m_keepAlive = false;
+                if (gone) {
+                    done(Error{ErrorKind::Unavailable, "the peer went away", ""});
+                    return self->close();
+                }
+                self->m_bodyRead = true;
+                return done(malformedRequest(ec));
+            }
+            self->setDeadline(self->m_limits.stallTimeout);
+            const std::size_t n = self->m_part.size() - self->m_parser->get().body().size;
+            if (n == 0)
+                return self->readPart(done);
+            done(std::string_view(self->m_part.data(), n));
+        });
+}
+
+void HttpConnection::respond(int status, std::span<const HttpField> fields, std::string_view body)
+{
+    if (m_closed || m_responded)
+        return;
+    m_responded = true;
+    if (!m_bodyRead)
+        m_keepAlive = false;
+    appendStatusLine(m_out, status);
+    appendFields(m_out, fields);
+    m_out += "Content-Length: " + std::to_string(body.size()) + "\r\n";
+    m_out += m_keepAlive ? "Connection: keep-alive\r\n\r\n" : "Connection: close\r\n\r\n";
+    if (m_method != "HEAD")
+        m_out += body;
+    m_ended = true;
+    flush();
+}
+
+void HttpConnection::beginStream(int status, std::span<const HttpField> fields)
+{
+    if (m_closed || m_responded)
+        return;
+    m_responded = m_chunked = true;
+    appendStatusLine(m_out, status);
+    appendFields(m_out, fields);
+    m_out += "Transfer-Encoding: chunked\r\n";
+    m_out += m_keepAlive ? "Connection: keep-alive\r\n\r\n" : "Connection: close\r\n\r\n";
+    flush();
+}
+
+void HttpConnection::write(std::string_view part)
+{
+    if (m_closed || !m_chunked || m_ended || part.empty())
+        return;
+    appendChunk(m_out, part);
+    flush();
+}
+
+void HttpConnection::endStream()
+{
+    if (m_closed || !m_chunked || m_ended)
+        return;
+    m_ended = true;
+    if (!m_bodyRead)
+        m_keepAlive = false;
+    m_out += "0\r\n\r\n";
+    flush();
+}
+
+void HttpConnection::flush()
+{
+    if (!m_writing.empty() || m_out.empty() || m_closed)
+        return;
+    m_writing.swap(m_out);
+    setDeadline(m_limits.stallTimeout);
+    asio::async_write(m_socket, asio::buffer(m_writing),
+                      [self = shared_from_this()](error_code ec, std::size_t) { self->wrote(ec); });
+}
+
+void HttpConnection::wrote(error_code ec)
+{
+    m_writing.clear();
+    if (ec || m_closed)
+        return close();
+    if (!m_out.empty())
+        return flush();
+    if (m_ended)
+        return finishExchange();
+    // An answer that waits for its backend may be silent for long; only unsent bytes are a stall.
+    setDeadline(Duration(24h));
+    if (const auto callback = std::exchange(m_onDrained, nullptr))
+        callback();
+}
+
+void HttpConnection::finishExchange()
+{
+    m_onClosed = nullptr;
+    m_onDrained = nullptr;
+    countExchange(false);
+    if (!m_keepAlive) {
+        error_code ec;
+        m_socket.shutdown(tcp::socket::shutdown_send, ec);
+        return close();
+    }
+    readHead();
+}
+
+/// Notices a peer that goes away while its answer is being made.
+void HttpConnection::watchPeer()
+{
+    if (m_watching || m_closed)
+        return;
+    m_watching = true;
+    setDeadline(Duration(24h));
+    m_socket.async_wait(tcp::socket::wait_read, [self = shared_from_this()](error_code ec) {
+        self->m_watching = false;
+        if (self->m_closed || self->m_ended || ec)
+            return;
+        error_code availableError;
+        if (self->m_socket.available(availableError) == 0 || availableError)
+            self->close();
+    });
+}
+
+void HttpConnection::watchDeadline()
+{
+    m_timer.expires_after(500ms);
+    m_timer.async_wait([weak = weak_from_this()](error_code ec) {
+        const auto self = weak.lock();
+        if (ec || !self || self->m_closed)
+            return;
+        if (std::chrono::steady_clock::now() >= self->m_deadline)
+            return self->close();
+        self->watchDeadline();
+    });
+}
+
+void HttpConnection::close()
+{
+    if (m_closed)
+        return;
+    m_closed = true;
+    error_code ec;
+    m_socket.close(ec);
+    m_timer.cancel();
+    countExchange(false);
+    --m_counters->connections;
+    m_onDrained = nullptr;
+    if (const auto callback = std::exchange(m_onClosed, nullptr))
+        callback();
+}
+
+} // namespace
+
+Result<void> HttpServer::Impl::listen(const tcp::endpoint &endpoint)
+{
+    error_code ec;
+    const auto failed = [&] {
+        return Error{ErrorKind::Unavailable,
+                     "cannot listen on " + endpoint.address().to_string() + ":"
+                         + std::to_string(endpoint.port()) + ": " + ec.message(),
+                     "give a free address of this host"};
+    };
+    m_acceptor.open(endpoint.protocol(), ec);
+    if (ec)
+        return failed();
+    const int on = 1;
+    ::setsockopt(m_acceptor.native_handle(), SOL_SOCKET, SO_REUSEPORT, &on, sizeof(on));
+    m_acceptor.set_option(tcp::acceptor::reuse_address(true), ec);
+    m_acceptor.bind(endpoint, ec);
+    if (ec)
+        return failed();
+    m_acceptor.listen(4096, ec);
+    if (ec)
+        return failed();
+    accept();
+    return BOOST_OUTCOME_V2_NAMESPACE::success();
+}
+
+void HttpServer::Impl::accept()
+{
+    m_acceptor.async_accept([self = shared_from_this()](error_code ec, tcp::socket socket) {
+        if (self->m_stopped || ec == asio::error::operation_aborted)
+            return;
+        if (!ec && self->m_counters->connections < self->m_limits.maxConnections) {
+            error_code ignored;
+            socket.set_option(tcp::no_delay(true), ignored);
+            std::make_shared<HttpConnection>(std::move(socket), self->m_handler, self->m_limits,
+                                             self->m_counters)
+                ->start();
+        }
+        self->accept();
+    });
+}
+
+HttpServer::HttpServer(asio::io_context &loop, HttpHandler &handler, HttpServerLimits limits)
+    : m_impl(std::make_shared<Impl>(loop, handler, limits))
+{ }
+
+HttpServer::~HttpServer()
+{
+    stopAccepting();
+}
+
+Result<void> HttpServer::listen(const tcp::endpoint &endpoint)
+{
+    return m_impl->listen(endpoint);
+}
+
+void HttpServer::stopAccepting()
+{
+    m_impl->m_stopped = true;
+    error_code ec;
+    m_impl->m_acceptor.close(ec);
+}
+
+std::size_t HttpServer::connections() const
+{
+    return m_impl->m_counters->connections;
+}
+
+int HttpServer::unfinishedExchanges() const
+{
+    return m_impl->m_counters->exchanges.load(std::memory_order_relaxed);
+}
+
+unsigned short HttpServer::port() const
+{
+    error_code ec;
+    return m_impl->m_acceptor.local_endpoint(ec).port();
+}
+
+} // namespace dogwoodvalve
--- /dev/null
+++ b/src/net/http_text.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include "net/http_server.h"
+
+#include <dogwoodvalve/result.h>
+
+#include <span>
+#include <string>
+#include <string_view>
+
+namespace dogwoodvalve {
+
+/// The value of a field by name, whatever its case, or an empty view.
+std::string_view findField(std::span<const HttpField> fields, std::string_view name);
+
+/// Whether two header names or tokens are the same, whatever their case.
+bool equalsIgnoringCase(std::string_view a, std::string_view b);
+
+void appendStatusLine(std::string &out, int status);
+void appendFields(std::string &out, std::span<const HttpField> fields);
+void appendChunk(std::string &out, std::string_view part);
+
+/// The error body of the chat-completions dialect. The outcome is not_run or unknown.
+std::string errorBody(const Error &error, std::string_view outcome);
+
+/// The value of a parameter in a request target's query, or an empty view.
+std::string_view queryParameter(std::string_view target, std::string_view name);
+
+/// The request target without its query.
+std::string_view pathOf(std::string_view target);
+
+} // namespace dogwoodvalve
--- /dev/null
+++ b/src/net/short_http_client.cpp
@@ -0,0 +1,48 @@
+#include "net/short_http_client.h"
+
+#include "net/endpoint.h"
+
+#include <cxxtools/http/client.h>
+#include <cxxtools/http/request.h>
+#include <cxxtools/systemerror.h>
+
+#include <cerrno>
+
+namespace dogwoodvalve {
+
+Result<ShortHttpReply> sendShortRequest(std::string_view address, const ShortHttpRequest &request)
+{
+    const auto endpoint = parseEndpoint(address);
+    if (!endpoint)
+        return endpoint.error();
+    const auto failed = [&](ErrorKind kind, const std::exception &e) {
+        return Error{kind, "request to " + std::string(address) + " failed: " + e.what(),
+                     "check that the process at this address runs"};
+    };
+    const cxxtools::Milliseconds timeout(
+        static_cast<double>(std::chrono::ceil<std::chrono::milliseconds>(request.timeout).count()));
+    cxxtools::http::Client client(endpoint.value().address().to_string(), endpoint.value().port());
+    try {
+        cxxtools::http::Request outgoing(request.path);
+        outgoing.method(request.method);
+        outgoing.qparams(request.query);
+        outgoing.setHeader("Connection", "close");
+        if (!request.bearer.empty())
+            outgoing.setHeader("Authorization", ("Bearer " + request.bearer).c_str());
+        if (!request.body.empty()) {
+            outgoing.setHeader("Content-Type", "application/json");
+            outgoing.body() << request.body;
+        }
+        const auto &header = client.execute(outgoing, timeout, timeout);
+        const int status = static_cast<int>(header.httpReturnCode());
+        client.readBody();
+        return ShortHttpReply{status, client.body()};
+    } catch (const cxxtools::SystemError &e) {
+        return failed(e.getErrno() == ECONNREFUSED ? ErrorKind::Unavailable : ErrorKind::Timeout,
+                      e);
+    } catch (const std::exception &e) {
+        return failed(ErrorKind::Timeout, e);
+    }
+}
+
+} // namespace dogwoodvalve
