--- a/src/codec/frame_guard.cpp
+++ b/src/codec/frame_guard.cpp
@@ -1,5 +1,7 @@
 #include "codec/frame_guard.h"
 
+#include "core/mutation.h"
+
 #include <openssl/crypto.h>
 #include <openssl/evp.h>
 #include <openssl/hmac.h>
@@ -116,7 +118,8 @@
         return unauthorised();
     const std::string_view payload = frame.substr(HeaderBytes + MacBytes);
     const Mac expected = macOf(secret->secret, !m_outgoing, m_received, payload);
-    if (CRYPTO_memcmp(expected.data(), mac.data(), expected.size()) != 0)
+    const bool authentic = CRYPTO_memcmp(expected.data(), mac.data(), expected.size()) == 0;
+    if (!authentic && !mutated("accept-forged-frames"))
         return unauthorised();
     ++m_received;
     return payload;
--- a/src/core/configuration_follower.cpp
+++ b/src/core/configuration_follower.cpp
@@ -1,4 +1,5 @@
 #include "codec/change_codec.h"
+#include "core/mutation.h"
 
 #include <dogwoodvalve/configuration_follower.h>
 #include <dogwoodvalve/invariant.h>
@@ -157,7 +158,8 @@
 {
     ConfigurationState restored;
     const Result<void> read = readSnapshot(snapshot, restored);
-    if (!read || restored.nextOffset() <= m_state.nextOffset())
+    const bool newer = restored.nextOffset() > m_state.nextOffset();
+    if (!read || (!newer && !mutated("take-older-snapshot")))
         return false;
     m_state = std::move(restored);
     m_recent.clear();
--- a/src/core/configuration_state.cpp
+++ b/src/core/configuration_state.cpp
@@ -1,3 +1,5 @@
+#include "core/mutation.h"
+
 #include <dogwoodvalve/configuration_state.h>
 #include <dogwoodvalve/invariant.h>
 
@@ -94,7 +96,7 @@
     for (const Operation &operation : change.operations) {
         const StoredObject *object = find(operation.id);
         const std::uint64_t version = object ? object->version : 0;
-        if (version != operation.baseVersion) {
+        if (version != operation.baseVersion && !mutated("no-compare-and-set")) {
             rejection.conflictsWith = object ? object->changeId : "";
             return reject(operation.id.describe() + " is at version " + std::to_string(version)
                           + ", the change builds on " + std::to_string(operation.baseVersion));
@@ -115,7 +117,8 @@
                      "record " + std::to_string(offset) + " does not follow "
                          + std::to_string(m_nextOffset),
                      "apply the records in order"};
-    if (const ChangeOutcome *earlier = outcome(change.id)) {
+    if (const ChangeOutcome *earlier = outcome(change.id);
+        earlier && !mutated("apply-change-twice")) {
         const ChangeOutcome same = *earlier;
         ++m_nextOffset;
         return same;
--- a/src/core/key_ledger.cpp
+++ b/src/core/key_ledger.cpp
@@ -1,3 +1,5 @@
+#include "core/mutation.h"
+
 #include <dogwoodvalve/invariant.h>
 #include <dogwoodvalve/key_ledger.h>
 
@@ -123,13 +125,14 @@
 KeyVerdict KeyLedger::peek(std::string_view workspace, const RequestKey &key, TimePoint now)
 {
     advance(now);
-    if (key.prefix.entry != m_entry || key.prefix.boot != m_boot)
+    const bool own = key.prefix.entry == m_entry && key.prefix.boot == m_boot;
+    if (!own && !mutated("run-others-keys"))
         return KeyVerdict::OtherOwner;
     const Epoch *epoch = find(key.prefix.epoch);
     if (!epoch)
         return KeyVerdict::Expired;
     const auto it = epoch->keys.find(digestOf(workspace, key.suffix));
-    if (it != epoch->keys.end())
+    if (it != epoch->keys.end() && !mutated("forget-keys"))
         return it->second == KeyState::Running ? KeyVerdict::Running : KeyVerdict::Spent;
     return epoch->keys.size() >= m_options.keysPerEpoch ? KeyVerdict::Full : KeyVerdict::Run;
 }
--- a/src/core/membership.cpp
+++ b/src/core/membership.cpp
@@ -1,3 +1,5 @@
+#include "core/mutation.h"
+
 #include <dogwoodvalve/hash.h>
 #include <dogwoodvalve/membership.h>
 
@@ -137,7 +139,8 @@
     for (auto it = m_members.begin(); it != m_members.end();) {
         Entry &entry = it->second;
         const Duration age = now - entry.changedAt;
-        if (entry.member.state == MemberState::Suspect && age > m_options.suspicionTimeout) {
+        const bool suspect = entry.member.state == MemberState::Suspect;
+        if (suspect && age > m_options.suspicionTimeout && !mutated("never-declare-dead")) {
             entry.member.state = MemberState::Dead;
             entry.changedAt = now;
             dead.push_back(entry.member);
--- a/src/daemon/pipeline_capacity.cpp
+++ b/src/core/pipeline_capacity.cpp
@@ -1,4 +1,4 @@
-#include "daemon/pipeline_capacity.h"
+#include <dogwoodvalve/pipeline_capacity.h>
 
 #include <algorithm>
 #include <limits>
--- a/src/core/routing.cpp
+++ b/src/core/routing.cpp
@@ -1,3 +1,5 @@
+#include "core/mutation.h"
+
 #include <dogwoodvalve/routing.h>
 
 #include <algorithm>
@@ -153,7 +155,8 @@
     for (const std::uint32_t i : stage) {
         const ConfiguredServer &server = configuration.servers()[i];
         const BackendServer *state = server.state.get();
-        if (server.spec->draining || state->leaving()) {
+        const bool leaving = server.spec->draining || state->leaving();
+        if (leaving && !mutated("use-leaving-servers")) {
             ++filtered.draining;
             continue;
         }
--- a/src/core/sequence.cpp
+++ b/src/core/sequence.cpp
@@ -1,3 +1,5 @@
+#include "core/mutation.h"
+
 #include <dogwoodvalve/invariant.h>
 #include <dogwoodvalve/sequence.h>
 
@@ -180,6 +182,8 @@
 
 bool Sequence::matchesOutstanding(const StepAnswer &answer) const
 {
+    if (mutated("accept-any-answer"))
+        return m_waiting && answer.sequence == m_request.id;
     return m_waiting && answer.sequence == m_request.id && answer.attempt == m_attempt
         && answer.layers == m_request.stages[m_stage]
         && answer.basePosition == m_chain[m_stage].kept;
@@ -292,7 +296,7 @@
 {
     m_waiting = false;
     StageSlot &slot = m_chain[m_stage];
-    if (!m_request.idempotent && m_mayHaveRun)
+    if (!m_request.idempotent && m_mayHaveRun && !mutated("rerun-non-idempotent"))
         return fail({ErrorKind::Unavailable, "a stage was lost and the request is not idempotent",
                      "find out whether it took effect before sending it again"},
                     1s);
@@ -309,7 +313,7 @@
     replaceServer(slot);
     if (inputInHand)
         return runStage();
-    for (std::size_t i = 0; i < m_stage; ++i) {
+    for (std::size_t i = 0; i < m_stage && !mutated("rebuild-lost-stage-only"); ++i) {
         m_chain[i].kept = 0;
         if (m_chain[i].lost)
             replaceServer(m_chain[i]);
@@ -346,7 +350,8 @@
 {
     if (m_finished)
         return;
-    const Outcome outcome = m_mayHaveRun ? Outcome::Unknown : Outcome::NotRun;
+    const bool mayHaveRun = m_mayHaveRun && !mutated("always-say-not-run");
+    const Outcome outcome = mayHaveRun ? Outcome::Unknown : Outcome::NotRun;
     finish();
     m_environment.failed({outcome, error, retryAfter});
 }
--- a/src/daemon/caller_answers.cpp
+++ b/src/daemon/caller_answers.cpp
@@ -1,6 +1,5 @@
 #include "daemon/caller_answers.h"
 
-#include "net/asio_timer_service.h"
 #include "net/http_text.h"
 
 #include <dogwoodvalve/membership.h>
@@ -63,8 +62,8 @@
 std::vector<HttpField> commonFields(EntryContext &context, std::string_view contentType,
                                     std::string_view outcome)
 {
-    const KeyPrefix prefix = context.withKeys(
-        [](KeyLedger &keys) { return keys.currentPrefix(AsioTimerService::steadyNow()); });
+    const KeyPrefix prefix =
+        context.withKeys([&](KeyLedger &keys) { return keys.currentPrefix(context.now()); });
     return {{"Content-Type", std::string(contentType)},
             {"Dogwoodvalve-Outcome", std::string(outcome)},
             {"Dogwoodvalve-Key-Prefix", prefix.text()},
--- a/src/daemon/caller_api.cpp
+++ b/src/daemon/caller_api.cpp
@@ -1,7 +1,6 @@
 #include "daemon/caller_api.h"
 
 #include "daemon/caller_answers.h"
-#include "daemon/entry_shard.h"
 #include "net/endpoint.h"
 #include "net/http_text.h"
 
@@ -72,7 +71,7 @@
     const bool chat = path == "/v1/chat/completions";
     if (chat || path == "/v1/completions") {
         if (method != "POST")
-            return respondFailure(m_shard.context(), exchange, 405,
+            return respondFailure(m_host.context(), exchange, 405,
                                   {ErrorKind::InvalidArgument, "only POST is served here", ""},
                                   Outcome::NotRun, 1s);
         return handleCompletion(exchange, chat ? CompletionKind::Chat : CompletionKind::Text);
@@ -91,13 +90,13 @@
 
 void CallerApi::refuse(const Exchange &exchange, const Error &error, Outcome outcome)
 {
-    respondFailure(m_shard.context(), exchange, statusOf(error), error, outcome, 1s);
+    respondFailure(m_host.context(), exchange, statusOf(error), error, outcome, 1s);
 }
 
 /// Whether this host may not begin new work; the caller is then told where else to go.
 bool CallerApi::refuseNewWork(const Exchange &exchange)
 {
-    EntryContext &context = m_shard.context();
+    EntryContext &context = m_host.context();
     std::string reason;
     if (context.draining.load(std::memory_order_relaxed))
         reason = "this host is draining";
@@ -114,7 +113,7 @@
 /// A host without a configuration knows neither callers nor keys.
 bool CallerApi::refuseUnready(const Exchange &exchange)
 {
-    EntryContext &context = m_shard.context();
+    EntryContext &context = m_host.context();
     if (context.ready.load(std::memory_order_relaxed))
         return false;
     respondFailure(context, exchange, 503,
@@ -127,7 +126,7 @@
 std::optional<CallerApi::Caller> CallerApi::identify(const Exchange &exchange)
 {
     Caller caller;
-    caller.configuration = m_shard.context().configuration();
+    caller.configuration = m_host.context().configuration();
     const auto workspace = authenticate(*caller.configuration, *exchange);
     if (!workspace) {
         refuse(exchange, workspace.error(), Outcome::NotRun);
@@ -150,7 +149,7 @@
 {
     if (!caller.key)
         return;
-    m_shard.context().withKeys(
+    m_host.context().withKeys(
         [&](KeyLedger &keys) { keys.settle(caller.workspace->name, *caller.key, outcome); });
 }
 
@@ -170,8 +169,8 @@
 {
     if (!caller.key)
         return true;
-    const KeyVerdict verdict = m_shard.context().withKeys([&](KeyLedger &keys) {
-        return keys.admit(caller.workspace->name, *caller.key, m_shard.timers().now());
+    const KeyVerdict verdict = m_host.context().withKeys([&](KeyLedger &keys) {
+        return keys.admit(caller.workspace->name, *caller.key, m_host.loop().timers().now());
     });
     return !answerKey(exchange, caller, verdict);
 }
@@ -186,8 +185,8 @@
     if (!caller)
         return std::nullopt;
     if (caller->key) {
-        const KeyVerdict verdict = m_shard.context().withKeys([&](KeyLedger &keys) {
-            return keys.peek(caller->workspace->name, *caller->key, m_shard.timers().now());
+        const KeyVerdict verdict = m_host.context().withKeys([&](KeyLedger &keys) {
+            return keys.peek(caller->workspace->name, *caller->key, m_host.loop().timers().now());
         });
         if (answerKey(exchange, *caller, verdict))
             return std::nullopt;
@@ -202,7 +201,7 @@
 {
     if (!exchange->header(ForwardedField).empty())
         return false;
-    const std::vector<Member> members = m_shard.context().members();
+    const std::vector<Member> members = m_host.context().members();
     const auto owner = std::find_if(members.begin(), members.end(), [&](const Member &member) {
         return member.name == caller.key->prefix.entry && member.boot == caller.key->prefix.boot
             && member.state != MemberState::Dead;
@@ -223,7 +222,7 @@
         limits.requestsPerSecond > 0 || limits.concurrentRequests > 0 || limits.tokensPerSecond > 0;
     if (!limited || caller.key || !exchange->header(ForwardedField).empty())
         return false;
-    const auto homes = m_shard.context().homesOf(caller.workspace->name);
+    const auto homes = m_host.context().homesOf(caller.workspace->name);
     if (homes.here)
         return false;
     forward(exchange, homes.first, caller.workspace->name,
@@ -240,20 +239,18 @@
     ProxyRequest request;
     request.targets = {{member.name, endpoint.value(), nullptr}};
     request.path = exchange->target();
-    request.addedFields = {{std::string(ForwardedField), m_shard.context().settings().name}};
+    request.addedFields = {{std::string(ForwardedField), m_host.context().settings().name}};
     request.passAuthorization = true;
-    request.timeout = m_shard.context().settings().requestTimeout;
+    request.timeout = m_host.context().settings().requestTimeout;
     request.connectTimeout = ForwardConnectTimeout;
     request.workspace = workspace;
     request.kind = "forward";
-    m_shard.context().openRequests.fetch_add(1, std::memory_order_relaxed);
+    m_host.context().openRequests.fetch_add(1, std::memory_order_relaxed);
     const auto session = std::make_shared<ProxySession>(
-        m_shard.context(), m_shard.timers(), m_shard.loop(), exchange, std::move(request),
-        [this](Outcome) {
-            m_shard.context().openRequests.fetch_sub(1, std::memory_order_relaxed);
-        });
+        m_host.context(), m_host.loop(), exchange, std::move(request),
+        [this](Outcome) { m_host.context().openRequests.fetch_sub(1, std::memory_order_relaxed); });
     session->onUnreachable([this, unreachable = std::move(unreachable)] {
-        m_shard.context().openRequests.fetch_sub(1, std::memory_order_relaxed);
+        m_host.context().openRequests.fetch_sub(1, std::memory_order_relaxed);
         unreachable();
     });
     session->start();
@@ -271,7 +268,7 @@
 {
     if (!admitKey(exchange, caller))
         return;
-    const std::size_t limit = m_shard.context().settings().http.maxBodyBytes;
+    const std::size_t limit = m_host.context().settings().http.maxBodyBytes;
     exchange->readBody(
         limit, [this, exchange, kind, caller = std::move(caller)](Result<std::string> body) {
             if (body)
@@ -296,9 +293,9 @@
         return refuse(exchange, good.error(), Outcome::NotRun);
     }
     const bool idempotent = !caller.key && !markedNotIdempotent(*exchange);
-    m_shard.run(std::make_shared<CompletionSession>(m_shard, exchange, caller.configuration,
-                                                    *caller.workspace, std::move(request).value(),
-                                                    idempotent, caller.key));
+    m_host.run(std::make_shared<CompletionSession>(m_host, exchange, caller.configuration,
+                                                   *caller.workspace, std::move(request).value(),
+                                                   idempotent, caller.key));
 }
 
 void CallerApi::handleService(const Exchange &exchange)
@@ -321,7 +318,7 @@
     request.path = rest.substr(end);
     if (request.path.empty() || request.path.front() != '/')
         request.path.insert(0, "/");
-    const TimePoint now = m_shard.timers().now();
+    const TimePoint now = m_host.loop().timers().now();
     for (const std::uint32_t i : service->candidates[caller->workspace->placementClass]) {
         const ConfiguredServer &server = caller->configuration->servers()[i];
         const auto endpoint = parseEndpoint(server.spec->address);
@@ -338,22 +335,22 @@
     request.idempotent = !caller->key && !markedNotIdempotent(*exchange)
         && std::find(methods.begin(), methods.end(), exchange->method()) != methods.end();
     request.addedFields = {{"Dogwoodvalve-Workspace", caller->workspace->name}};
-    request.timeout = m_shard.context().settings().requestTimeout;
+    request.timeout = m_host.context().settings().requestTimeout;
     request.workspace = caller->workspace->name;
     request.kind = "service";
-    m_shard.context().openRequests.fetch_add(1, std::memory_order_relaxed);
-    std::make_shared<ProxySession>(
-        m_shard.context(), m_shard.timers(), m_shard.loop(), exchange, std::move(request),
-        [this, caller = *caller](Outcome outcome) {
-            settle(caller, outcome);
-            m_shard.context().openRequests.fetch_sub(1, std::memory_order_relaxed);
-        })
+    m_host.context().openRequests.fetch_add(1, std::memory_order_relaxed);
+    std::make_shared<ProxySession>(m_host.context(), m_host.loop(), exchange, std::move(request),
+                                   [this, caller = *caller](Outcome outcome) {
+                                       settle(caller, outcome);
+                                       m_host.context().openRequests.fetch_sub(
+                                           1, std::memory_order_relaxed);
+                                   })
         ->start();
 }
 
 void CallerApi::respondEntries(const Exchange &exchange)
 {
-    EntryContext &context = m_shard.context();
+    EntryContext &context = m_host.context();
     const ConfigurationPointer configuration = context.configuration();
     const auto workspace = authenticate(*configuration, *exchange);
     const std::string ranked =
@@ -365,7 +362,7 @@
                         {"zone", member.zone},
                         {"region", member.region}});
     const KeyPrefix prefix = context.withKeys(
-        [&](KeyLedger &keys) { return keys.currentPrefix(m_shard.timers().now()); });
+        [&](KeyLedger &keys) { return keys.currentPrefix(m_host.loop().timers().now()); });
     const json body = {{"entries", list},
                        {"ttl", EntriesTimeToLive},
                        {"keyPrefix", prefix.text()},
@@ -385,16 +382,16 @@
                         {"created", 0},
                         {"owned_by", "dogwoodvalve"}});
     const json body = {{"object", "list"}, {"data", list}};
-    exchange->respond(200, commonFields(m_shard.context(), "application/json", "complete"),
+    exchange->respond(200, commonFields(m_host.context(), "application/json", "complete"),
                       body.dump());
 }
 
 void CallerApi::respondHealth(const Exchange &exchange)
 {
     const json body = {{"ok", true},
-                       {"configuration", m_shard.context().configuration()->nextOffset()},
-                       {"boot", m_shard.context().boot()}};
-    exchange->respond(200, commonFields(m_shard.context(), "application/json", "complete"),
+                       {"configuration", m_host.context().configuration()->nextOffset()},
+                       {"boot", m_host.context().boot()}};
+    exchange->respond(200, commonFields(m_host.context(), "application/json", "complete"),
                       body.dump());
 }
 
--- a/src/daemon/caller_api.h
+++ b/src/daemon/caller_api.h
@@ -10,14 +10,12 @@
 
 namespace dogwoodvalve {
 
-class EntryShard;
-
 /// The interface towards callers: completions, models, entry addresses and plain services.
 class CallerApi : public HttpHandler
 {
 public:
-    explicit CallerApi(EntryShard &shard)
-        : m_shard(shard)
+    explicit CallerApi(SessionHost &host)
+        : m_host(host)
     { }
 
     void handle(const std::shared_ptr<HttpExchange> &exchange) override;
@@ -55,7 +53,7 @@
     void refuse(const Exchange &exchange, const Error &error, Outcome outcome);
     void settle(const Caller &caller, Outcome outcome);
 
-    EntryShard &m_shard;
+    SessionHost &m_host;
 };
 
 } // namespace dogwoodvalve
--- a/src/daemon/completion_session.cpp
+++ b/src/daemon/completion_session.cpp
@@ -1,13 +1,12 @@
 #include "daemon/completion_session.h"
 
+#include "core/mutation.h"
 #include "daemon/caller_answers.h"
 #include "daemon/log.h"
 #include "net/http_text.h"
 
 #include <dogwoodvalve/hash.h>
 
-#include <boost/asio/post.hpp>
-
 #include <algorithm>
 #include <chrono>
 #include <cstdio>
@@ -48,7 +47,7 @@
     , m_key(std::move(key))
     , m_id{host.context().boot(), host.context().nextSequence()}
     , m_zone(m_configuration->zoneIndex(host.context().settings().zone))
-    , m_arrivedAt(host.timers().now())
+    , m_arrivedAt(host.loop().timers().now())
 {
     const std::uint64_t salt = stableHash(m_pipeline->name, stableHash(m_workspace.name));
     m_prefixBlocks = PrefixIndex::blocksOf(m_request.prompt, salt);
@@ -86,7 +85,7 @@
         std::optional<Refusal> copy;
         if (refusal)
             copy = *refusal;
-        boost::asio::post(loop, [self, copy] { self->decided(copy ? &*copy : nullptr); });
+        loop.post([self, copy] { self->decided(copy ? &*copy : nullptr); });
     };
     m_ticket = context.withAdmission([&](AdmissionController &controller) {
         return controller.submit(std::move(admission), m_arrivedAt, decide);
@@ -101,7 +100,7 @@
         // The caller left between the decision and this turn.
         if (m_admitted)
             m_host.context().withAdmission([&](AdmissionController &controller) {
-                controller.release(m_ticket, 0, m_host.timers().now());
+                controller.release(m_ticket, 0, timers().now());
             });
         return;
     }
@@ -135,7 +134,7 @@
     if (!m_sequence)
         return;
     const int dropped = m_sequence->statistics().droppedAnswers;
-    const Duration took = m_host.timers().now() - m_stepSentAt;
+    const Duration took = timers().now() - m_stepSentAt;
     for (std::size_t i = 0; i < m_sequence->stageCount(); ++i) {
         const bool fits =
             m_pipeline->spec->stages[i] == answer.layers && answer.fault == StepFault::None;
@@ -170,7 +169,7 @@
     query.entryZone = current->zoneIndex(m_host.context().settings().zone);
     query.prefixBlocks = m_prefixBlocks;
     query.excluded = excluded;
-    query.now = m_host.timers().now();
+    query.now = timers().now();
     const auto choice = m_host.router().choose(*current, query);
     if (!choice) {
         LogEvent::decision("route")
@@ -209,7 +208,7 @@
 
 bool CompletionSession::send(BackendServer &server, const StepRequest &request)
 {
-    m_stepSentAt = m_host.timers().now();
+    m_stepSentAt = timers().now();
     m_stepIsPrefill = request.basePosition == 0;
     return m_host.sendStep(server, request);
 }
@@ -269,7 +268,7 @@
 
 void CompletionSession::emitToken(std::size_t index, std::string_view text)
 {
-    const TimePoint now = m_host.timers().now();
+    const TimePoint now = timers().now();
     if (index == 0)
         m_host.context().metrics().observeFirstToken(now - m_arrivedAt);
     else
@@ -312,6 +311,11 @@
 {
     if (m_streaming) {
         // The status has been sent, so an error event tells the caller that the answer is cut.
+        if (mutated("end-cut-answers-as-whole")) {
+            m_chunk.clear();
+            m_writer->appendEnd(m_chunk, FinishReason::TokenLimit, false, 0, 0);
+            m_exchange->write(m_chunk);
+        }
         m_exchange->write("data: " + errorBody(failure.error, toString(failure.outcome)) + "\n\n");
         m_exchange->endStream();
         m_host.context().metrics().countRequest(failure.outcome);
@@ -332,7 +336,7 @@
         return;
     m_ended = true;
     EntryContext &context = m_host.context();
-    const TimePoint now = m_host.timers().now();
+    const TimePoint now = timers().now();
     if (m_sequence)
         m_sequence->cancel();
     const bool ran = m_sequence != nullptr;
--- a/src/daemon/completion_session.h
+++ b/src/daemon/completion_session.h
@@ -3,12 +3,11 @@
 #include "codec/completion_codec.h"
 #include "daemon/entry_context.h"
 #include "net/http_server.h"
+#include "net/loop_services.h"
 
 #include <dogwoodvalve/routing.h>
 #include <dogwoodvalve/sequence.h>
 
-#include <boost/asio/io_context.hpp>
-
 #include <memory>
 #include <optional>
 #include <string>
@@ -22,11 +21,12 @@
 public:
     virtual ~SessionHost() = default;
     virtual EntryContext &context() = 0;
-    virtual TimerService &timers() = 0;
-    virtual boost::asio::io_context &loop() = 0;
+    virtual LoopServices &loop() = 0;
     virtual Router &router() = 0;
     virtual bool sendStep(BackendServer &server, const StepRequest &request) = 0;
     virtual void releaseSequence(BackendServer &server, SequenceId sequence) = 0;
+    /// Takes over a session and starts it.
+    virtual void run(const std::shared_ptr<class CompletionSession> &session) = 0;
     /// The session has ended and may be forgotten, but not before this turn of the loop is over.
     virtual void sessionEnded(std::uint64_t number) = 0;
 };
@@ -48,7 +48,7 @@
     void onAnswer(const StepAnswer &answer);
     void onServerLost(const BackendServer &server);
 
-    TimerService &timers() override { return m_host.timers(); }
+    TimerService &timers() override { return m_host.loop().timers(); }
     Result<std::shared_ptr<BackendServer>>
     chooseServer(std::size_t stage, std::span<const BackendServer *const> excluded) override;
     bool send(BackendServer &server, const StepRequest &request) override;
--- a/src/daemon/control_plane.cpp
+++ b/src/daemon/control_plane.cpp
@@ -31,48 +31,50 @@
 
 } // namespace
 
-ControlPlane::ControlPlane(boost::asio::io_context &loop, EntryContext &context,
-                           std::function<void()> configurationChanged)
+ControlPlane::ControlPlane(EntryContext &context, TimerService &timers, Platform &platform,
+                           PeerTransport &transport, std::function<void()> configurationChanged)
     : m_context(context)
     , m_configurationChanged(std::move(configurationChanged))
-    , m_timers(loop)
-    , m_platform(loop, context.settings().platform)
-    , m_links(loop, context.settings().peerSecrets, context.metrics(), *this)
-    , m_membership(selfMember(context), context.settings().seeds, MembershipOptions{}, m_timers,
-                   m_links, *this)
-    , m_follower(m_platform, m_timers, *this, ConfigurationFollowerOptions{})
+    , m_timers(timers)
+    , m_platform(platform)
+    , m_membership(selfMember(context), context.settings().seeds, MembershipOptions{}, timers,
+                   transport, *this)
+    , m_follower(platform, timers, *this, ConfigurationFollowerOptions{})
 { }
 
-ControlPlane::~ControlPlane() = default;
+ControlPlane::~ControlPlane()
+{
+    m_timers.cancel(m_hostTimer);
+    m_timers.cancel(m_refreshTimer);
+}
 
-Result<void> ControlPlane::start()
+void ControlPlane::start()
 {
-    const Result<void> listening = m_links.listen(m_context.settings().peerListen);
-    if (!listening)
-        return listening;
     membersChanged();
     m_membership.start();
     m_follower.start();
     pollHosts();
     refresh();
-    return listening;
 }
 
 void ControlPlane::leave()
 {
     m_membership.leave();
-    m_links.stop();
 }
 
 void ControlPlane::pollHosts()
 {
-    m_platform.listHosts([this](const Result<std::vector<HostStatus>> &hosts) {
-        if (hosts) {
-            m_hosts = hosts.value();
-            applyHosts(m_hosts);
-        }
-        m_timers.subscribe(m_timers.now() + HostListInterval, [this] { pollHosts(); });
-    });
+    m_platform.listHosts(
+        [this, alive = std::weak_ptr(m_alive)](const Result<std::vector<HostStatus>> &hosts) {
+            if (alive.expired())
+                return;
+            if (hosts) {
+                m_hosts = hosts.value();
+                applyHosts(m_hosts);
+            }
+            m_hostTimer =
+                m_timers.subscribe(m_timers.now() + HostListInterval, [this] { pollHosts(); });
+        });
 }
 
 /// Servers that the list calls leaving take no new work. A server that is not on the list, or a
@@ -105,20 +107,23 @@
     m_context.withAdmission(
         [this](AdmissionController &controller) { controller.collect(m_timers.now()); });
     settleAwaited();
-    m_timers.subscribe(m_timers.now() + RefreshInterval, [this] { refresh(); });
+    m_refreshTimer = m_timers.subscribe(m_timers.now() + RefreshInterval, [this] { refresh(); });
 }
 
 void ControlPlane::publishChange(const Change &change,
                                  std::function<void(const Result<ChangeOutcome> &)> done)
 {
     m_awaited.push_back({change.id, m_timers.now() + ChangeTimeout, std::move(done)});
-    m_platform.append(ConfigurationStream, writeChange(change),
-                      [this, id = change.id](const Result<LogOffset> &appended) {
-                          LogEvent("change_appended")
-                              .field("change", id)
-                              .field("result", appended ? "appended" : appended.error().message);
-                          m_follower.pollNow();
-                      });
+    m_platform.append(
+        ConfigurationStream, writeChange(change),
+        [this, id = change.id, alive = std::weak_ptr(m_alive)](const Result<LogOffset> &appended) {
+            if (alive.expired())
+                return;
+            LogEvent("change_appended")
+                .field("change", id)
+                .field("result", appended ? "appended" : appended.error().message);
+            m_follower.pollNow();
+        });
 }
 
 /// Answers the operators whose changes have been read back from the log, or will not be in time.
--- a/src/daemon/control_plane.h
+++ b/src/daemon/control_plane.h
@@ -1,16 +1,13 @@
 #pragma once
 
 #include "daemon/entry_context.h"
-#include "daemon/http_platform.h"
 #include "daemon/peer_links.h"
-#include "net/asio_timer_service.h"
 
 #include <dogwoodvalve/configuration_follower.h>
 #include <dogwoodvalve/membership.h>
 
-#include <boost/asio/io_context.hpp>
-
 #include <functional>
+#include <memory>
 #include <string>
 
 namespace dogwoodvalve {
@@ -22,11 +19,11 @@
                      public PeerLinkEvents
 {
 public:
-    ControlPlane(boost::asio::io_context &loop, EntryContext &context,
-                 std::function<void()> configurationChanged);
+    ControlPlane(EntryContext &context, TimerService &timers, Platform &platform,
+                 PeerTransport &transport, std::function<void()> configurationChanged);
     ~ControlPlane() override;
 
-    Result<void> start();
+    void start();
     void announceDraining() { m_membership.announceDraining(); }
     void leave();
 
@@ -70,13 +67,16 @@
 
     EntryContext &m_context;
     std::function<void()> m_configurationChanged;
-    AsioTimerService m_timers;
-    HttpPlatform m_platform;
-    PeerLinks m_links;
+    TimerService &m_timers;
+    Platform &m_platform;
     Membership m_membership;
     ConfigurationFollower m_follower;
     std::vector<Awaited> m_awaited;
     std::vector<HostStatus> m_hosts;
+    /// Answers of the platform that come after this object's end find it gone.
+    std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
+    TimerId m_hostTimer = 0;
+    TimerId m_refreshTimer = 0;
 };
 
 } // namespace dogwoodvalve
--- a/src/daemon/engine_link.cpp
+++ b/src/daemon/engine_link.cpp
@@ -1,9 +1,8 @@
 #include "daemon/engine_link.h"
 
+#include "core/mutation.h"
 #include "net/endpoint.h"
 
-#include <boost/asio/post.hpp>
-
 namespace dogwoodvalve {
 
 namespace {
@@ -15,11 +14,10 @@
 
 } // namespace
 
-EngineLink::EngineLink(boost::asio::io_context &loop, TimerService &timers,
-                       std::shared_ptr<BackendServer> server, Duration silenceLimit,
-                       EngineLinkEvents &events)
+EngineLink::EngineLink(LoopServices &loop, std::shared_ptr<BackendServer> server,
+                       Duration silenceLimit, EngineLinkEvents &events)
     : m_loop(loop)
-    , m_timers(timers)
+    , m_timers(loop.timers())
     , m_server(std::move(server))
     , m_silenceLimit(silenceLimit)
     , m_events(events)
@@ -44,7 +42,7 @@
     m_reconnectTimer = 0;
     m_lines = LineSplitter(MaxLineBytes);
     m_connectStarted = m_timers.now();
-    m_request = HttpClientRequest::create(m_loop);
+    m_request = m_loop.createHttpClient();
     HttpRequestHead head;
     head.method = "POST";
     head.target = "/v1/steps";
@@ -79,7 +77,7 @@
     if (m_flushScheduled)
         return;
     m_flushScheduled = true;
-    boost::asio::post(m_loop, [this, alive = std::weak_ptr(m_alive)] {
+    m_loop.post([this, alive = std::weak_ptr(m_alive)] {
         if (alive.expired())
             return;
         m_flushScheduled = false;
@@ -155,7 +153,8 @@
 void EngineLink::watch()
 {
     const TimePoint now = m_timers.now();
-    if (m_up && m_outstanding > 0 && now - m_lastHeard > m_silenceLimit)
+    const bool silent = now - m_lastHeard > m_silenceLimit;
+    if (m_up && m_outstanding > 0 && silent && !mutated("ignore-silence"))
         lose("the engine fell silent");
     if (!m_up && m_reconnectTimer == 0 && now - m_connectStarted > ConnectTimeout)
         lose("the engine does not answer");
--- a/src/daemon/engine_link.h
+++ b/src/daemon/engine_link.h
@@ -1,12 +1,11 @@
 #pragma once
 
 #include "codec/step_codec.h"
-#include "net/http_client.h"
+#include "net/loop_services.h"
 
 #include <dogwoodvalve/timer_service.h>
 #include <dogwoodvalve/world.h>
 
-#include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 
 #include <memory>
@@ -30,8 +29,7 @@
 class EngineLink : public HttpClientEvents
 {
 public:
-    EngineLink(boost::asio::io_context &loop, TimerService &timers,
-               std::shared_ptr<BackendServer> server, Duration silenceLimit,
+    EngineLink(LoopServices &loop, std::shared_ptr<BackendServer> server, Duration silenceLimit,
                EngineLinkEvents &events);
     ~EngineLink() override;
 
@@ -57,7 +55,7 @@
     void scheduleFlush();
     void watch();
 
-    boost::asio::io_context &m_loop;
+    LoopServices &m_loop;
     TimerService &m_timers;
     std::shared_ptr<BackendServer> m_server;
     Duration m_silenceLimit;
--- a/src/daemon/entry_context.cpp
+++ b/src/daemon/entry_context.cpp
@@ -1,7 +1,5 @@
 #include "daemon/entry_context.h"
 
-#include "net/asio_timer_service.h"
-
 #include <dogwoodvalve/membership.h>
 
 #include <algorithm>
@@ -17,15 +15,15 @@
 
 } // namespace
 
-EntryContext::EntryContext(EntrySettings settings, std::uint64_t boot)
+EntryContext::EntryContext(EntrySettings settings, std::uint64_t boot, Clock clock)
     : m_settings(std::move(settings))
+    , m_clock(std::move(clock))
     , m_configuration(
           std::make_unique<ConfigurationPointer>(std::make_shared<const Configuration>()))
     , m_members(std::make_unique<std::vector<Member>>())
-    , m_capacity([this] { return configuration(); }, &AsioTimerService::steadyNow)
+    , m_capacity([this] { return configuration(); }, m_clock)
     , m_admission(m_capacity, makeQueue(m_settings.queue))
-    , m_keys(std::make_unique<KeyLedger>(m_settings.name, boot, AsioTimerService::steadyNow(),
-                                         m_settings.keys))
+    , m_keys(std::make_unique<KeyLedger>(m_settings.name, boot, m_clock(), m_settings.keys))
     , m_boot(boot)
 { }
 
@@ -71,8 +69,7 @@
 {
     const std::lock_guard lock(m_keysMutex);
     m_boot.store(boot, std::memory_order_relaxed);
-    m_keys = std::make_unique<KeyLedger>(m_settings.name, boot, AsioTimerService::steadyNow(),
-                                         m_settings.keys);
+    m_keys = std::make_unique<KeyLedger>(m_settings.name, boot, m_clock(), m_settings.keys);
 }
 
 void EntryContext::noteRequest(const std::string &pool, int retryPercent)
--- a/src/daemon/entry_context.h
+++ b/src/daemon/entry_context.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include "daemon/metrics.h"
-#include "daemon/pipeline_capacity.h"
 #include "daemon/rcu_pointer.h"
 #include "daemon/settings.h"
 
@@ -9,8 +8,10 @@
 #include <dogwoodvalve/key_ledger.h>
 #include <dogwoodvalve/limits.h>
 #include <dogwoodvalve/peer_messages.h>
+#include <dogwoodvalve/pipeline_capacity.h>
 
 #include <atomic>
+#include <functional>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -26,11 +27,15 @@
 class EntryContext
 {
 public:
-    EntryContext(EntrySettings settings, std::uint64_t boot);
+    using Clock = std::function<TimePoint()>;
+
+    /// The clock may be asked by any thread.
+    EntryContext(EntrySettings settings, std::uint64_t boot, Clock clock);
 
     const EntrySettings &settings() const { return m_settings; }
     BackendServerRegistry &servers() { return m_servers; }
     Metrics &metrics() { return m_metrics; }
+    TimePoint now() const { return m_clock(); }
 
     ConfigurationPointer configuration() const;
     void publishConfiguration(ConfigurationPointer configuration);
@@ -81,6 +86,7 @@
 
 private:
     const EntrySettings m_settings;
+    const Clock m_clock;
     BackendServerRegistry m_servers;
     Metrics m_metrics;
     RcuPointer<ConfigurationPointer> m_configuration;
--- a/src/daemon/entry_process.cpp
+++ b/src/daemon/entry_process.cpp
@@ -1,9 +1,12 @@
 #include "daemon/entry_process.h"
 
+#include "codec/peer_codec.h"
 #include "daemon/control_plane.h"
 #include "daemon/entry_shard.h"
+#include "daemon/http_platform.h"
 #include "daemon/log.h"
 #include "daemon/operator_api.h"
+#include "daemon/peer_links.h"
 #include "net/endpoint.h"
 
 #include <dogwoodvalve/invariant.h>
@@ -48,9 +51,12 @@
 {
 public:
     explicit EntryProcess(const EntrySettings &settings)
-        : m_context(settings, makeBootNumber())
+        : m_context(settings, makeBootNumber(), &AsioTimerService::steadyNow)
         , m_signals(m_loop, SIGTERM, SIGINT)
-        , m_control(m_loop, m_context, [this] { configurationChanged(); })
+        , m_timers(m_loop)
+        , m_platform(m_loop, settings.platform)
+        , m_links(m_context.settings().peerSecrets, m_context.metrics())
+        , m_control(m_context, m_timers, m_platform, m_links, [this] { configurationChanged(); })
         , m_operatorApi(m_control, [this] { drain(); })
         , m_operatorServer(m_loop, m_operatorApi, settings.http)
     {
@@ -83,9 +89,13 @@
         const auto operatorEndpoint = parseEndpoint(m_context.settings().operatorListen);
         if (!operatorEndpoint)
             return operatorEndpoint.error();
+        m_links.setTransport(WebsocketTransport::create(m_loop, m_links, MaxPeerMessageBytes));
+        m_links.setEvents(m_control);
         Result<void> result = m_operatorServer.listen(operatorEndpoint.value());
         if (result)
-            result = m_control.start();
+            result = m_links.listen(m_context.settings().peerListen);
+        if (result)
+            m_control.start();
         for (const auto &shard : m_shards) {
             if (result)
                 result = shard->start();
@@ -119,33 +129,36 @@
             return;
         LogEvent("draining").field("open", m_context.openRequests.load());
         m_control.announceDraining();
-        m_drainStarted = m_control.timers().now();
+        m_drainStarted = m_timers.now();
         awaitEmpty();
     }
 
     void awaitEmpty()
     {
-        const TimePoint now = m_control.timers().now();
+        const TimePoint now = m_timers.now();
         const bool answered = std::all_of(m_shards.begin(), m_shards.end(), [](const auto &shard) {
             return shard->unfinishedExchanges() == 0;
         });
         if (answered && m_context.openRequests.load() <= 0 && now - m_drainStarted >= DrainLinger)
             return finish();
-        m_control.timers().subscribe(now + DrainPollInterval, [this] { awaitEmpty(); });
+        m_timers.subscribe(now + DrainPollInterval, [this] { awaitEmpty(); });
     }
 
     void finish()
     {
         m_control.leave();
+        m_links.stop();
         // The goodbyes go out before the loop ends.
-        m_control.timers().subscribe(m_control.timers().now() + DrainPollInterval,
-                                     [this] { m_loop.stop(); });
+        m_timers.subscribe(m_timers.now() + DrainPollInterval, [this] { m_loop.stop(); });
     }
 
     const RcuThread m_registration;
     boost::asio::io_context m_loop{1};
     EntryContext m_context;
     boost::asio::signal_set m_signals;
+    AsioTimerService m_timers;
+    HttpPlatform m_platform;
+    PeerLinks m_links;
     ControlPlane m_control;
     OperatorApi m_operatorApi;
     HttpServer m_operatorServer;
--- a/src/daemon/peer_links.cpp
+++ b/src/daemon/peer_links.cpp
@@ -6,16 +6,18 @@
 
 namespace dogwoodvalve {
 
-PeerLinks::PeerLinks(boost::asio::io_context &loop, const std::vector<PeerSecret> &secrets,
-                     Metrics &metrics, PeerLinkEvents &events)
+PeerLinks::PeerLinks(const std::vector<PeerSecret> &secrets, Metrics &metrics)
     : m_secrets(secrets)
     , m_metrics(metrics)
-    , m_events(events)
-    , m_transport(WebsocketTransport::create(loop, *this, MaxPeerMessageBytes))
 { }
 
 PeerLinks::~PeerLinks() = default;
 
+void PeerLinks::setTransport(std::unique_ptr<WebsocketTransport> transport)
+{
+    m_transport = std::move(transport);
+}
+
 Result<void> PeerLinks::listen(const std::string &address)
 {
     const auto endpoint = parseEndpoint(address);
@@ -75,24 +77,24 @@
     if (!payload)
         return reject(link, payload.error());
     if (!wasReady)
-        return m_events.peerLinkUp(link, it->second.outgoing);
+        return m_events->peerLinkUp(link, it->second.outgoing);
     const Result<PeerMessage> message = readPeerMessage(payload.value());
     if (!message)
         return reject(link, message.error());
-    m_events.peerMessage(link, message.value());
+    m_events->peerMessage(link, message.value());
 }
 
 void PeerLinks::reject(LinkId link, const Error &error)
 {
     LogEvent("peer_rejected", LogLevel::Warning).field("reason", error.describe());
     close(link);
-    m_events.peerLinkDown(link);
+    m_events->peerLinkDown(link);
 }
 
 void PeerLinks::websocketClosed(std::uint64_t link)
 {
     m_links.erase(link);
-    m_events.peerLinkDown(link);
+    m_events->peerLinkDown(link);
 }
 
 } // namespace dogwoodvalve
--- a/src/daemon/peer_links.h
+++ b/src/daemon/peer_links.h
@@ -6,8 +6,6 @@
 
 #include <dogwoodvalve/membership.h>
 
-#include <boost/asio/io_context.hpp>
-
 #include <map>
 #include <memory>
 #include <set>
@@ -31,10 +29,14 @@
 class PeerLinks : public PeerTransport, public WebsocketEvents
 {
 public:
-    PeerLinks(boost::asio::io_context &loop, const std::vector<PeerSecret> &secrets,
-              Metrics &metrics, PeerLinkEvents &events);
+    PeerLinks(const std::vector<PeerSecret> &secrets, Metrics &metrics);
     ~PeerLinks() override;
 
+    /// Both must be called before listening or connecting. The transport's events go to this
+    /// object.
+    void setTransport(std::unique_ptr<WebsocketTransport> transport);
+    void setEvents(PeerLinkEvents &events) { m_events = &events; }
+
     Result<void> listen(const std::string &address);
     void stop();
 
@@ -57,7 +59,7 @@
 
     const std::vector<PeerSecret> &m_secrets;
     Metrics &m_metrics;
-    PeerLinkEvents &m_events;
+    PeerLinkEvents *m_events = nullptr;
     std::unique_ptr<WebsocketTransport> m_transport;
     std::map<LinkId, Link> m_links;
 };
--- a/src/daemon/proxy_session.cpp
+++ b/src/daemon/proxy_session.cpp
@@ -55,16 +55,16 @@
 
 } // namespace
 
-ProxySession::ProxySession(EntryContext &context, TimerService &timers,
-                           boost::asio::io_context &loop, std::shared_ptr<HttpExchange> exchange,
-                           ProxyRequest request, Finished finished)
+ProxySession::ProxySession(EntryContext &context, LoopServices &loop,
+                           std::shared_ptr<HttpExchange> exchange, ProxyRequest request,
+                           Finished finished)
     : m_context(context)
-    , m_timers(timers)
+    , m_timers(loop.timers())
     , m_loop(loop)
     , m_exchange(std::move(exchange))
     , m_proxied(std::move(request))
     , m_finished(std::move(finished))
-    , m_startedAt(timers.now())
+    , m_startedAt(loop.timers().now())
 { }
 
 ProxySession::~ProxySession()
@@ -99,7 +99,7 @@
         m_counted = target.server;
         if (m_counted)
             m_counted->addInFlight(1);
-        m_client = HttpClientRequest::create(m_loop);
+        m_client = m_loop.createHttpClient();
         return m_client->start(target.endpoint, makeHead(), m_proxied.connectTimeout, *this);
     }
     if (m_onUnreachable && !m_bodyBegun) {
--- a/src/daemon/proxy_session.h
+++ b/src/daemon/proxy_session.h
@@ -1,12 +1,11 @@
 #pragma once
 
 #include "daemon/entry_context.h"
-#include "net/http_client.h"
 #include "net/http_server.h"
+#include "net/loop_services.h"
 
 #include <dogwoodvalve/sequence.h>
 
-#include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 
 #include <functional>
@@ -52,8 +51,8 @@
 public:
     using Finished = std::function<void(Outcome)>;
 
-    ProxySession(EntryContext &context, TimerService &timers, boost::asio::io_context &loop,
-                 std::shared_ptr<HttpExchange> exchange, ProxyRequest request, Finished finished);
+    ProxySession(EntryContext &context, LoopServices &loop, std::shared_ptr<HttpExchange> exchange,
+                 ProxyRequest request, Finished finished);
     ~ProxySession() override;
 
     /// Called instead of an error answer if no target could be reached; nothing of the body has
@@ -79,7 +78,7 @@
 
     EntryContext &m_context;
     TimerService &m_timers;
-    boost::asio::io_context &m_loop;
+    LoopServices &m_loop;
     std::shared_ptr<HttpExchange> m_exchange;
     ProxyRequest m_proxied;
     Finished m_finished;
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -220,56 +220,6 @@
     m_timer.cancel();
 }
 
-/// Collects a whole answer; owns itself until it has called back.
-class WholeReply : public HttpClientEvents, public std::enable_shared_from_this<WholeReply>
-{
-public:
-    WholeReply(asio::io_context &loop, std::function<void(Result<HttpReply>)> done)
-        : m_request(HttpClientRequest::create(loop))
-        , m_timer(loop)
-        , m_done(std::move(done))
-    { }
-
-    void start(const tcp::endpoint &endpoint, const HttpRequestHead &head, std::string_view body,
-               Duration timeout)
-    {
-        m_self = shared_from_this();
-        m_timer.expires_after(timeout);
-        m_timer.async_wait([weak = weak_from_this()](error_code ec) {
-            if (const auto self = weak.lock(); self && !ec)
-                self->onError({ErrorKind::Timeout, "no answer in time", ""});
-        });
-        m_request->start(endpoint, head, timeout, *this);
-        m_request->write(body);
-    }
-
-    void onHead(int status, std::span<const HttpField> fields) override
-    {
-        m_reply.status = status;
-        m_reply.fields.assign(fields.begin(), fields.end());
-    }
-    void onBody(std::string_view part) override { m_reply.body += part; }
-    void onEnd() override { finish(std::move(m_reply)); }
-    void onError(const Error &error) override { finish(error); }
-
-private:
-    void finish(Result<HttpReply> result)
-    {
-        const auto keep = std::move(m_self);
-        if (!keep)
-            return;
-        m_request->close();
-        m_timer.cancel();
-        m_done(std::move(result));
-    }
-
-    std::shared_ptr<HttpClientRequest> m_request;
-    asio::steady_timer m_timer;
-    std::function<void(Result<HttpReply>)> m_done;
-    HttpReply m_reply;
-    std::shared_ptr<WholeReply> m_self;
-};
-
 } // namespace
 
 std::shared_ptr<HttpClientRequest> HttpClientRequest::create(asio::io_context &loop)
@@ -277,13 +227,4 @@
     return std::make_shared<HttpClientRequestImpl>(loop);
 }
 
-void sendHttpRequest(asio::io_context &loop, const tcp::endpoint &endpoint, HttpRequestHead head,
-                     std::string body, Duration timeout,
-                     std::function<void(Result<HttpReply>)> done)
-{
-    head.chunked = false;
-    head.bodyBytes = body.size();
-    std::make_shared<WholeReply>(loop, std::move(done))->start(endpoint, head, body, timeout);
-}
-
 } // namespace dogwoodvalve
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -55,16 +55,4 @@
     virtual void close() = 0;
 };
 
-/// Sends a whole request and calls back once with status and body.
-struct HttpReply
-{
-    int status = 0;
-    std::vector<HttpField> fields;
-    std::string body;
-};
-
-void sendHttpRequest(boost::asio::io_context &loop, const boost::asio::ip::tcp::endpoint &endpoint,
-                     HttpRequestHead head, std::string body, Duration timeout,
-                     std::function<void(Result<HttpReply>)> done);
-
 } // namespace dogwoodvalve
--- /dev/null
+++ b/src/net/whole_request.cpp
@@ -0,0 +1,68 @@
+#include "net/whole_request.h"
+
+namespace dogwoodvalve {
+
+namespace {
+
+/// Collects a whole answer; owns itself until it has called back.
+class WholeReply : public HttpClientEvents, public std::enable_shared_from_this<WholeReply>
+{
+public:
+    WholeReply(LoopServices &loop, std::function<void(Result<HttpReply>)> done)
+        : m_timers(loop.timers())
+        , m_request(loop.createHttpClient())
+        , m_done(std::move(done))
+    { }
+
+    void start(const boost::asio::ip::tcp::endpoint &endpoint, const HttpRequestHead &head,
+               std::string_view body, Duration timeout)
+    {
+        m_self = shared_from_this();
+        m_timer = m_timers.subscribe(m_timers.now() + timeout, [weak = weak_from_this()] {
+            if (const auto self = weak.lock())
+                self->onError({ErrorKind::Timeout, "no answer in time", ""});
+        });
+        m_request->start(endpoint, head, timeout, *this);
+        m_request->write(body);
+    }
+
+    void onHead(int status, std::span<const HttpField> fields) override
+    {
+        m_reply.status = status;
+        m_reply.fields.assign(fields.begin(), fields.end());
+    }
+    void onBody(std::string_view part) override { m_reply.body += part; }
+    void onEnd() override { finish(std::move(m_reply)); }
+    void onError(const Error &error) override { finish(error); }
+
+private:
+    void finish(Result<HttpReply> result)
+    {
+        const auto keep = std::move(m_self);
+        if (!keep)
+            return;
+        m_request->close();
+        m_timers.cancel(m_timer);
+        m_done(std::move(result));
+    }
+
+    TimerService &m_timers;
+    std::shared_ptr<HttpClientRequest> m_request;
+    std::function<void(Result<HttpReply>)> m_done;
+    HttpReply m_reply;
+    TimerId m_timer = 0;
+    std::shared_ptr<WholeReply> m_self;
+};
+
+} // namespace
+
+void sendWholeRequest(LoopServices &loop, const boost::asio::ip::tcp::endpoint &endpoint,
+                      HttpRequestHead head, const std::string &body, Duration timeout,
+                      std::function<void(Result<HttpReply>)> done)
+{
+    head.chunked = false;
+    head.bodyBytes = body.size();
+    std::make_shared<WholeReply>(loop, std::move(done))->start(endpoint, head, body, timeout);
+}
+
+} // namespace dogwoodvalve
--- /dev/null
+++ b/src/net/whole_request.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include "net/loop_services.h"
+
+#include <boost/asio/ip/tcp.hpp>
+
+#include <functional>
+#include <string>
+#include <vector>
+
+namespace dogwoodvalve {
+
+/// A whole answer.
+struct HttpReply
+{
+    int status = 0;
+    std::vector<HttpField> fields;
+    std::string body;
+};
+
+/// Sends a whole request and calls back once, with the whole answer or an error.
+void sendWholeRequest(LoopServices &loop, const boost::asio::ip::tcp::endpoint &endpoint,
+                      HttpRequestHead head, const std::string &body, Duration timeout,
+                      std::function<void(Result<HttpReply>)> done);
+
+} // namespace dogwoodvalve
--- a/tools/testtool/caller.cpp
+++ b/tools/testtool/caller.cpp
@@ -2,6 +2,7 @@
 
 #include "net/endpoint.h"
 #include "net/http_text.h"
+#include "net/whole_request.h"
 
 #include <dogwoodvalve/random.h>
 
@@ -41,7 +42,7 @@
         , m_request(request)
         , m_intendedStart(intendedStart)
         , m_done(std::move(done))
-        , m_client(HttpClientRequest::create(caller.m_loop))
+        , m_client(caller.m_loop.createHttpClient())
     { }
 
     void start()
@@ -61,6 +62,9 @@
     void onHead(int status, std::span<const HttpField> fields) override
     {
         m_result.status = status;
+        // The freshest prefix is that of the host which answered last.
+        if (const auto prefix = findField(fields, "Dogwoodvalve-Key-Prefix"); !prefix.empty())
+            m_caller.m_keyPrefix = prefix;
         m_notRun = findField(fields, "Dogwoodvalve-Outcome") == "not-run";
         m_result.retryAfter = std::atoi(std::string(findField(fields, "Retry-After")).c_str());
     }
@@ -122,7 +126,7 @@
         if (!m_key.empty())
             head.fields.push_back({"Dogwoodvalve-Request-Key", m_key});
         head.bodyBytes = body.size();
-        m_client = HttpClientRequest::create(m_caller.m_loop);
+        m_client = m_caller.m_loop.createHttpClient();
         m_client->start(endpoint.value(), head, ConnectTimeout, *this);
         m_client->write(body);
     }
@@ -229,9 +233,9 @@
     bool m_notRun = false;
 };
 
-Caller::Caller(boost::asio::io_context &loop, TimerService &timers, const LoadOptions &options)
+Caller::Caller(LoopServices &loop, const LoadOptions &options)
     : m_loop(loop)
-    , m_timers(timers)
+    , m_timers(loop.timers())
     , m_options(options)
 { }
 
@@ -255,7 +259,7 @@
     head.method = "GET";
     head.target = "/v1/entries";
     head.fields = {{"Authorization", "Bearer " + m_options.key}};
-    sendHttpRequest(
+    sendWholeRequest(
         m_loop, endpoint.value(), head, "", LookUpTimeout,
         [this, index, done = std::move(done)](Result<HttpReply> reply) {
             const json body = json::parse(reply ? reply.value().body : "", nullptr, false);
--- a/tools/testtool/caller.h
+++ b/tools/testtool/caller.h
@@ -1,10 +1,7 @@
 #pragma once
 
 #include "load_plan.h"
-#include "net/asio_timer_service.h"
-#include "net/http_client.h"
-
-#include <boost/asio/io_context.hpp>
+#include "net/loop_services.h"
 
 #include <functional>
 #include <memory>
@@ -48,7 +45,7 @@
 class Caller
 {
 public:
-    Caller(boost::asio::io_context &loop, TimerService &timers, const LoadOptions &options);
+    Caller(LoopServices &loop, const LoadOptions &options);
 
     using Done = std::function<void(const PlannedRequest &, const CallResult &)>;
 
@@ -67,7 +64,7 @@
     void lookUpFrom(std::size_t index, std::function<void(bool)> done);
     std::string addressFor(int attempt) const;
 
-    boost::asio::io_context &m_loop;
+    LoopServices &m_loop;
     TimerService &m_timers;
     const LoadOptions &m_options;
     std::vector<std::string> m_ranked;
--- a/tools/testtool/engine_core.cpp
+++ b/tools/testtool/engine_core.cpp
@@ -54,7 +54,9 @@
 
 void EngineCore::dropConnection(ConnectionId connection)
 {
-    std::erase_if(m_queue, [&](const Waiting &it) { return it.connection == connection; });
+    const auto dropped = [&](const Waiting &it) { return it.connection == connection; };
+    std::erase_if(m_queue, dropped);
+    std::erase_if(m_batch, dropped);
     std::erase_if(m_sequences, [&](const auto &it) { return it.second.connection == connection; });
 }
 
@@ -185,8 +187,8 @@
         cached.length = 0;
         cached.states.assign(static_cast<std::size_t>(m_profile.layers.count()), 0);
         ++m_counters.sequencesStarted;
-        if (m_recordStarts)
-            ++m_starts[command.sequence];
+        if (m_recordStarts && m_profile.layers.first == 0)
+            ++m_starts[command.prompt];
     }
     if (cached.length != command.basePosition || m_random.chance(m_faults.loseCache)) {
         m_sequences.erase(command.sequence);
--- a/tools/testtool/engine_core.h
+++ b/tools/testtool/engine_core.h
@@ -85,8 +85,9 @@
     const EngineProfile &profile() const { return m_profile; }
     const EngineCounters &counters() const { return m_counters; }
     void thaw();
-    /// How often each sequence was begun at its first position, for checks of at most once.
-    const std::map<SequenceId, int> &starts() const { return m_starts; }
+    /// How often each prompt was run from its first position, for checks of at most once. Kept
+    /// only if asked for, by engines that hold the first layer.
+    const std::map<std::string, int> &starts() const { return m_starts; }
     void recordStarts(bool on) { m_recordStarts = on; }
 
 private:
@@ -123,7 +124,7 @@
     std::deque<Waiting> m_queue;
     std::vector<Waiting> m_batch;
     std::map<SequenceId, CachedSequence> m_sequences;
-    std::map<SequenceId, int> m_starts;
+    std::map<std::string, int> m_starts;
     std::list<std::uint64_t> m_prefixOrder;
     std::unordered_map<std::uint64_t, std::list<std::uint64_t>::iterator> m_prefixCache;
     TimerId m_iteration = 0;
--- a/tools/testtool/engine_server.cpp
+++ b/tools/testtool/engine_server.cpp
@@ -36,7 +36,7 @@
 
 Result<void> EngineServer::listen(const boost::asio::ip::tcp::endpoint &endpoint)
 {
-    reportLoad();
+    start();
     return m_server.listen(endpoint);
 }
 
@@ -113,7 +113,8 @@
         for (const auto &[id, stream] : m_streams)
             stream.exchange->write(m_line);
     }
-    m_timers.subscribe(m_timers.now() + LoadReportInterval, [this] { reportLoad(); });
+    m_reportTimer =
+        m_timers.subscribe(m_timers.now() + LoadReportInterval, [this] { reportLoad(); });
 }
 
 void EngineServer::applyFaults(const std::shared_ptr<HttpExchange> &exchange)
--- a/tools/testtool/engine_server.h
+++ b/tools/testtool/engine_server.h
@@ -22,6 +22,13 @@
     EngineServer(boost::asio::io_context &loop, TimerService &timers, EngineProfile profile,
                  std::uint64_t seed);
 
+    /// Begins to report load to those connected.
+    void start() { reportLoad(); }
+    ~EngineServer() override { m_timers.cancel(m_reportTimer); }
+
+    EngineServer(const EngineServer &) = delete;
+    EngineServer &operator=(const EngineServer &) = delete;
+
     Result<void> listen(const boost::asio::ip::tcp::endpoint &endpoint);
     void handle(const std::shared_ptr<HttpExchange> &exchange) override;
 
@@ -49,6 +56,7 @@
     std::map<EngineCore::ConnectionId, StepStream> m_streams;
     EngineCore::ConnectionId m_lastId = 0;
     std::string m_line;
+    TimerId m_reportTimer = 0;
 };
 
 } // namespace dogwoodvalve::testtool
--- a/tools/testtool/main.cpp
+++ b/tools/testtool/main.cpp
@@ -1,7 +1,7 @@
 #include "caller.h"
 #include "engine_server.h"
 #include "load_report.h"
-#include "net/asio_timer_service.h"
+#include "net/asio_loop_services.h"
 #include "net/endpoint.h"
 #include "platform_server.h"
 #include "relay.h"
@@ -140,10 +140,11 @@
 int runLoad()
 {
     boost::asio::io_context loop(1);
-    AsioTimerService timers(loop);
+    AsioLoopServices services(loop);
+    TimerService &timers = services.timers();
     const LoadOptions options = loadOptions();
     const std::vector<PlannedRequest> plan = planLoad(options);
-    Caller caller(loop, timers, options);
+    Caller caller(services, options);
     const TimePoint start = timers.now() + 200ms;
     LoadReport report(options, start);
     const auto done = [&](const PlannedRequest &request, const CallResult &result) {
