--- a/include/dogwoodvalve/configuration.h
+++ b/include/dogwoodvalve/configuration.h
@@ -62,7 +62,7 @@
 /// The way between two availability zones.
 struct LinkCost
 {
-    Duration latency{};
+    Duration latency {};
     /// Megabytes a second.
     double bandwidth = 1000;
 };
--- a/include/dogwoodvalve/configuration_follower.h
+++ b/include/dogwoodvalve/configuration_follower.h
@@ -116,8 +116,8 @@
     std::shared_ptr<class SnapshotAssembler> m_assembler;
     /// Answers of the platform that come after this object's end find it gone.
     std::shared_ptr<bool> m_alive;
-    TimePoint m_confirmedAt{};
-    TimePoint m_snapshotAt{};
+    TimePoint m_confirmedAt {};
+    TimePoint m_snapshotAt {};
     TimerId m_pollTimer = 0;
     TimerId m_snapshotTimer = 0;
     LogOffset m_lastSnapshot = 0;
--- a/include/dogwoodvalve/limits.h
+++ b/include/dogwoodvalve/limits.h
@@ -31,7 +31,7 @@
     void refill(double rate, TimePoint now);
 
     double m_level = 0;
-    TimePoint m_refilledAt{};
+    TimePoint m_refilledAt {};
     bool m_started = false;
 };
 
@@ -152,7 +152,7 @@
     {
         std::string workspace;
         std::string pipeline;
-        TimePoint startedAt{};
+        TimePoint startedAt {};
     };
 
     /// What runs of one pipeline, and how fast its requests end.
@@ -160,7 +160,7 @@
     {
         int running = 0;
         double endsPerSecond = 0;
-        TimePoint lastEnd{};
+        TimePoint lastEnd {};
     };
 
     using Queue = std::multimap<double, WaitingRequest>;
--- a/include/dogwoodvalve/membership.h
+++ b/include/dogwoodvalve/membership.h
@@ -113,8 +113,8 @@
         /// Empty until the peer has said hello.
         std::string peer;
         std::string address;
-        TimePoint lastHeard{};
-        TimePoint openedAt{};
+        TimePoint lastHeard {};
+        TimePoint openedAt {};
         bool up = false;
         bool outgoing = false;
         int digestMismatches = 0;
@@ -123,7 +123,7 @@
     struct Entry
     {
         Member member;
-        TimePoint changedAt{};
+        TimePoint changedAt {};
     };
 
     void tick();
@@ -157,9 +157,9 @@
     MembershipHooks &m_hooks;
     std::map<std::string, Entry, std::less<>> m_members;
     std::map<LinkId, Link> m_links;
-    TimePoint m_lastTick{};
-    TimePoint m_nextOverlay{};
-    TimePoint m_nextHeal{};
+    TimePoint m_lastTick {};
+    TimePoint m_nextOverlay {};
+    TimePoint m_nextHeal {};
     std::size_t m_healCursor = 0;
     TimerId m_timer = 0;
     bool m_left = false;
--- a/include/dogwoodvalve/pipeline_capacity.h
+++ b/include/dogwoodvalve/pipeline_capacity.h
@@ -30,7 +30,7 @@
     struct Cached
     {
         int slots = 0;
-        TimePoint at{};
+        TimePoint at {};
     };
 
     static int reckon(const Configuration &configuration, const ConfiguredPipeline &pipeline,
--- a/include/dogwoodvalve/prefix_index.h
+++ b/include/dogwoodvalve/prefix_index.h
@@ -47,7 +47,7 @@
 private:
     struct Entry
     {
-        std::array<const BackendServer *, HoldersPerBlock> holders{};
+        std::array<const BackendServer *, HoldersPerBlock> holders {};
         std::list<std::uint64_t>::iterator used;
     };
 
--- a/include/dogwoodvalve/routing.h
+++ b/include/dogwoodvalve/routing.h
@@ -59,7 +59,7 @@
     std::span<const std::uint64_t> prefixBlocks;
     /// Servers not to be chosen, because this request failed there.
     std::span<const BackendServer *const> excluded;
-    TimePoint now{};
+    TimePoint now {};
 };
 
 /// How many candidates were left out, by cause.
@@ -96,8 +96,9 @@
     const RoutingPolicy &policy() const { return *m_policy; }
 
 private:
-    Candidate score(const Configuration &configuration, const RoutingQuery &query,
-                    const ConfiguredServer &server);
+    double optimisticStepTime(const RoutingQuery &query) const;
+    void score(const Configuration &configuration, const RoutingQuery &query, double optimisticStep,
+               Candidate &candidate);
 
     std::unique_ptr<RoutingPolicy> m_policy;
     Random m_random;
--- a/include/dogwoodvalve/selector.h
+++ b/include/dogwoodvalve/selector.h
@@ -67,7 +67,7 @@
     static bool evaluate(const Node &node, const Labels &labels);
 
     std::string m_text = "all";
-    std::vector<Node> m_program{Node{}};
+    std::vector<Node> m_program {Node {}};
 };
 
 } // namespace dogwoodvalve
--- a/include/dogwoodvalve/sequence.h
+++ b/include/dogwoodvalve/sequence.h
@@ -236,8 +236,8 @@
     int m_inputBase = 0;
     int m_promptTokens = -1;
     int m_nextLayer = 0;
-    TimePoint m_stepDeadline{};
-    TimePoint m_patienceEnd{};
+    TimePoint m_stepDeadline {};
+    TimePoint m_patienceEnd {};
     TimerId m_stepTimer = 0;
     TimerId m_deadlineTimer = 0;
     TimerId m_waitTimer = 0;
--- a/include/dogwoodvalve/specs.h
+++ b/include/dogwoodvalve/specs.h
@@ -40,7 +40,7 @@
 {
     std::string from;
     std::string to;
-    Duration latency{};
+    Duration latency {};
     /// Megabytes a second.
     double bandwidth = 1000;
 };
@@ -114,7 +114,7 @@
 {
     Selector servers;
     /// Methods whose calls may be sent again after a failure.
-    std::vector<std::string> idempotentMethods{"GET", "HEAD", "OPTIONS", "PUT", "DELETE"};
+    std::vector<std::string> idempotentMethods {"GET", "HEAD", "OPTIONS", "PUT", "DELETE"};
 };
 
 /// The kinds of configuration object.
--- a/include/dogwoodvalve/timer_service.h
+++ b/include/dogwoodvalve/timer_service.h
@@ -65,7 +65,7 @@
 private:
     using Key = std::pair<TimePoint, TimerId>;
 
-    TimePoint m_now{};
+    TimePoint m_now {};
     TimerId m_lastId = 0;
     std::map<Key, std::function<void()>> m_queue;
     std::map<TimerId, TimePoint> m_dueById;
--- a/include/dogwoodvalve/world.h
+++ b/include/dogwoodvalve/world.h
@@ -35,9 +35,11 @@
     double estimatedLoad(TimePoint now) const;
 
     /// Adds an observed step to the running mean of step times.
-    void noteStep(Duration duration, bool prefill);
+    void noteStep(Duration duration, bool prefill, TimePoint now);
     /// Running mean of the time of one decode step; a default before the first observation.
     Duration stepTime() const;
+    /// Whether the mean rests on no observation, or on an old one only.
+    bool stepTimeUnknown(TimePoint now) const;
     /// Running mean of the time of one prefill.
     Duration prefillTime() const;
 
@@ -59,16 +61,17 @@
 private:
     const std::string m_name;
     const std::string m_address;
-    std::atomic<int> m_inFlight{0};
-    std::atomic<int> m_reportedLoad{0};
-    std::atomic<int> m_inFlightAtReport{0};
-    std::atomic<std::int64_t> m_reportedAt{0};
-    std::atomic<std::int64_t> m_stepMicros{0};
-    std::atomic<std::int64_t> m_prefillMicros{0};
-    std::atomic<int> m_failures{0};
-    std::atomic<std::int64_t> m_ejectedUntil{0};
-    std::atomic<std::int64_t> m_probeUntil{0};
-    std::atomic<bool> m_leaving{false};
+    std::atomic<int> m_inFlight {0};
+    std::atomic<int> m_reportedLoad {0};
+    std::atomic<int> m_inFlightAtReport {0};
+    std::atomic<std::int64_t> m_reportedAt {0};
+    std::atomic<std::int64_t> m_stepMicros {0};
+    std::atomic<std::int64_t> m_stepAt {0};
+    std::atomic<std::int64_t> m_prefillMicros {0};
+    std::atomic<int> m_failures {0};
+    std::atomic<std::int64_t> m_ejectedUntil {0};
+    std::atomic<std::int64_t> m_probeUntil {0};
+    std::atomic<bool> m_leaving {false};
 };
 
 /// All backend servers that this process has met, by name and address.
--- a/src/cli/change_commands.cpp
+++ b/src/cli/change_commands.cpp
@@ -249,7 +249,7 @@
     const auto written = readConfigurationFiles(files);
     if (!written)
         return reportError(written.error());
-    Change change{"check", "check", {}};
+    Change change {"check", "check", {}};
     for (const WrittenObject &object : written.value())
         change.operations.push_back({object.id, 0, object.spec});
     ConfigurationState state;
--- a/src/cli/commands.cpp
+++ b/src/cli/commands.cpp
@@ -16,7 +16,7 @@
 
 const std::vector<Command> &table()
 {
-    static const std::vector<Command> Table{
+    static const std::vector<Command> Table {
         {"entry",
          "run an entry host",
          "dogwoodvalve entry --settings FILE",
@@ -64,7 +64,7 @@
 }
 
 /// Flags of gflags itself that every subcommand takes.
-constexpr std::array<std::string_view, 2> CommonFlags{"help", "flagfile"};
+constexpr std::array<std::string_view, 2> CommonFlags {"help", "flagfile"};
 
 void printOverview(std::FILE *out)
 {
--- a/src/cli/configuration_files.cpp
+++ b/src/cli/configuration_files.cpp
@@ -49,8 +49,8 @@
 {
     const auto documents = readYaml(text);
     if (!documents)
-        return Error{documents.error().kind, file + ": " + documents.error().message,
-                     documents.error().remedy};
+        return Error {documents.error().kind, file + ": " + documents.error().message,
+                      documents.error().remedy};
     std::vector<WrittenObject> objects;
     for (const YamlDocument &document : documents.value()) {
         Result<WrittenObject> object = readObject(document, file);
@@ -75,8 +75,8 @@
             objects.push_back(std::move(object));
     }
     if (objects.empty())
-        return Error{ErrorKind::InvalidArgument, "there are no objects to work on",
-                     "name YAML files with objects"};
+        return Error {ErrorKind::InvalidArgument, "there are no objects to work on",
+                      "name YAML files with objects"};
     return objects;
 }
 
--- a/src/codec/change_codec.cpp
+++ b/src/codec/change_codec.cpp
@@ -174,8 +174,8 @@
         if (!read)
             return read.error();
         objects.emplace_hint(
-            objects.end(), ObjectId{kind.value(), name},
-            ConfigurationState::StoredObject{std::move(read).value(), version, changeId});
+            objects.end(), ObjectId {kind.value(), name},
+            ConfigurationState::StoredObject {std::move(read).value(), version, changeId});
     }
     std::deque<ChangeOutcome> outcomes;
     for (std::int64_t i = 0; i < outcomeCount; ++i) {
@@ -215,7 +215,7 @@
         return;
     Partial &partial = m_partials[nextOffset];
     if (partial.parts != parts || partial.digest != digest)
-        partial = Partial{digest, parts, std::vector<std::string>(parts)};
+        partial = Partial {digest, parts, std::vector<std::string>(parts)};
     partial.texts[part] = std::move(text);
     std::string whole;
     for (const std::string &it : partial.texts) {
--- a/src/codec/completion_codec.cpp
+++ b/src/codec/completion_codec.cpp
@@ -110,8 +110,8 @@
 {
     const json object = json::parse(body, nullptr, false);
     if (!object.is_object())
-        return Error{ErrorKind::Malformed, "the body is not a JSON object",
-                     "send a chat-completions request"};
+        return Error {ErrorKind::Malformed, "the body is not a JSON object",
+                      "send a chat-completions request"};
     CompletionRequest request;
     request.kind = kind;
     const auto model = object.find("model");
--- a/src/codec/frame_guard.cpp
+++ b/src/codec/frame_guard.cpp
@@ -68,11 +68,11 @@
     text += fromOutgoing ? '>' : '<';
     appendNumber(text, number);
     text += payload;
-    std::array<std::uint8_t, EVP_MAX_MD_SIZE> whole{};
+    std::array<std::uint8_t, EVP_MAX_MD_SIZE> whole {};
     unsigned int size = 0;
     HMAC(EVP_sha256(), secret.data(), static_cast<int>(secret.size()),
          reinterpret_cast<const unsigned char *>(text.data()), text.size(), whole.data(), &size);
-    Mac mac{};
+    Mac mac {};
     std::copy_n(whole.begin(), mac.size(), mac.begin());
     return mac;
 }
@@ -100,10 +100,10 @@
 Result<std::string_view> FrameGuard::open(std::string_view frame)
 {
     if (frame.size() < HeaderBytes + MacBytes)
-        return Error{ErrorKind::Malformed, "a frame from a peer is too short", ""};
+        return Error {ErrorKind::Malformed, "a frame from a peer is too short", ""};
     if (!versionAccepted(static_cast<std::uint8_t>(frame[0])))
-        return Error{ErrorKind::Malformed, "a peer speaks another version of the protocol",
-                     "run versions of the program that are next to each other"};
+        return Error {ErrorKind::Malformed, "a peer speaks another version of the protocol",
+                      "run versions of the program that are next to each other"};
     const auto id = static_cast<std::uint8_t>(frame[1]);
     const std::string_view mac = frame.substr(HeaderBytes, MacBytes);
     if (!m_ready) {
--- a/src/codec/frame_guard.h
+++ b/src/codec/frame_guard.h
@@ -55,8 +55,8 @@
     const std::vector<PeerSecret> &m_secrets;
     bool m_outgoing;
     bool m_ready = false;
-    Nonce m_ownNonce{};
-    Nonce m_peerNonce{};
+    Nonce m_ownNonce {};
+    Nonce m_peerNonce {};
     std::uint64_t m_sent = 0;
     std::uint64_t m_received = 0;
 };
--- a/src/codec/object_reader.cpp
+++ b/src/codec/object_reader.cpp
@@ -26,9 +26,9 @@
     if (m_failure)
         return;
     m_failedPath = pathOf(key);
-    m_failure = Error{ErrorKind::InvalidArgument,
-                      (m_failedPath.empty() ? "" : "key '" + m_failedPath + "': ") + message,
-                      std::move(remedy)};
+    m_failure = Error {ErrorKind::InvalidArgument,
+                       (m_failedPath.empty() ? "" : "key '" + m_failedPath + "': ") + message,
+                       std::move(remedy)};
 }
 
 void ObjectReader::adopt(const ObjectReader &part)
--- a/src/codec/peer_codec.cpp
+++ b/src/codec/peer_codec.cpp
@@ -181,7 +181,7 @@
 {
     switch (type) {
     case WireType::Hello:
-        return HelloMessage{readMember(reader.list(), good)};
+        return HelloMessage {readMember(reader.list(), good)};
     case WireType::Heartbeat: {
         HeartbeatMessage message;
         message.nextOffset = reader.number();
@@ -192,14 +192,14 @@
     case WireType::Members:
         return readMembers(reader, good);
     case WireType::ConfigurationRequest:
-        return ConfigurationRequestMessage{reader.number()};
+        return ConfigurationRequestMessage {reader.number()};
     case WireType::Configuration:
         return readConfiguration(reader, good);
     case WireType::Goodbye:
-        return GoodbyeMessage{};
+        return GoodbyeMessage {};
     }
     good = false;
-    return GoodbyeMessage{};
+    return GoodbyeMessage {};
 }
 
 } // namespace
@@ -207,14 +207,14 @@
 std::string writePeerMessage(const PeerMessage &message)
 {
     std::string bytes;
-    json::to_cbor(std::visit(MessageWriter{}, message), bytes);
+    json::to_cbor(std::visit(MessageWriter {}, message), bytes);
     return bytes;
 }
 
 Result<PeerMessage> readPeerMessage(std::string_view bytes)
 {
-    const Error malformed{ErrorKind::Malformed, "a peer's message is malformed",
-                          "run versions of the program that are next to each other"};
+    const Error malformed {ErrorKind::Malformed, "a peer's message is malformed",
+                           "run versions of the program that are next to each other"};
     if (bytes.size() > MaxPeerMessageBytes)
         return malformed;
     const json fields = json::from_cbor(bytes, true, false);
--- a/src/codec/spec_codec.cpp
+++ b/src/codec/spec_codec.cpp
@@ -16,7 +16,7 @@
 constexpr std::int64_t MaxLatencyMicros = 10'000'000;
 constexpr double MaxRate = 1e9;
 
-constexpr std::array<std::string_view, 8> KindNames{
+constexpr std::array<std::string_view, 8> KindNames {
     "zone", "link", "server", "pool", "pipeline", "workspace", "placement", "service"};
 
 /// Reads "0-11", or "3" for a single layer.
@@ -266,8 +266,8 @@
         if (KindNames.at(i) == text)
             return static_cast<ObjectKind>(i);
     }
-    return Error{ErrorKind::InvalidArgument, "unknown kind '" + std::string(text) + "'",
-                 "use zone, link, server, pool, pipeline, workspace, placement or service"};
+    return Error {ErrorKind::InvalidArgument, "unknown kind '" + std::string(text) + "'",
+                  "use zone, link, server, pool, pipeline, workspace, placement or service"};
 }
 
 std::string ObjectId::describe() const
@@ -289,7 +289,7 @@
 
 json writeSpec(const ObjectSpec &spec)
 {
-    return std::visit(SpecWriter{}, spec);
+    return std::visit(SpecWriter {}, spec);
 }
 
 std::string toHex(const KeyHash &hash)
@@ -305,9 +305,9 @@
 
 Result<KeyHash> keyHashFromHex(std::string_view text)
 {
-    KeyHash hash{};
-    const Error error{ErrorKind::InvalidArgument, "a key hash has 64 hexadecimal digits",
-                      "make it with: printf KEY | sha256sum"};
+    KeyHash hash {};
+    const Error error {ErrorKind::InvalidArgument, "a key hash has 64 hexadecimal digits",
+                       "make it with: printf KEY | sha256sum"};
     if (text.size() != hash.size() * 2)
         return error;
     for (std::size_t i = 0; i < hash.size(); ++i) {
--- a/src/codec/step_codec.cpp
+++ b/src/codec/step_codec.cpp
@@ -17,7 +17,7 @@
 template <class Number>
 void appendNumber(std::string &out, Number number)
 {
-    std::array<char, 32> text{};
+    std::array<char, 32> text {};
     const auto end = std::to_chars(text.data(), text.data() + text.size(), number).ptr;
     out.append(text.data(), end);
 }
--- a/src/codec/yaml_reader.cpp
+++ b/src/codec/yaml_reader.cpp
@@ -83,8 +83,9 @@
         }
         return documents;
     } catch (const YAML::Exception &e) {
-        return Error{ErrorKind::Malformed, "line " + std::to_string(e.mark.line + 1) + ": " + e.msg,
-                     "correct the YAML syntax there"};
+        return Error {ErrorKind::Malformed,
+                      "line " + std::to_string(e.mark.line + 1) + ": " + e.msg,
+                      "correct the YAML syntax there"};
     }
 }
 
@@ -92,7 +93,7 @@
 {
     std::ifstream in(path, std::ios::binary);
     if (!in)
-        return Error{ErrorKind::NotFound, "cannot read '" + path + "'", "give a readable file"};
+        return Error {ErrorKind::NotFound, "cannot read '" + path + "'", "give a readable file"};
     std::ostringstream text;
     text << in.rdbuf();
     return text.str();
--- a/src/core/configuration.cpp
+++ b/src/core/configuration.cpp
@@ -72,11 +72,11 @@
 void Configuration::compileLinks(const ConfigurationState &state)
 {
     const std::size_t n = m_zoneNames.size() + 1;
-    m_links.assign(n * n, LinkCost{});
+    m_links.assign(n * n, LinkCost {});
     forEachSpec<LinkSpec>(state, ObjectKind::Link, [&](const auto &, auto &spec) {
         const std::size_t from = zoneIndex(spec->from);
         const std::size_t to = zoneIndex(spec->to);
-        const LinkCost cost{spec->latency, spec->bandwidth};
+        const LinkCost cost {spec->latency, spec->bandwidth};
         m_links[from * n + to] = cost;
         m_links[to * n + from] = cost;
     });
@@ -136,7 +136,7 @@
     };
     forEachSpec<PipelineSpec>(state, ObjectKind::Pipeline, [&](const auto &name, auto &spec) {
         const auto *pool = state.find({ObjectKind::Pool, spec->pool});
-        ConfiguredPipeline pipeline{name, spec, std::get<SpecPointer<PoolSpec>>(pool->spec), {}};
+        ConfiguredPipeline pipeline {name, spec, std::get<SpecPointer<PoolSpec>>(pool->spec), {}};
         ServerIndices members;
         for (std::uint32_t i = 0; i < m_servers.size(); ++i) {
             if (pipeline.pool->servers.matches(m_servers[i].spec->labels))
@@ -163,7 +163,7 @@
 void Configuration::compileServices(const ConfigurationState &state)
 {
     forEachSpec<ServiceSpec>(state, ObjectKind::Service, [&](const auto &name, auto &spec) {
-        ConfiguredService service{name, spec, {}};
+        ConfiguredService service {name, spec, {}};
         for (PlacementClass c = 0; c < m_placementClasses.size(); ++c) {
             ServerIndices indices;
             for (std::uint32_t i = 0; i < m_servers.size(); ++i) {
--- a/src/core/configuration_state.cpp
+++ b/src/core/configuration_state.cpp
@@ -20,7 +20,7 @@
 
 bool exists(const Objects &objects, ObjectKind kind, const std::string &name)
 {
-    return objects.count(ObjectId{kind, name}) > 0;
+    return objects.count(ObjectId {kind, name}) > 0;
 }
 
 /// What an object needs beside it: the first missing one, or an empty text.
@@ -86,7 +86,7 @@
 
 std::optional<ChangeOutcome> ConfigurationState::objection(const Change &change) const
 {
-    ChangeOutcome rejection{change.id, m_nextOffset, false, "", ""};
+    ChangeOutcome rejection {change.id, m_nextOffset, false, "", ""};
     const auto reject = [&](std::string reason) {
         rejection.reason = std::move(reason);
         return rejection;
@@ -113,10 +113,10 @@
 Result<ChangeOutcome> ConfigurationState::apply(LogOffset offset, const Change &change)
 {
     if (offset != m_nextOffset)
-        return Error{ErrorKind::InvalidArgument,
-                     "record " + std::to_string(offset) + " does not follow "
-                         + std::to_string(m_nextOffset),
-                     "apply the records in order"};
+        return Error {ErrorKind::InvalidArgument,
+                      "record " + std::to_string(offset) + " does not follow "
+                          + std::to_string(m_nextOffset),
+                      "apply the records in order"};
     if (const ChangeOutcome *earlier = outcome(change.id);
         earlier && !mutated("apply-change-twice")) {
         const ChangeOutcome same = *earlier;
@@ -127,11 +127,11 @@
     if (!rejection) {
         const std::string problem = tryOperations(offset, change);
         if (!problem.empty())
-            rejection = ChangeOutcome{change.id, offset, false, problem, ""};
+            rejection = ChangeOutcome {change.id, offset, false, problem, ""};
     }
     ++m_nextOffset;
     const ChangeOutcome outcome =
-        rejection ? *rejection : ChangeOutcome{change.id, offset, true, "", ""};
+        rejection ? *rejection : ChangeOutcome {change.id, offset, true, "", ""};
     remember(outcome);
     return outcome;
 }
@@ -139,7 +139,7 @@
 Result<void> ConfigurationState::skip(LogOffset offset)
 {
     if (offset != m_nextOffset)
-        return Error{ErrorKind::InvalidArgument, "a skipped record must be the next one", ""};
+        return Error {ErrorKind::InvalidArgument, "a skipped record must be the next one", ""};
     ++m_nextOffset;
     return BOOST_OUTCOME_V2_NAMESPACE::success();
 }
--- a/src/core/key_ledger.cpp
+++ b/src/core/key_ledger.cpp
@@ -35,16 +35,16 @@
 
 std::string KeyPrefix::text() const
 {
-    std::array<char, 17> hex{};
+    std::array<char, 17> hex {};
     const auto end = std::to_chars(hex.data(), hex.data() + hex.size(), boot, 16).ptr;
     return entry + '/' + std::string(hex.data(), end) + '/' + std::to_string(epoch);
 }
 
 Result<RequestKey> RequestKey::parse(std::string_view text)
 {
-    const Error error{ErrorKind::InvalidArgument, "the request key is not valid",
-                      "take a prefix from GET /v1/entries and append '.' and 8 to 64 letters, "
-                      "digits, '-' or '_' of your own"};
+    const Error error {ErrorKind::InvalidArgument, "the request key is not valid",
+                       "take a prefix from GET /v1/entries and append '.' and 8 to 64 letters, "
+                       "digits, '-' or '_' of your own"};
     if (text.size() > LongestKey)
         return error;
     const std::size_t dot = text.rfind('.');
@@ -90,9 +90,9 @@
     std::string text(workspace);
     text += '\0';
     text += suffix;
-    std::array<std::uint8_t, SHA256_DIGEST_LENGTH> whole{};
+    std::array<std::uint8_t, SHA256_DIGEST_LENGTH> whole {};
     SHA256(reinterpret_cast<const unsigned char *>(text.data()), text.size(), whole.data());
-    Digest digest{};
+    Digest digest {};
     std::copy_n(whole.begin(), digest.size(), digest.begin());
     return digest;
 }
--- a/src/core/limits.cpp
+++ b/src/core/limits.cpp
@@ -159,7 +159,7 @@
 {
     const WorkspaceLimits &limits = request.limits;
     const auto refuse = [&](const char *what, Duration wait) {
-        return std::make_unique<Refusal>(Refusal{
+        return std::make_unique<Refusal>(Refusal {
             {ErrorKind::Overloaded, std::string("the workspace is over its limit of ") + what,
              "send more slowly, or ask the operator for a higher limit"},
             roundedUp(wait)});
@@ -208,14 +208,14 @@
     const double tag = m_discipline->tag(request.workspace, request.cost, request.limits.weight);
     const Duration wait = predictedWait(request, tag);
     if (m_waiting.size() >= MaxWaiting || now + wait > request.startBy) {
-        const Refusal refusal{
+        const Refusal refusal {
             {ErrorKind::Overloaded, "the servers are busy", "send it again after the time given"},
             roundedUp(wait)};
         decision(&refusal);
         return ticket;
     }
     ++usage.waiting;
-    m_waiting.emplace(tag, WaitingRequest{ticket, std::move(request), std::move(decision)});
+    m_waiting.emplace(tag, WaitingRequest {ticket, std::move(request), std::move(decision)});
     return ticket;
 }
 
@@ -228,7 +228,7 @@
 {
     ++m_usage[request.workspace].running;
     ++m_pipelines[request.pipeline].running;
-    m_running.emplace(ticket, RunningRequest{request.workspace, request.pipeline, now});
+    m_running.emplace(ticket, RunningRequest {request.workspace, request.pipeline, now});
 }
 
 void AdmissionController::withdraw(Ticket ticket)
@@ -252,7 +252,7 @@
     usage.tokens.charge(usage.limits.tokensPerSecond, tokens, now);
     PipelineUsage &pipeline = m_pipelines[it->second.pipeline];
     --pipeline.running;
-    if (pipeline.lastEnd != TimePoint{}) {
+    if (pipeline.lastEnd != TimePoint {}) {
         const double gap =
             std::max(1e-4, static_cast<double>((now - pipeline.lastEnd).count()) / 1e6);
         // The mean of gaps, not of rates: two ends at once must not count as a high rate.
@@ -276,9 +276,9 @@
         late.push_back(std::move(it->second.decision));
         it = m_waiting.erase(it);
     }
-    const Refusal refusal{{ErrorKind::Overloaded, "the servers stayed busy too long",
-                           "send it again after the time given"},
-                          ShortestRetryAfter};
+    const Refusal refusal {{ErrorKind::Overloaded, "the servers stayed busy too long",
+                            "send it again after the time given"},
+                           ShortestRetryAfter};
     for (const Decision &decision : late)
         decision(&refusal);
 }
--- a/src/core/membership.cpp
+++ b/src/core/membership.cpp
@@ -100,7 +100,7 @@
 /// A process that was stopped for a while has heard nobody, which says nothing of the others.
 void Membership::noticeOwnPause(TimePoint now)
 {
-    if (m_lastTick != TimePoint{} && now - m_lastTick > m_options.linkTimeout) {
+    if (m_lastTick != TimePoint {} && now - m_lastTick > m_options.linkTimeout) {
         for (auto &[id, link] : m_links)
             link.lastHeard = now;
     }
@@ -210,7 +210,7 @@
         return;
     const TimePoint now = m_timers.now();
     const LinkId id = m_transport.connect(address);
-    m_links[id] = Link{"", address, now, now, false, true, 0};
+    m_links[id] = Link {"", address, now, now, false, true, 0};
 }
 
 void Membership::adjustOverlay()
@@ -259,7 +259,7 @@
     link.outgoing = outgoing;
     link.lastHeard = m_timers.now();
     link.openedAt = m_timers.now();
-    m_transport.send(id, HelloMessage{m_self});
+    m_transport.send(id, HelloMessage {m_self});
 }
 
 void Membership::linkDown(LinkId id)
@@ -327,7 +327,7 @@
     m_links[id].peer = name;
     m_links[id].address = message.self.peerAddress;
     const bool news = merge(message.self);
-    m_transport.send(id, MembersMessage{members(), true});
+    m_transport.send(id, MembersMessage {members(), true});
     if (!news)
         return;
     spread({message.self}, id);
@@ -341,7 +341,7 @@
     link.digestMismatches = message.viewDigest == viewDigest() ? 0 : link.digestMismatches + 1;
     if (link.digestMismatches >= MismatchesBeforeSync) {
         link.digestMismatches = 0;
-        m_transport.send(id, MembersMessage{members(), true});
+        m_transport.send(id, MembersMessage {members(), true});
     }
     m_hooks.configurationMessage(peer, message);
 }
@@ -354,7 +354,7 @@
             news.push_back(member);
     }
     if (message.wantsView)
-        m_transport.send(id, MembersMessage{members(), false});
+        m_transport.send(id, MembersMessage {members(), false});
     if (news.empty())
         return;
     spread(news, id);
@@ -370,12 +370,12 @@
     }
     const auto it = m_members.find(news.name);
     if (it == m_members.end()) {
-        m_members.emplace(news.name, Entry{news, m_timers.now()});
+        m_members.emplace(news.name, Entry {news, m_timers.now()});
         return true;
     }
     if (!outranks(news, it->second.member))
         return false;
-    it->second = Entry{news, m_timers.now()};
+    it->second = Entry {news, m_timers.now()};
     return true;
 }
 
@@ -424,7 +424,7 @@
 void Membership::closeLink(LinkId id, bool goodbye)
 {
     if (goodbye)
-        m_transport.send(id, GoodbyeMessage{});
+        m_transport.send(id, GoodbyeMessage {});
     m_links.erase(id);
     m_transport.close(id);
 }
@@ -433,7 +433,7 @@
 {
     for (const auto &[id, link] : m_links) {
         if (id != except && link.up && !link.peer.empty())
-            m_transport.send(id, MembersMessage{news, false});
+            m_transport.send(id, MembersMessage {news, false});
     }
 }
 
@@ -455,7 +455,7 @@
 
 std::vector<Member> Membership::members() const
 {
-    std::vector<Member> list{m_self};
+    std::vector<Member> list {m_self};
     for (const auto &[name, entry] : m_members)
         list.push_back(entry.member);
     return list;
--- a/src/core/result.cpp
+++ b/src/core/result.cpp
@@ -43,8 +43,8 @@
 
 namespace {
 
-std::atomic<InvariantHandler> installedHandler{nullptr};
-std::atomic<std::uint64_t> failureCount{0};
+std::atomic<InvariantHandler> installedHandler {nullptr};
+std::atomic<std::uint64_t> failureCount {0};
 
 } // namespace
 
--- a/src/core/routing.cpp
+++ b/src/core/routing.cpp
@@ -89,8 +89,8 @@
     }
 };
 
-constexpr std::array<std::string_view, 5> PolicyNames{"random", "round-robin", "least-outstanding",
-                                                      "two-choices", "score"};
+constexpr std::array<std::string_view, 5> PolicyNames {"random", "round-robin", "least-outstanding",
+                                                       "two-choices", "score"};
 
 } // namespace
 
@@ -113,8 +113,8 @@
     else if (name == "score")
         policy = std::make_unique<ScorePolicy>();
     else
-        return Error{ErrorKind::InvalidArgument, "unknown policy '" + std::string(name) + "'",
-                     "use random, round-robin, least-outstanding, two-choices or score"};
+        return Error {ErrorKind::InvalidArgument, "unknown policy '" + std::string(name) + "'",
+                      "use random, round-robin, least-outstanding, two-choices or score"};
     return policy;
 }
 
@@ -123,13 +123,29 @@
     , m_random(seed)
 { }
 
-Candidate Router::score(const Configuration &configuration, const RoutingQuery &query,
-                        const ConfiguredServer &server)
+/// The least step time that is known of the candidates; a server of which none is known is taken to
+/// be as fast, so that it is tried.
+double Router::optimisticStepTime(const RoutingQuery &query) const
 {
-    Candidate candidate;
-    candidate.server = &server;
+    double least = 0;
+    double leastDefault = 0;
+    for (const Candidate &candidate : m_candidates) {
+        const BackendServer &state = *candidate.server->state;
+        const auto step = static_cast<double>(state.stepTime().count());
+        double &target = state.stepTimeUnknown(query.now) ? leastDefault : least;
+        target = target == 0 ? step : std::min(target, step);
+    }
+    return least > 0 ? least : leastDefault;
+}
+
+void Router::score(const Configuration &configuration, const RoutingQuery &query,
+                   double optimisticStep, Candidate &candidate)
+{
+    const ConfiguredServer &server = *candidate.server;
     candidate.load = server.state->estimatedLoad(query.now);
-    const auto step = static_cast<double>(server.state->stepTime().count());
+    const double step = server.state->stepTimeUnknown(query.now)
+        ? optimisticStep
+        : static_cast<double>(server.state->stepTime().count());
     const double use = (candidate.load + 1) / server.spec->batch;
     const double queued = std::max(0.0, use - 1);
     candidate.stepCost = step * (1 + UtilisationWeight * use + QueueWeight * queued);
@@ -144,7 +160,6 @@
         // A loaded server earns less credit, so that a hot prefix spreads over several servers.
         candidate.prefixCredit = PrefixWeight * prefill * share / (1 + use * use);
     }
-    return candidate;
 }
 
 std::span<const Candidate> Router::candidates(const Configuration &configuration,
@@ -169,8 +184,11 @@
             ++filtered.ejected;
             continue;
         }
-        m_candidates.push_back(score(configuration, query, server));
+        m_candidates.push_back({&server, 0, 0, 0, 0});
     }
+    const double optimisticStep = optimisticStepTime(query);
+    for (Candidate &candidate : m_candidates)
+        score(configuration, query, optimisticStep, candidate);
     return m_candidates;
 }
 
@@ -183,18 +201,18 @@
         const Candidate chosen = list[i];
         if (chosen.server->state->claimProbe(query.now)) {
             m_prefixIndex.record(query.prefixBlocks, chosen.server->state.get());
-            return RoutingChoice{chosen, list.size(), filtered};
+            return RoutingChoice {chosen, list.size(), filtered};
         }
         ++filtered.ejected;
         m_candidates.erase(m_candidates.begin() + static_cast<std::ptrdiff_t>(i));
         list = m_candidates;
     }
-    return Error{ErrorKind::Unavailable,
-                 "no server can run stage " + std::to_string(query.stage) + " of pipeline '"
-                     + query.pipeline->name + "' (" + std::to_string(filtered.draining)
-                     + " draining, " + std::to_string(filtered.ejected) + " failing, "
-                     + std::to_string(filtered.excluded) + " tried)",
-                 "add servers with these layers, or wait until the failing ones are back"};
+    return Error {ErrorKind::Unavailable,
+                  "no server can run stage " + std::to_string(query.stage) + " of pipeline '"
+                      + query.pipeline->name + "' (" + std::to_string(filtered.draining)
+                      + " draining, " + std::to_string(filtered.ejected) + " failing, "
+                      + std::to_string(filtered.excluded) + " tried)",
+                  "add servers with these layers, or wait until the failing ones are back"};
 }
 
 } // namespace dogwoodvalve
--- a/src/core/selector.cpp
+++ b/src/core/selector.cpp
@@ -196,17 +196,17 @@
             std::string_view text;
             Operation operation;
         };
-        static constexpr std::array<Symbol, 7> Symbols{{{"!=", Operation::NotEqual},
-                                                        {"<=", Operation::LessOrEqual},
-                                                        {">=", Operation::GreaterOrEqual},
-                                                        {"==", Operation::Equal},
-                                                        {"=", Operation::Equal},
-                                                        {"<", Operation::Less},
-                                                        {">", Operation::Greater}}};
+        static constexpr std::array<Symbol, 7> Symbols {{{"!=", Operation::NotEqual},
+                                                         {"<=", Operation::LessOrEqual},
+                                                         {">=", Operation::GreaterOrEqual},
+                                                         {"==", Operation::Equal},
+                                                         {"=", Operation::Equal},
+                                                         {"<", Operation::Less},
+                                                         {">", Operation::Greater}}};
         for (const Symbol &symbol : Symbols) {
             if (!takeSymbol(symbol.text))
                 continue;
-            Node node{symbol.operation, name, {}, 0};
+            Node node {symbol.operation, name, {}, 0};
             std::string value;
             if (!readValue(value))
                 return false;
@@ -224,7 +224,7 @@
 
     bool readSet(Operation operation, const std::string &name)
     {
-        Node node{operation, name, {}, 0};
+        Node node {operation, name, {}, 0};
         if (!takeSymbol("("))
             return fail("'(' is missing");
         do {
@@ -314,7 +314,7 @@
 bool Selector::matches(const Labels &labels) const
 {
     // Each condition pushes one value and MaxNodes bounds the program, so the stack can't overflow.
-    std::array<bool, MaxNodes> stack{};
+    std::array<bool, MaxNodes> stack {};
     std::size_t top = 0;
     for (const Node &node : m_program) {
         switch (node.operation) {
--- a/src/core/sequence.cpp
+++ b/src/core/sequence.cpp
@@ -93,9 +93,9 @@
         waitForServer(chosen.error());
         return false;
     }
-    slot = StageSlot{std::move(chosen).value(), 0, false};
+    slot = StageSlot {std::move(chosen).value(), 0, false};
     slot.server->addInFlight(1);
-    m_patienceEnd = TimePoint{};
+    m_patienceEnd = TimePoint {};
     return true;
 }
 
@@ -104,7 +104,7 @@
 {
     TimerService &timers = m_environment.timers();
     const TimePoint now = timers.now();
-    if (m_patienceEnd == TimePoint{})
+    if (m_patienceEnd == TimePoint {})
         m_patienceEnd = now + ServerPatience;
     if (!m_mayHaveRun || now >= m_patienceEnd)
         return fail(error, RetryAfterNoServer);
@@ -324,7 +324,7 @@
 void Sequence::replaceServer(StageSlot &slot)
 {
     const std::shared_ptr<BackendServer> server = std::move(slot.server);
-    slot = StageSlot{};
+    slot = StageSlot {};
     m_excluded.push_back(server.get());
     server->addInFlight(-1);
     m_environment.release(*server, m_request.id);
--- a/src/core/world.cpp
+++ b/src/core/world.cpp
@@ -10,6 +10,8 @@
 constexpr Duration FirstEjection = 500ms;
 constexpr Duration LongestEjection = 30s;
 constexpr Duration ProbeTime = 2s;
+/// An observed step time says nothing after this time without a newer one.
+constexpr Duration ObservationLife = 60s;
 /// A load report loses half of its worth in this time.
 constexpr double ReportHalfLifeMicros = 2e6;
 /// Each observation moves a running mean by 1/8.
@@ -55,8 +57,10 @@
     return own + others * worth;
 }
 
-void BackendServer::noteStep(Duration duration, bool prefill)
+void BackendServer::noteStep(Duration duration, bool prefill, TimePoint now)
 {
+    if (!prefill)
+        m_stepAt.store(micros(now), std::memory_order_relaxed);
     moveMean(prefill ? m_prefillMicros : m_stepMicros, duration.count());
 }
 
@@ -66,6 +70,12 @@
     return mean == 0 ? DefaultStepTime : Duration(mean);
 }
 
+bool BackendServer::stepTimeUnknown(TimePoint now) const
+{
+    const std::int64_t at = m_stepAt.load(std::memory_order_relaxed);
+    return at == 0 || micros(now) - at > ObservationLife.count();
+}
+
 Duration BackendServer::prefillTime() const
 {
     const std::int64_t mean = m_prefillMicros.load(std::memory_order_relaxed);
--- a/src/daemon/caller_answers.cpp
+++ b/src/daemon/caller_answers.cpp
@@ -92,15 +92,15 @@
                                                  const HttpExchange &exchange)
 {
     const std::string_view header = exchange.header("Authorization");
-    const Error refused{ErrorKind::Unauthorized, "the key is missing or not known",
-                        "send 'Authorization: Bearer KEY' with a key of a workspace"};
+    const Error refused {ErrorKind::Unauthorized, "the key is missing or not known",
+                         "send 'Authorization: Bearer KEY' with a key of a workspace"};
     const bool bearer = header.size() > BearerPrefix.size()
         && equalsIgnoringCase(header.substr(0, BearerPrefix.size()), BearerPrefix);
     if (!bearer)
         return refused;
     const std::string_view key = header.substr(BearerPrefix.size());
     // The hash stands for the key: the time of the look-up tells nothing of the key itself.
-    KeyHash hash{};
+    KeyHash hash {};
     SHA256(reinterpret_cast<const unsigned char *>(key.data()), key.size(), hash.data());
     const ConfiguredWorkspace *workspace = configuration.workspaceByKey(hash);
     if (!workspace)
--- a/src/daemon/caller_api.cpp
+++ b/src/daemon/caller_api.cpp
@@ -286,8 +286,8 @@
     if (!request)
         good = request.error();
     else if (!caller.configuration->pipeline(request.value().model))
-        good = Error{ErrorKind::NotFound, "there is no pipeline '" + request.value().model + "'",
-                     "GET /v1/models lists the pipelines"};
+        good = Error {ErrorKind::NotFound, "there is no pipeline '" + request.value().model + "'",
+                      "GET /v1/models lists the pipelines"};
     if (!good) {
         settle(caller, Outcome::NotRun);
         return refuse(exchange, good.error(), Outcome::NotRun);
--- a/src/daemon/completion_session.cpp
+++ b/src/daemon/completion_session.cpp
@@ -45,7 +45,7 @@
     , m_request(std::move(request))
     , m_idempotent(idempotent)
     , m_key(std::move(key))
-    , m_id{host.context().boot(), host.context().nextSequence()}
+    , m_id {host.context().boot(), host.context().nextSequence()}
     , m_zone(m_configuration->zoneIndex(host.context().settings().zone))
     , m_arrivedAt(host.loop().timers().now())
 {
@@ -139,7 +139,8 @@
         const bool fits =
             m_pipeline->spec->stages[i] == answer.layers && answer.fault == StepFault::None;
         if (fits && m_sequence->server(i))
-            const_cast<BackendServer *>(m_sequence->server(i))->noteStep(took, m_stepIsPrefill);
+            const_cast<BackendServer *>(m_sequence->server(i))
+                ->noteStep(took, m_stepIsPrefill, timers().now());
     }
     m_sequence->onAnswer(answer);
     m_host.context().metrics().countDroppedAnswers(m_sequence->statistics().droppedAnswers
@@ -160,8 +161,8 @@
     const ConfiguredPipeline *pipeline = current->pipeline(m_pipeline->name);
     const ConfiguredWorkspace *workspace = current->workspaceByName(m_workspace.name);
     if (!pipeline || !workspace || pipeline->spec->stages != m_pipeline->spec->stages)
-        return Error{ErrorKind::Unavailable, "the pipeline has changed under the request",
-                     "send it again"};
+        return Error {ErrorKind::Unavailable, "the pipeline has changed under the request",
+                      "send it again"};
     RoutingQuery query;
     query.pipeline = pipeline;
     query.stage = stage;
--- a/src/daemon/completion_session.h
+++ b/src/daemon/completion_session.h
@@ -86,8 +86,8 @@
     std::string m_chunk;
     AdmissionController::Ticket m_ticket = 0;
     TimePoint m_arrivedAt;
-    TimePoint m_lastTokenAt{};
-    TimePoint m_stepSentAt{};
+    TimePoint m_lastTokenAt {};
+    TimePoint m_stepSentAt {};
     bool m_stepIsPrefill = false;
     bool m_admitted = false;
     bool m_streaming = false;
--- a/src/daemon/control_plane.cpp
+++ b/src/daemon/control_plane.cpp
@@ -37,9 +37,9 @@
     , m_configurationChanged(std::move(configurationChanged))
     , m_timers(timers)
     , m_platform(platform)
-    , m_membership(selfMember(context), context.settings().seeds, MembershipOptions{}, timers,
+    , m_membership(selfMember(context), context.settings().seeds, MembershipOptions {}, timers,
                    transport, *this)
-    , m_follower(platform, timers, *this, ConfigurationFollowerOptions{})
+    , m_follower(platform, timers, *this, ConfigurationFollowerOptions {})
 { }
 
 ControlPlane::~ControlPlane()
@@ -134,11 +134,11 @@
         if (const ChangeOutcome *outcome = m_follower.state().outcome(awaited.id))
             awaited.done(*outcome);
         else if (m_timers.now() >= awaited.until)
-            awaited.done(
-                Error{ErrorKind::Timeout,
-                      "the fate of change " + awaited.id + " is not known: the log does not answer",
-                      "ask later with 'dogwoodvalve get --change ID', or apply again "
-                      "with the same --change-id"});
+            awaited.done(Error {ErrorKind::Timeout,
+                                "the fate of change " + awaited.id
+                                    + " is not known: the log does not answer",
+                                "ask later with 'dogwoodvalve get --change ID', or apply again "
+                                "with the same --change-id"});
         else
             rest.push_back(std::move(awaited));
     }
@@ -164,12 +164,12 @@
 
 void ControlPlane::askPeer(std::string_view peer, LogOffset from)
 {
-    m_membership.sendTo(peer, ConfigurationRequestMessage{from});
+    m_membership.sendTo(peer, ConfigurationRequestMessage {from});
 }
 
 void ControlPlane::pushToPeers(const ConfigurationTransfer &transfer, std::string_view except)
 {
-    m_membership.broadcast(ConfigurationMessage{transfer}, except);
+    m_membership.broadcast(ConfigurationMessage {transfer}, except);
 }
 
 void ControlPlane::inForce(const ConfigurationState &state)
@@ -196,7 +196,7 @@
     if (const auto *heartbeat = std::get_if<HeartbeatMessage>(&message))
         m_follower.onPeerOffset(peer, heartbeat->nextOffset, heartbeat->snapshot);
     else if (const auto *request = std::get_if<ConfigurationRequestMessage>(&message))
-        m_membership.sendTo(peer, ConfigurationMessage{m_follower.answerPeer(request->from)});
+        m_membership.sendTo(peer, ConfigurationMessage {m_follower.answerPeer(request->from)});
     else if (const auto *configuration = std::get_if<ConfigurationMessage>(&message))
         m_follower.onTransfer(peer, configuration->transfer);
 }
--- a/src/daemon/control_plane.h
+++ b/src/daemon/control_plane.h
@@ -56,7 +56,7 @@
     struct Awaited
     {
         std::string id;
-        TimePoint until{};
+        TimePoint until {};
         std::function<void(const Result<ChangeOutcome> &)> done;
     };
 
--- a/src/daemon/engine_link.h
+++ b/src/daemon/engine_link.h
@@ -64,8 +64,8 @@
     std::shared_ptr<HttpClientRequest> m_request;
     LineSplitter m_lines;
     std::string m_out;
-    TimePoint m_lastHeard{};
-    TimePoint m_connectStarted{};
+    TimePoint m_lastHeard {};
+    TimePoint m_connectStarted {};
     TimerId m_watchTimer = 0;
     TimerId m_reconnectTimer = 0;
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
--- a/src/daemon/entry_context.h
+++ b/src/daemon/entry_context.h
@@ -79,10 +79,10 @@
     std::uint64_t boot() const { return m_boot.load(std::memory_order_relaxed); }
     std::uint64_t nextSequence() { return m_nextSequence.fetch_add(1, std::memory_order_relaxed); }
 
-    std::atomic<bool> draining{false};
-    std::atomic<bool> ready{false};
-    std::atomic<bool> isolated{false};
-    std::atomic<int> openRequests{0};
+    std::atomic<bool> draining {false};
+    std::atomic<bool> ready {false};
+    std::atomic<bool> isolated {false};
+    std::atomic<int> openRequests {0};
 
 private:
     const EntrySettings m_settings;
@@ -99,7 +99,7 @@
     std::mutex m_retryMutex;
     std::map<std::string, RetryBudget> m_retryBudgets;
     std::atomic<std::uint64_t> m_boot;
-    std::atomic<std::uint64_t> m_nextSequence{1};
+    std::atomic<std::uint64_t> m_nextSequence {1};
 };
 
 } // namespace dogwoodvalve
--- a/src/daemon/entry_process.cpp
+++ b/src/daemon/entry_process.cpp
@@ -153,7 +153,7 @@
     }
 
     const RcuThread m_registration;
-    boost::asio::io_context m_loop{1};
+    boost::asio::io_context m_loop {1};
     EntryContext m_context;
     boost::asio::signal_set m_signals;
     AsioTimerService m_timers;
@@ -163,7 +163,7 @@
     OperatorApi m_operatorApi;
     HttpServer m_operatorServer;
     std::vector<std::unique_ptr<EntryShard>> m_shards;
-    TimePoint m_drainStarted{};
+    TimePoint m_drainStarted {};
 };
 
 } // namespace
--- a/src/daemon/entry_shard.h
+++ b/src/daemon/entry_shard.h
@@ -31,7 +31,7 @@
 
 private:
     EntryContext &m_context;
-    boost::asio::io_context m_loop{1};
+    boost::asio::io_context m_loop {1};
     boost::asio::executor_work_guard<boost::asio::io_context::executor_type> m_work;
     AsioLoopServices m_services;
     EntryWorker m_worker;
--- a/src/daemon/http_platform.cpp
+++ b/src/daemon/http_platform.cpp
@@ -27,7 +27,7 @@
         return unexpected(reply.value().status);
     json body = json::parse(reply.value().body, nullptr, false);
     if (!body.is_object())
-        return Error{ErrorKind::Malformed, "the platform's answer is not JSON", ""};
+        return Error {ErrorKind::Malformed, "the platform's answer is not JSON", ""};
     return body;
 }
 
@@ -41,8 +41,8 @@
         page.records = body.at("records").get<std::vector<std::string>>();
         return page;
     } catch (const json::exception &e) {
-        return Error{ErrorKind::Malformed, std::string("the log's answer is damaged: ") + e.what(),
-                     ""};
+        return Error {ErrorKind::Malformed, std::string("the log's answer is damaged: ") + e.what(),
+                      ""};
     }
 }
 
@@ -84,7 +84,7 @@
             return done(body.error());
         const auto it = body.value().find("offset");
         if (it == body.value().end() || !it->is_number_unsigned())
-            return done(Error{ErrorKind::Malformed, "the log's answer names no offset", ""});
+            return done(Error {ErrorKind::Malformed, "the log's answer names no offset", ""});
         done(it->get<LogOffset>());
     });
 }
--- a/src/daemon/log.cpp
+++ b/src/daemon/log.cpp
@@ -52,12 +52,12 @@
     return instance;
 }
 
-std::atomic<bool> started{false};
-std::atomic<int> currentLevel{static_cast<int>(LogLevel::Info)};
-std::atomic<std::uint32_t> decisionRate{0};
-std::atomic<std::int64_t> decisionSecond{0};
-std::atomic<std::uint32_t> decisionCount{0};
-std::atomic<std::uint32_t> decisionsLeftOut{0};
+std::atomic<bool> started {false};
+std::atomic<int> currentLevel {static_cast<int>(LogLevel::Info)};
+std::atomic<std::uint32_t> decisionRate {0};
+std::atomic<std::int64_t> decisionSecond {0};
+std::atomic<std::uint32_t> decisionCount {0};
+std::atomic<std::uint32_t> decisionsLeftOut {0};
 
 bool isEnabled(LogLevel level)
 {
@@ -95,8 +95,8 @@
         if (levelText(level) == text)
             return level;
     }
-    return Error{ErrorKind::InvalidArgument, "unknown log level '" + std::string(text) + "'",
-                 "use debug, info, warning or error"};
+    return Error {ErrorKind::InvalidArgument, "unknown log level '" + std::string(text) + "'",
+                  "use debug, info, warning or error"};
 }
 
 void startLog(LogLevel level, const std::string &file)
@@ -179,14 +179,14 @@
 
 LogEvent &LogEvent::field(std::string_view key, std::int64_t value)
 {
-    std::array<char, 24> text{};
+    std::array<char, 24> text {};
     const auto end = std::to_chars(text.data(), text.data() + text.size(), value).ptr;
     return field(key, std::string_view(text.data(), static_cast<std::size_t>(end - text.data())));
 }
 
 LogEvent &LogEvent::field(std::string_view key, double value)
 {
-    std::array<char, 32> text{};
+    std::array<char, 32> text {};
     const auto end =
         std::to_chars(text.data(), text.data() + text.size(), value, std::chars_format::fixed, 1)
             .ptr;
--- a/src/daemon/metrics.cpp
+++ b/src/daemon/metrics.cpp
@@ -8,7 +8,7 @@
 
 /// Upper bounds of the latency histograms, in seconds. They include the targets: 0.076 between
 /// tokens and 0.72 for the first.
-const prometheus::Histogram::BucketBoundaries LatencyBuckets{
+const prometheus::Histogram::BucketBoundaries LatencyBuckets {
     0.005, 0.01, 0.02, 0.03, 0.05, 0.076, 0.1, 0.15, 0.25, 0.5, 0.72, 1, 2, 5, 10};
 
 double toSeconds(Duration duration)
--- a/src/daemon/operator_api.cpp
+++ b/src/daemon/operator_api.cpp
@@ -22,7 +22,7 @@
 
 void respondJson(const std::shared_ptr<HttpExchange> &exchange, int status, const json &body)
 {
-    const std::vector<HttpField> fields{{"Content-Type", "application/json"}};
+    const std::vector<HttpField> fields {{"Content-Type", "application/json"}};
     exchange->respond(status, fields,
                       body.dump(-1, ' ', false, json::error_handler_t::replace) + "\n");
 }
@@ -100,7 +100,7 @@
     const bool post = exchange->method() == "POST";
     EntryContext &context = m_control.context();
     if (path == "/metrics") {
-        const std::vector<HttpField> fields{{"Content-Type", "text/plain; version=0.0.4"}};
+        const std::vector<HttpField> fields {{"Content-Type", "text/plain; version=0.0.4"}};
         return exchange->respond(200, fields, context.metrics().text());
     }
     if (path == "/healthz")
--- a/src/daemon/peer_links.cpp
+++ b/src/daemon/peer_links.cpp
@@ -26,8 +26,8 @@
     const std::string problem =
         m_transport->listen(endpoint.value().address().to_string(), endpoint.value().port());
     if (!problem.empty())
-        return Error{ErrorKind::Unavailable, "cannot listen on " + address + ": " + problem,
-                     "give a free address of this host"};
+        return Error {ErrorKind::Unavailable, "cannot listen on " + address + ": " + problem,
+                      "give a free address of this host"};
     return BOOST_OUTCOME_V2_NAMESPACE::success();
 }
 
@@ -63,7 +63,7 @@
 
 void PeerLinks::websocketOpened(std::uint64_t link, bool outgoing)
 {
-    const auto it = m_links.emplace(link, Link{FrameGuard(m_secrets, outgoing), outgoing}).first;
+    const auto it = m_links.emplace(link, Link {FrameGuard(m_secrets, outgoing), outgoing}).first;
     m_transport->send(link, it->second.guard.openingFrame());
 }
 
--- a/src/daemon/proxy_session.cpp
+++ b/src/daemon/proxy_session.cpp
@@ -17,7 +17,7 @@
 /// Fields that concern one connection only, and lengths, which are made anew.
 bool isHopByHop(std::string_view name)
 {
-    static constexpr std::array<std::string_view, 11> Names{
+    static constexpr std::array<std::string_view, 11> Names {
         "connection", "keep-alive",       "proxy-authenticate", "proxy-authorization",
         "te",         "trailer",          "transfer-encoding",  "upgrade",
         "host",       "proxy-connection", "content-length"};
--- a/src/daemon/proxy_session.h
+++ b/src/daemon/proxy_session.h
@@ -89,7 +89,7 @@
     std::shared_ptr<BackendServer> m_counted;
     std::size_t m_next = 0;
     TimerId m_timer = 0;
-    TimePoint m_startedAt{};
+    TimePoint m_startedAt {};
     bool m_bodyBegun = false;
     bool m_bodyPaused = false;
     bool m_sent = false;
--- a/src/daemon/settings.cpp
+++ b/src/daemon/settings.cpp
@@ -132,11 +132,11 @@
 {
     const auto documents = readYaml(yaml);
     if (!documents)
-        return Error{documents.error().kind, std::string(file) + ": " + documents.error().message,
-                     documents.error().remedy};
+        return Error {documents.error().kind, std::string(file) + ": " + documents.error().message,
+                      documents.error().remedy};
     if (documents.value().size() != 1)
-        return Error{ErrorKind::Malformed, std::string(file) + ": settings are one YAML document",
-                     "start from docs/entry.sample.yaml"};
+        return Error {ErrorKind::Malformed, std::string(file) + ": settings are one YAML document",
+                      "start from docs/entry.sample.yaml"};
     const YamlDocument &document = documents.value().front();
     EntrySettings settings;
     ObjectReader reader(document.value, "");
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -60,7 +60,7 @@
     HttpClientEvents *m_events = nullptr;
     boost::beast::flat_buffer m_buffer;
     http::response_parser<http::buffer_body> m_parser;
-    std::array<char, ReadBufferBytes> m_part{};
+    std::array<char, ReadBufferBytes> m_part {};
     std::string m_out;
     std::string m_writing;
     bool m_chunked = false;
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -38,7 +38,7 @@
 struct ServerCounters
 {
     std::size_t connections = 0;
-    std::atomic<int> exchanges{0};
+    std::atomic<int> exchanges {0};
 };
 
 class HttpServer::Impl : public std::enable_shared_from_this<HttpServer::Impl>
@@ -135,7 +135,7 @@
     std::shared_ptr<ServerCounters> m_counters;
     boost::beast::flat_buffer m_buffer;
     std::optional<Parser> m_parser;
-    std::array<char, ReadBufferBytes> m_part{};
+    std::array<char, ReadBufferBytes> m_part {};
 
     std::string m_method;
     std::string m_target;
@@ -224,8 +224,8 @@
 {
     m_keepAlive = false;
     m_bodyRead = true;
-    const std::vector<HttpField> fields{{"Content-Type", "application/json"},
-                                        {"Dogwoodvalve-Outcome", "not-run"}};
+    const std::vector<HttpField> fields {{"Content-Type", "application/json"},
+                                         {"Dogwoodvalve-Outcome", "not-run"}};
     respond(status, fields, errorBody(error, "not_run"));
 }
 
@@ -242,8 +242,8 @@
                 if (part.value().empty())
                     return done(std::move(*whole));
                 if (whole->size() + part.value().size() > limit)
-                    return done(Error{ErrorKind::TooLarge, "the body is too large",
-                                      "send at most " + std::to_string(limit) + " bytes"});
+                    return done(Error {ErrorKind::TooLarge, "the body is too large",
+                                       "send at most " + std::to_string(limit) + " bytes"});
                 whole->append(part.value());
                 (*step)();
             });
@@ -254,7 +254,7 @@
 void HttpConnection::readPart(std::function<void(Result<std::string_view>)> done)
 {
     if (m_closed)
-        return done(Error{ErrorKind::Unavailable, "the peer went away", ""});
+        return done(Error {ErrorKind::Unavailable, "the peer went away", ""});
     if (m_parser->is_done()) {
         if (!m_bodyRead) {
             m_bodyRead = true;
@@ -268,7 +268,7 @@
         m_socket, m_buffer, *m_parser,
         [self = shared_from_this(), done = std::move(done)](error_code ec, std::size_t) {
             if (self->m_closed)
-                return done(Error{ErrorKind::Unavailable, "the peer went away", ""});
+                return done(Error {ErrorKind::Unavailable, "the peer went away", ""});
             if (ec == http::error::need_buffer)
                 ec = {};
             if (ec) {
@@ -276,7 +276,7 @@
                     || ec.category() == asio::error::get_system_category();
                 self->m_keepAlive = false;
                 if (gone) {
-                    done(Error{ErrorKind::Unavailable, "the peer went away", ""});
+                    done(Error {ErrorKind::Unavailable, "the peer went away", ""});
                     return self->close();
                 }
                 self->m_bodyRead = true;
@@ -427,10 +427,10 @@
 {
     error_code ec;
     const auto failed = [&] {
-        return Error{ErrorKind::Unavailable,
-                     "cannot listen on " + endpoint.address().to_string() + ":"
-                         + std::to_string(endpoint.port()) + ": " + ec.message(),
-                     "give a free address of this host"};
+        return Error {ErrorKind::Unavailable,
+                      "cannot listen on " + endpoint.address().to_string() + ":"
+                          + std::to_string(endpoint.port()) + ": " + ec.message(),
+                      "give a free address of this host"};
     };
     m_acceptor.open(endpoint.protocol(), ec);
     if (ec)
--- a/src/net/http_text.cpp
+++ b/src/net/http_text.cpp
@@ -44,7 +44,7 @@
 
 void appendChunk(std::string &out, std::string_view part)
 {
-    std::array<char, 16> size{};
+    std::array<char, 16> size {};
     const auto end = std::to_chars(size.data(), size.data() + size.size(), part.size(), 16).ptr;
     out.append(size.data(), end);
     out += "\r\n";
--- a/src/net/short_http_client.cpp
+++ b/src/net/short_http_client.cpp
@@ -16,8 +16,8 @@
     if (!endpoint)
         return endpoint.error();
     const auto failed = [&](ErrorKind kind, const std::exception &e) {
-        return Error{kind, "request to " + std::string(address) + " failed: " + e.what(),
-                     "check that the process at this address runs"};
+        return Error {kind, "request to " + std::string(address) + " failed: " + e.what(),
+                      "check that the process at this address runs"};
     };
     const cxxtools::Milliseconds timeout(
         static_cast<double>(std::chrono::ceil<std::chrono::milliseconds>(request.timeout).count()));
@@ -36,7 +36,7 @@
         const auto &header = client.execute(outgoing, timeout, timeout);
         const int status = static_cast<int>(header.httpReturnCode());
         client.readBody();
-        return ShortHttpReply{status, client.body()};
+        return ShortHttpReply {status, client.body()};
     } catch (const cxxtools::SystemError &e) {
         return failed(e.getErrno() == ECONNREFUSED ? ErrorKind::Unavailable : ErrorKind::Timeout,
                       e);
--- a/tests/simulation/sim_http.cpp
+++ b/tests/simulation/sim_http.cpp
@@ -47,9 +47,9 @@
         m_chunked = head.chunked;
         m_bodyLeft = head.bodyBytes;
         m_head = 'H'
-            + json{{"method", head.method},
-                   {"target", head.target},
-                   {"fields", fieldsToJson(withLength(head))}}
+            + json {{"method", head.method},
+                    {"target", head.target},
+                    {"fields", fieldsToJson(withLength(head))}}
                   .dump(-1, ' ', false, json::error_handler_t::replace);
         const std::string address =
             endpoint.address().to_string() + ':' + std::to_string(endpoint.port());
@@ -240,7 +240,7 @@
     void beginStream(int status, std::span<const HttpField> fields) override
     {
         m_responded = true;
-        send('H' + json{{"status", status}, {"fields", fieldsToJson(fields)}}.dump());
+        send('H' + json {{"status", status}, {"fields", fieldsToJson(fields)}}.dump());
     }
 
     void write(std::string_view part) override
@@ -305,7 +305,7 @@
         }
         if (m_bodyEnded)
             return reader(std::string_view());
-        reader(Error{ErrorKind::Unavailable, "the peer went away", ""});
+        reader(Error {ErrorKind::Unavailable, "the peer went away", ""});
     }
 
     std::shared_ptr<SimConnection> m_connection;
--- a/tests/simulation/sim_network.h
+++ b/tests/simulation/sim_network.h
@@ -44,7 +44,7 @@
         Received received;
         Closed closed;
         std::deque<std::function<void()>> inbox;
-        TimePoint lastArrival{};
+        TimePoint lastArrival {};
         bool open = true;
     };
 
--- a/tests/simulation/sim_peers.cpp
+++ b/tests/simulation/sim_peers.cpp
@@ -17,7 +17,7 @@
 std::uint64_t SimWebsocketTransport::connect(const std::string &ip, unsigned short port)
 {
     const std::uint64_t id = ++m_lastLink;
-    m_links[id] = Link{};
+    m_links[id] = Link {};
     m_network.connect(
         m_process, ip + ':' + std::to_string(port),
         [this, id, alive = std::weak_ptr(m_alive)](std::shared_ptr<SimConnection> connection) {
--- a/tests/simulation/sim_platform.cpp
+++ b/tests/simulation/sim_platform.cpp
@@ -15,7 +15,7 @@
     const Duration half = m_core.faults().latency / 2 + m_network.latency();
     const auto timedOut = [process = m_process, done] {
         process->deliver([done] {
-            done(Error{ErrorKind::Timeout, "the platform did not answer", "try again later"});
+            done(Error {ErrorKind::Timeout, "the platform did not answer", "try again later"});
         });
     };
     SimClock &clock = m_network.clock();
--- a/tests/simulation/sim_process.cpp
+++ b/tests/simulation/sim_process.cpp
@@ -49,7 +49,7 @@
 TimerId SimProcess::ProcessTimers::subscribe(TimePoint at, std::function<void()> callback)
 {
     const auto local = static_cast<double>(at.time_since_epoch().count());
-    const TimePoint base{Duration(static_cast<std::int64_t>(std::ceil(local / m_rate)))};
+    const TimePoint base {Duration(static_cast<std::int64_t>(std::ceil(local / m_rate)))};
     return m_process.m_clock.timers().subscribe(
         base, [weak = m_process.weak_from_this(), callback = std::move(callback)] {
             if (const auto process = weak.lock())
--- a/tests/simulation/sim_world.cpp
+++ b/tests/simulation/sim_world.cpp
@@ -28,7 +28,7 @@
 
 KeyHash hashOfKey(std::string_view key)
 {
-    KeyHash hash{};
+    KeyHash hash {};
     SHA256(reinterpret_cast<const unsigned char *>(key.data()), key.size(), hash.data());
     return hash;
 }
@@ -106,7 +106,7 @@
 
 Change SimWorld::makeConfiguration() const
 {
-    Change change{"initial", "simulation", {}};
+    Change change {"initial", "simulation", {}};
     auto &operations = change.operations;
     for (const char *zone : {"zone-a", "zone-b", "zone-c"})
         operations.push_back(makeOperation(ObjectKind::Zone, zone, {{"region", "r"}}));
@@ -440,7 +440,7 @@
     }
     if (up.size() < 2)
         return;
-    const ObjectId raced{ObjectKind::Workspace, "raced"};
+    const ObjectId raced {ObjectKind::Workspace, "raced"};
     const auto *object = entry(up[0])->control().follower().state().find(raced);
     if (!object)
         return;
@@ -448,7 +448,7 @@
     for (int k = 0; k < 2; ++k) {
         auto spec = std::make_shared<WorkspaceSpec>();
         spec->limits.weight = 1 + static_cast<double>(m_random.below(100));
-        Change change{race + (k ? "-b" : "-a"), "operator", {}};
+        Change change {race + (k ? "-b" : "-a"), "operator", {}};
         change.operations.push_back(
             {raced, object->version, ObjectSpec(SpecPointer<WorkspaceSpec>(spec))});
         m_races[race].push_back(change.id);
--- a/tests/simulation/sim_world.h
+++ b/tests/simulation/sim_world.h
@@ -33,7 +33,7 @@
 /// A breach of what must always hold.
 struct Violation
 {
-    TimePoint at{};
+    TimePoint at {};
     std::string text;
 };
 
--- /dev/null
+++ b/tests/unit/key_ledger_test.cpp
@@ -0,0 +1,114 @@
+#include <dogwoodvalve/key_ledger.h>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace dogwoodvalve;
+
+/// Keys that make a request run at most once.
+class KeyLedgerTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(KeyLedgerTest);
+    CPPUNIT_TEST(readsAndRefusesKeys);
+    CPPUNIT_TEST(runsAKeyOnce);
+    CPPUNIT_TEST(freesAKeyThatDidNotRun);
+    CPPUNIT_TEST(refusesWhatOthersIssued);
+    CPPUNIT_TEST(refusesOldAndFutureEpochs);
+    CPPUNIT_TEST(boundsItsMemory);
+    CPPUNIT_TEST_SUITE_END();
+
+    static constexpr TimePoint Start {1000s};
+
+    static KeyLedger ledger(std::size_t keysPerEpoch = 100)
+    {
+        KeyLedgerOptions options;
+        options.epochLength = 10s;
+        options.epochsKept = 3;
+        options.keysPerEpoch = keysPerEpoch;
+        return KeyLedger("e1", 0xabc, Start, options);
+    }
+
+    static RequestKey key(KeyLedger &ledger, TimePoint now, const std::string &suffix)
+    {
+        return RequestKey::parse(ledger.currentPrefix(now).text() + '.' + suffix).value();
+    }
+
+    void readsAndRefusesKeys()
+    {
+        const RequestKey key = RequestKey::parse("e1/abc/7.suffix-1").value();
+        CPPUNIT_ASSERT_EQUAL(std::string("e1"), key.prefix.entry);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(0xabc), key.prefix.boot);
+        CPPUNIT_ASSERT_EQUAL(std::uint32_t(7), key.prefix.epoch);
+        CPPUNIT_ASSERT_EQUAL(std::string("e1/abc/7"), key.prefix.text());
+        for (const std::string &text :
+             {std::string(""), std::string("e1"), std::string("e1/abc/7"),
+              std::string("e1/abc/7.short"), std::string("e1/xyz/7.suffix-1"),
+              std::string("/abc/7.suffix-1"), std::string("e1/abc/.suffix-1"),
+              std::string("e1/abc/7.suffix with space"), std::string("e1/abc/-1.suffix-1"),
+              "e1/abc/7." + std::string(65, 'x'), std::string(300, 'e') + "/abc/7.suffix-1"})
+            CPPUNIT_ASSERT_MESSAGE(text, !RequestKey::parse(text));
+    }
+
+    void runsAKeyOnce()
+    {
+        KeyLedger ledger = this->ledger();
+        const RequestKey key = this->key(ledger, Start, "suffix-1");
+        CPPUNIT_ASSERT(ledger.admit("w", key, Start) == KeyVerdict::Run);
+        CPPUNIT_ASSERT(ledger.admit("w", key, Start) == KeyVerdict::Running);
+        ledger.settle("w", key, Outcome::Complete);
+        CPPUNIT_ASSERT(ledger.admit("w", key, Start) == KeyVerdict::Spent);
+        CPPUNIT_ASSERT(ledger.admit("other", key, Start) == KeyVerdict::Run);
+    }
+
+    void freesAKeyThatDidNotRun()
+    {
+        KeyLedger ledger = this->ledger();
+        const RequestKey key = this->key(ledger, Start, "suffix-1");
+        CPPUNIT_ASSERT(ledger.admit("w", key, Start) == KeyVerdict::Run);
+        ledger.settle("w", key, Outcome::NotRun);
+        CPPUNIT_ASSERT(ledger.admit("w", key, Start) == KeyVerdict::Run);
+        ledger.settle("w", key, Outcome::Unknown);
+        CPPUNIT_ASSERT(ledger.admit("w", key, Start) == KeyVerdict::Spent);
+    }
+
+    void refusesWhatOthersIssued()
+    {
+        KeyLedger ledger = this->ledger();
+        RequestKey key = this->key(ledger, Start, "suffix-1");
+        key.prefix.boot += 1;
+        CPPUNIT_ASSERT(ledger.admit("w", key, Start) == KeyVerdict::OtherOwner);
+        key.prefix.boot -= 1;
+        key.prefix.entry = "e2";
+        CPPUNIT_ASSERT(ledger.admit("w", key, Start) == KeyVerdict::OtherOwner);
+    }
+
+    void refusesOldAndFutureEpochs()
+    {
+        KeyLedger ledger = this->ledger();
+        const RequestKey old = key(ledger, Start, "suffix-1");
+        CPPUNIT_ASSERT(ledger.admit("w", old, Start) == KeyVerdict::Run);
+        ledger.settle("w", old, Outcome::Complete);
+        CPPUNIT_ASSERT(ledger.admit("w", old, Start + 25s) == KeyVerdict::Spent);
+        CPPUNIT_ASSERT(ledger.admit("w", old, Start + 35s) == KeyVerdict::Expired);
+        // The epoch never goes back, whatever the clock says.
+        CPPUNIT_ASSERT(ledger.admit("w", old, Start) == KeyVerdict::Expired);
+        RequestKey future = key(ledger, Start + 35s, "suffix-1");
+        future.prefix.epoch += 1;
+        CPPUNIT_ASSERT(ledger.admit("w", future, Start + 35s) == KeyVerdict::Expired);
+    }
+
+    void boundsItsMemory()
+    {
+        KeyLedger ledger = this->ledger(3);
+        for (int epoch = 0; epoch < 10; ++epoch) {
+            const TimePoint now = Start + epoch * 10s;
+            for (int i = 0; i < 5; ++i) {
+                const auto verdict =
+                    ledger.admit("w", key(ledger, now, "suffix-" + std::to_string(i)), now);
+                CPPUNIT_ASSERT(verdict == (i < 3 ? KeyVerdict::Run : KeyVerdict::Full));
+            }
+            CPPUNIT_ASSERT(ledger.size() <= 9);
+        }
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(KeyLedgerTest);
--- /dev/null
+++ b/tests/unit/membership_test.cpp
@@ -0,0 +1,220 @@
+#include <dogwoodvalve/membership.h>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <memory>
+
+using namespace dogwoodvalve;
+
+namespace {
+
+/// A fleet whose links are calls, all in one virtual time.
+class MockFleet
+{
+public:
+    class Node : public PeerTransport, public MembershipHooks
+    {
+    public:
+        Node(MockFleet &fleet, int index, int zones)
+            : m_fleet(fleet)
+            , m_index(index)
+        {
+            Member self;
+            self.name = "e" + std::to_string(1000 + index);
+            self.address = "caller-" + std::to_string(index);
+            self.peerAddress = std::to_string(index);
+            self.zone = "z" + std::to_string(index % zones);
+            self.region = "r" + std::to_string(index % zones % 3);
+            self.boot = 1;
+            membership =
+                std::make_unique<Membership>(self, std::vector<std::string> {"0", "1"},
+                                             MembershipOptions {}, fleet.clock, *this, *this);
+        }
+
+        LinkId connect(const std::string &address) override
+        {
+            const LinkId id = ++m_fleet.lastLink;
+            const int target = std::stoi(address);
+            m_fleet.clock.subscribe(m_fleet.clock.now() + 1ms, [this, id, target] {
+                Node *peer = m_fleet.node(target);
+                if (!peer)
+                    return membership->linkDown(id);
+                const LinkId back = ++m_fleet.lastLink;
+                m_ends[id] = {target, back};
+                peer->m_ends[back] = {m_index, id};
+                membership->linkUp(id, true);
+                peer->membership->linkUp(back, false);
+            });
+            return id;
+        }
+
+        void send(LinkId link, const PeerMessage &message) override
+        {
+            const auto it = m_ends.find(link);
+            if (it == m_ends.end() || m_fleet.silent.count(m_index) > 0)
+                return;
+            ++m_fleet.messages;
+            m_fleet.clock.subscribe(m_fleet.clock.now() + 1ms, [this, end = it->second, message] {
+                if (Node *peer = m_fleet.node(end.first))
+                    peer->membership->messageReceived(end.second, message);
+            });
+        }
+
+        void close(LinkId link) override { m_ends.erase(link); }
+
+        void membersChanged() override { }
+        void configurationMessage(std::string_view, const PeerMessage &) override { }
+        HeartbeatMessage heartbeatContent() override { return {}; }
+        void bootRaised(std::uint64_t boot) override { raisedTo = boot; }
+
+        std::size_t alive() const
+        {
+            const auto members = membership->members();
+            return static_cast<std::size_t>(
+                std::count_if(members.begin(), members.end(), [](const Member &member) {
+                    return member.state == MemberState::Alive;
+                }));
+        }
+
+        std::unique_ptr<Membership> membership;
+        std::uint64_t raisedTo = 0;
+
+    private:
+        MockFleet &m_fleet;
+        int m_index;
+        std::map<LinkId, std::pair<int, LinkId>> m_ends;
+    };
+
+    explicit MockFleet(int n, int zones = 3)
+    {
+        for (int i = 0; i < n; ++i)
+            nodes.push_back(std::make_unique<Node>(*this, i, zones));
+        for (const auto &it : nodes)
+            it->membership->start();
+    }
+
+    Node *node(int i)
+    {
+        const auto &it = nodes[static_cast<std::size_t>(i)];
+        return it && silent.count(i) == 0 ? it.get() : nullptr;
+    }
+
+    void run(Duration duration) { clock.advanceTo(clock.now() + duration); }
+
+    ManualTimerService clock;
+    std::vector<std::unique_ptr<Node>> nodes;
+    std::set<int> silent;
+    LinkId lastLink = 0;
+    std::uint64_t messages = 0;
+};
+
+} // namespace
+
+/// Views of which entry hosts live.
+class MembershipTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(MembershipTest);
+    CPPUNIT_TEST(aFleetFindsItself);
+    CPPUNIT_TEST(aSilentHostIsDeadWithinThreeSeconds);
+    CPPUNIT_TEST(aHostThatComesBackIsAliveAgain);
+    CPPUNIT_TEST(aDrainingHostIsNoLongerNamed);
+    CPPUNIT_TEST(linksAndMessagesDoNotGrowWithTheFleet);
+    CPPUNIT_TEST(ranksStayWhenOthersGo);
+    CPPUNIT_TEST(aHigherBootOfTheSameNameIsNoticed);
+    CPPUNIT_TEST_SUITE_END();
+
+    static void expectAlive(MockFleet &fleet, std::size_t n)
+    {
+        for (std::size_t i = 0; i < fleet.nodes.size(); ++i) {
+            if (fleet.silent.count(static_cast<int>(i)) == 0)
+                CPPUNIT_ASSERT_EQUAL(n, fleet.nodes[i]->alive());
+        }
+    }
+
+    void aFleetFindsItself()
+    {
+        MockFleet fleet(30, 6);
+        fleet.run(5s);
+        expectAlive(fleet, 30);
+    }
+
+    void aSilentHostIsDeadWithinThreeSeconds()
+    {
+        MockFleet fleet(9);
+        fleet.run(5s);
+        fleet.silent.insert(4);
+        fleet.run(3s);
+        expectAlive(fleet, 8);
+        for (const auto &it : fleet.nodes) {
+            if (it != fleet.nodes[4])
+                CPPUNIT_ASSERT(it->membership->find("e1004")->state == MemberState::Dead);
+        }
+    }
+
+    void aHostThatComesBackIsAliveAgain()
+    {
+        MockFleet fleet(9);
+        fleet.run(5s);
+        fleet.silent.insert(4);
+        fleet.run(10s);
+        fleet.silent.clear();
+        fleet.run(15s);
+        expectAlive(fleet, 9);
+        CPPUNIT_ASSERT(fleet.nodes[4]->membership->self().incarnation > 0);
+    }
+
+    void aDrainingHostIsNoLongerNamed()
+    {
+        MockFleet fleet(9);
+        fleet.run(5s);
+        fleet.nodes[3]->membership->announceDraining();
+        fleet.run(100ms);
+        for (const auto &it : fleet.nodes) {
+            const auto ranked = rankEntries(it->membership->members(), "w");
+            CPPUNIT_ASSERT_EQUAL(std::size_t(8), ranked.size());
+        }
+    }
+
+    void linksAndMessagesDoNotGrowWithTheFleet()
+    {
+        for (const int n : {50, 150}) {
+            MockFleet fleet(n, 10);
+            fleet.run(60s);
+            expectAlive(fleet, static_cast<std::size_t>(n));
+            std::size_t links = 0;
+            for (const auto &it : fleet.nodes)
+                links += it->membership->linkCount();
+            CPPUNIT_ASSERT(links <= static_cast<std::size_t>(n) * 14);
+            const std::uint64_t before = fleet.messages;
+            fleet.run(30s);
+            const double perNodeSecond = static_cast<double>(fleet.messages - before) / (30.0 * n);
+            CPPUNIT_ASSERT_MESSAGE(std::to_string(perNodeSecond), perNodeSecond < 50);
+        }
+    }
+
+    void ranksStayWhenOthersGo()
+    {
+        MockFleet fleet(9);
+        fleet.run(5s);
+        const auto before = rankEntries(fleet.nodes[0]->membership->members(), "w");
+        std::vector<Member> rest = before;
+        rest.erase(rest.begin() + 4);
+        const auto after = rankEntries(rest, "w");
+        CPPUNIT_ASSERT(after == rest);
+    }
+
+    void aHigherBootOfTheSameNameIsNoticed()
+    {
+        MockFleet fleet(3);
+        fleet.run(3s);
+        Member impostor = fleet.nodes[1]->membership->self();
+        impostor.boot = 50;
+        fleet.nodes[1]->membership->messageReceived(1, HeartbeatMessage {});
+        MembersMessage news {{impostor}, false};
+        fleet.nodes[0]->membership->broadcast(news, "");
+        fleet.run(1s);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(51), fleet.nodes[1]->raisedTo);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(MembershipTest);
--- a/tools/testtool/caller.cpp
+++ b/tools/testtool/caller.cpp
@@ -24,10 +24,10 @@
 
 std::string bodyOf(const PlannedRequest &request, const std::string &pipeline)
 {
-    return json{{"model", pipeline},
-                {"prompt", request.prompt},
-                {"max_tokens", request.maxTokens},
-                {"stream", true}}
+    return json {{"model", pipeline},
+                 {"prompt", request.prompt},
+                 {"max_tokens", request.maxTokens},
+                 {"stream", true}}
         .dump();
 }
 
@@ -161,7 +161,7 @@
     void noteToken()
     {
         const TimePoint now = m_caller.m_timers.now();
-        if (m_lastToken == TimePoint{}) {
+        if (m_lastToken == TimePoint {}) {
             m_result.firstToken = now - m_intendedStart;
         } else {
             m_result.gaps.push_back(now - m_lastToken);
@@ -184,7 +184,7 @@
         m_errorBody.clear();
         m_whole = false;
         m_notRun = false;
-        m_lastToken = TimePoint{};
+        m_lastToken = TimePoint {};
         m_result.text.clear();
         m_result.gaps.clear();
         m_result.finishReason.clear();
@@ -227,7 +227,7 @@
     std::string m_key;
     std::string m_rest;
     std::string m_errorBody;
-    TimePoint m_lastToken{};
+    TimePoint m_lastToken {};
     TimerId m_deadline = 0;
     bool m_whole = false;
     bool m_notRun = false;
--- a/tools/testtool/caller.h
+++ b/tools/testtool/caller.h
@@ -32,11 +32,11 @@
     int retryAfter = 0;
     int tries = 0;
     /// Times from the intended start.
-    Duration firstToken{};
-    Duration total{};
-    Duration longestGap{};
+    Duration firstToken {};
+    Duration total {};
+    Duration longestGap {};
     std::vector<Duration> gaps;
-    TimePoint endedAt{};
+    TimePoint endedAt {};
 };
 
 /// A caller that asks which entry host to use, keeps the answer for its time to live, connects
@@ -69,7 +69,7 @@
     const LoadOptions &m_options;
     std::vector<std::string> m_ranked;
     std::string m_keyPrefix;
-    TimePoint m_lookedUpAt{};
+    TimePoint m_lookedUpAt {};
     std::uint64_t m_nextKey = 1;
 };
 
--- a/tools/testtool/engine_core.cpp
+++ b/tools/testtool/engine_core.cpp
@@ -31,8 +31,9 @@
 void EngineCore::submit(ConnectionId connection, EngineCommand command)
 {
     if (command.kind == EngineCommand::Kind::End) {
-        const auto ended
-            = [&](const Waiting &it) { return it.command.sequence == command.sequence; };
+        const auto ended = [&](const Waiting &it) {
+            return it.command.sequence == command.sequence;
+        };
         m_sequences.erase(command.sequence);
         std::erase_if(m_queue, ended);
         std::erase_if(m_batch, ended);
--- a/tools/testtool/engine_core.h
+++ b/tools/testtool/engine_core.h
@@ -22,7 +22,7 @@
 struct EngineProfile
 {
     std::string model = "m";
-    LayerRange layers{0, 11};
+    LayerRange layers {0, 11};
     /// Sequences run in one step.
     int batch = 16;
     /// Time of one step, whatever the number of sequences in it.
--- a/tools/testtool/engine_server.cpp
+++ b/tools/testtool/engine_server.cpp
@@ -57,8 +57,8 @@
 void EngineServer::beginSteps(const std::shared_ptr<HttpExchange> &exchange)
 {
     const EngineCore::ConnectionId id = ++m_lastId;
-    m_streams.emplace(id, StepStream{exchange, LineSplitter(MaxLine)});
-    const std::vector<HttpField> fields{{"Content-Type", "application/x-ndjson"}};
+    m_streams.emplace(id, StepStream {exchange, LineSplitter(MaxLine)});
+    const std::vector<HttpField> fields {{"Content-Type", "application/x-ndjson"}};
     exchange->beginStream(200, fields);
     exchange->onClosed([this, id] { endSteps(id); });
     readSteps(id);
--- a/tools/testtool/load_plan.h
+++ b/tools/testtool/load_plan.h
@@ -39,7 +39,7 @@
 /// One request of a load.
 struct PlannedRequest
 {
-    Duration at{};
+    Duration at {};
     std::string prompt;
     int maxTokens = 0;
     bool keyed = false;
--- a/tools/testtool/load_report.h
+++ b/tools/testtool/load_report.h
@@ -47,7 +47,7 @@
     std::vector<Duration> m_longestGaps;
     std::vector<Duration> m_totals;
     std::map<std::string, int> m_errors;
-    TimePoint m_lastEnd{};
+    TimePoint m_lastEnd {};
     std::size_t m_ended = 0;
     std::size_t m_wrong = 0;
     std::size_t m_tokens = 0;
--- a/tools/testtool/platform_core.cpp
+++ b/tools/testtool/platform_core.cpp
@@ -11,7 +11,7 @@
     m_tokens = std::min(m_appendsPerSecond, m_tokens + passed * m_appendsPerSecond);
     m_refilledAt = now;
     if (m_tokens < 1)
-        return Error{ErrorKind::Overloaded, "the log's rate is exceeded", "append more slowly"};
+        return Error {ErrorKind::Overloaded, "the log's rate is exceeded", "append more slowly"};
     m_tokens -= 1;
     ++m_appends;
     Stream &target = m_streams[std::string(stream)];
--- a/tools/testtool/platform_core.h
+++ b/tools/testtool/platform_core.h
@@ -53,7 +53,7 @@
     double m_appendsPerSecond;
     std::size_t m_recordsKept;
     double m_tokens = 0;
-    TimePoint m_refilledAt{};
+    TimePoint m_refilledAt {};
     std::map<std::string, Stream, std::less<>> m_streams;
     std::vector<HostStatus> m_hosts;
     PlatformFaults m_faults;
--- a/tools/testtool/platform_server.cpp
+++ b/tools/testtool/platform_server.cpp
@@ -30,7 +30,7 @@
                                double appendsPerSecond, std::size_t recordsKept, std::uint64_t seed)
     : m_timers(timers)
     , m_core(timers, appendsPerSecond, recordsKept)
-    , m_server(loop, *this, HttpServerLimits{})
+    , m_server(loop, *this, HttpServerLimits {})
     , m_random(seed)
 { }
 
--- a/tools/testtool/relay.cpp
+++ b/tools/testtool/relay.cpp
@@ -53,7 +53,7 @@
             : timer(loop)
         { }
 
-        std::array<char, 16 * 1024> buffer{};
+        std::array<char, 16 * 1024> buffer {};
         asio::steady_timer timer;
     };
 
@@ -91,7 +91,7 @@
     : m_loop(loop)
     , m_target(std::move(target))
     , m_acceptor(loop)
-    , m_control(loop, *this, HttpServerLimits{})
+    , m_control(loop, *this, HttpServerLimits {})
 { }
 
 Result<void> Relay::listen(const tcp::endpoint &endpoint)
@@ -103,7 +103,7 @@
     if (!ec)
         m_acceptor.listen(asio::socket_base::max_listen_connections, ec);
     if (ec)
-        return Error{ErrorKind::Unavailable, "relay: " + ec.message(), "give a free address"};
+        return Error {ErrorKind::Unavailable, "relay: " + ec.message(), "give a free address"};
     accept();
     return BOOST_OUTCOME_V2_NAMESPACE::success();
 }
--- a/tools/testtool/relay.h
+++ b/tools/testtool/relay.h
@@ -19,7 +19,7 @@
     bool swallowForward = false;
     /// Bytes from the target vanish; connections stay open.
     bool swallowBackward = false;
-    Duration delay{};
+    Duration delay {};
 };
 
 /// Passes TCP connections on to a target, with faults that are switched by POST /faults on a
--- a/tools/testtool/standin_http.cpp
+++ b/tools/testtool/standin_http.cpp
@@ -13,7 +13,7 @@
 void respondJson(const std::shared_ptr<HttpExchange> &exchange, int status,
                  const nlohmann::json &body)
 {
-    const std::vector<HttpField> fields{{"Content-Type", "application/json"}};
+    const std::vector<HttpField> fields {{"Content-Type", "application/json"}};
     exchange->respond(status, fields, body.dump());
 }
 
