--- a/include/dogwoodvalve/limits.h
+++ b/include/dogwoodvalve/limits.h
@@ -117,6 +117,10 @@
     /// The caller of a request that waits has gone.
     void withdraw(Ticket ticket);
 
+    /// Whether a running request's workspace was within its fair share when the request started.
+    /// Requests beyond it yield to others in the engines.
+    bool withinShare(Ticket ticket) const;
+
     /// An admitted request has ended.
     void release(Ticket ticket, int tokens, TimePoint now);
 
@@ -152,7 +156,7 @@
     {
         std::string workspace;
         std::string pipeline;
-        TimePoint startedAt {};
+        bool withinShare = true;
     };
 
     /// What runs of one pipeline, and how fast its requests end.
@@ -168,9 +172,10 @@
     std::unique_ptr<Refusal> overLimit(const AdmissionRequest &request, Usage &usage,
                                        TimePoint now) const;
     Duration predictedWait(const AdmissionRequest &request, double tag) const;
-    void start(const AdmissionRequest &request, Ticket ticket, TimePoint now);
+    void start(const AdmissionRequest &request, Ticket ticket);
     void refuseLate(TimePoint now);
     bool hasRoom(const std::string &pipeline);
+    bool isWithinShare(const AdmissionRequest &request) const;
 
     CapacitySource &m_capacity;
     std::unique_ptr<QueueDiscipline> m_discipline;
--- a/include/dogwoodvalve/pipeline_capacity.h
+++ b/include/dogwoodvalve/pipeline_capacity.h
@@ -11,17 +11,23 @@
 
 namespace dogwoodvalve {
 
-/// Reckons how many sequences of a pipeline a process may have running: for each stage what its
-/// servers can keep busy, less what others have there; the smallest of the stages counts.
+/// Reckons how many sequences of a pipeline a process may have running: what it has, and its share
+/// of what its servers can keep busy beyond that; the smallest of the stages counts. Hosts share
+/// free room in proportion to what they use already, so that those who see the same room at once
+/// do not all take it.
 class PipelineCapacity : public CapacitySource
 {
 public:
     using ConfigurationSource = std::function<std::shared_ptr<const Configuration>()>;
     using Clock = std::function<TimePoint()>;
 
-    PipelineCapacity(ConfigurationSource configuration, Clock clock)
-        : m_configuration(std::move(configuration))
+    /// The last function tells how many entry hosts are alive.
+    PipelineCapacity(std::string entryZone, ConfigurationSource configuration, Clock clock,
+                     std::function<std::size_t()> hosts)
+        : m_entryZone(std::move(entryZone))
+        , m_configuration(std::move(configuration))
         , m_clock(std::move(clock))
+        , m_hosts(std::move(hosts))
     { }
 
     int slots(std::string_view pipeline) override;
@@ -33,11 +39,23 @@
         TimePoint at {};
     };
 
-    static int reckon(const Configuration &configuration, const ConfiguredPipeline &pipeline,
-                      TimePoint now);
+    /// Sequences at the servers of one stage.
+    struct StageRoom
+    {
+        double total = 0;
+        double own = 0;
+        double others = 0;
+
+        double slots(std::size_t hosts) const;
+    };
+
+    StageRoom roomOf(const Configuration &configuration, const ServerIndices &stage,
+                     TimePoint now) const;
 
+    std::string m_entryZone;
     ConfigurationSource m_configuration;
     Clock m_clock;
+    std::function<std::size_t()> m_hosts;
     std::map<std::string, Cached, std::less<>> m_cache;
 };
 
--- a/include/dogwoodvalve/sequence.h
+++ b/include/dogwoodvalve/sequence.h
@@ -55,7 +55,7 @@
     std::span<const std::uint64_t> hidden;
     /// Whether the stage is the last and must answer with the next token.
     bool last = false;
-    /// Share of the engine among the sequences that wait there.
+    /// Priority at the engine: steps of a higher weight go first.
     double weight = 1;
 };
 
@@ -195,7 +195,6 @@
     const SequenceStatistics &statistics() const { return m_statistics; }
     /// The server of a stage, or nullptr.
     const BackendServer *server(std::size_t stage) const { return m_chain[stage].server.get(); }
-    std::size_t stageCount() const { return m_chain.size(); }
 
 private:
     /// The server of one stage and what its KV cache holds.
@@ -215,6 +214,7 @@
     void onFault(StepFault fault);
     bool acceptCount(const StepAnswer &answer);
     void acceptToken(const StepAnswer &answer);
+    void noteCycle();
     void recover(std::string_view cause);
     void replaceServer(StageSlot &slot);
     void waitForServer(const Error &error);
@@ -236,6 +236,7 @@
     int m_inputBase = 0;
     int m_promptTokens = -1;
     int m_nextLayer = 0;
+    TimePoint m_stepSentAt {};
     TimePoint m_stepDeadline {};
     TimePoint m_patienceEnd {};
     TimerId m_stepTimer = 0;
--- a/include/dogwoodvalve/world.h
+++ b/include/dogwoodvalve/world.h
@@ -38,6 +38,14 @@
     void noteStep(Duration duration, bool prefill, TimePoint now);
     /// Running mean of the time of one decode step; a default before the first observation.
     Duration stepTime() const;
+    /// The time of a decode step without queueing: the least one seen lately.
+    Duration unloadedStepTime() const;
+    /// Records how long a token takes through all stages, without queueing, for a sequence that
+    /// has this server in its chain.
+    void noteCycle(Duration cycle);
+    /// How many sequences keep the server's batches full. A sequence is at one server at a time,
+    /// so it is the batch times the share of the cycle that is spent elsewhere.
+    double residentCapacity(int batch, Duration linkRoundTrip) const;
     /// Whether the mean rests on no observation, or on an old one only.
     bool stepTimeUnknown(TimePoint now) const;
     /// Running mean of the time of one prefill.
@@ -59,6 +67,8 @@
     void setLeaving(bool leaving) { m_leaving.store(leaving, std::memory_order_relaxed); }
 
 private:
+    void noteLeastStep(std::int64_t observed, std::int64_t now);
+
     const std::string m_name;
     const std::string m_address;
     std::atomic<int> m_inFlight {0};
@@ -67,6 +77,10 @@
     std::atomic<std::int64_t> m_reportedAt {0};
     std::atomic<std::int64_t> m_stepMicros {0};
     std::atomic<std::int64_t> m_stepAt {0};
+    std::atomic<std::int64_t> m_least {0};
+    std::atomic<std::int64_t> m_earlierLeast {0};
+    std::atomic<std::int64_t> m_windowStart {0};
+    std::atomic<std::int64_t> m_cycleMicros {0};
     std::atomic<std::int64_t> m_prefillMicros {0};
     std::atomic<int> m_failures {0};
     std::atomic<std::int64_t> m_ejectedUntil {0};
--- a/src/core/limits.cpp
+++ b/src/core/limits.cpp
@@ -201,7 +201,7 @@
         return it.second.request.pipeline == request.pipeline;
     });
     if (queueEmpty && hasRoom(request.pipeline)) {
-        start(request, ticket, now);
+        start(request, ticket);
         decision(nullptr);
         return ticket;
     }
@@ -224,11 +224,30 @@
     return m_pipelines[pipeline].running < m_capacity.slots(pipeline);
 }
 
-void AdmissionController::start(const AdmissionRequest &request, Ticket ticket, TimePoint now)
+void AdmissionController::start(const AdmissionRequest &request, Ticket ticket)
 {
+    const bool withinShare = isWithinShare(request);
     ++m_usage[request.workspace].running;
     ++m_pipelines[request.pipeline].running;
-    m_running.emplace(ticket, RunningRequest {request.workspace, request.pipeline, now});
+    m_running.emplace(ticket, RunningRequest {request.workspace, request.pipeline, withinShare});
+}
+
+/// A workspace's fair share of the slots is in proportion to its weight among the active ones.
+bool AdmissionController::isWithinShare(const AdmissionRequest &request) const
+{
+    double weights = 0;
+    for (const auto &[workspace, usage] : m_usage)
+        weights += usage.running + usage.waiting > 0 ? usage.limits.weight : 0;
+    const Usage &own = m_usage.at(request.workspace);
+    weights += own.running + own.waiting > 0 ? 0 : own.limits.weight;
+    const double share = m_capacity.slots(request.pipeline) * own.limits.weight / weights;
+    return own.running < share;
+}
+
+bool AdmissionController::withinShare(Ticket ticket) const
+{
+    const auto it = m_running.find(ticket);
+    return it == m_running.end() || it->second.withinShare;
 }
 
 void AdmissionController::withdraw(Ticket ticket)
@@ -299,7 +318,7 @@
         const WaitingRequest next = std::move(it->second);
         m_waiting.erase(it);
         --m_usage[next.request.workspace].waiting;
-        start(next.request, next.ticket, now);
+        start(next.request, next.ticket);
         next.decision(nullptr);
         // The decision may have changed the queue.
         it = m_waiting.begin();
--- a/src/core/pipeline_capacity.cpp
+++ b/src/core/pipeline_capacity.cpp
@@ -2,58 +2,46 @@
 
 #include <algorithm>
 #include <limits>
+#include <vector>
 
 namespace dogwoodvalve {
 
 namespace {
 
-/// A reckoning serves for this long.
-constexpr Duration CacheTime = 20ms;
+/// A reckoning serves for as long as the engines' load reports lag: what this host has claimed
+/// meanwhile, the others have not yet seen.
+constexpr Duration CacheTime = 200ms;
 /// Sequences beyond what keeps the servers busy, so that none idles while answers travel.
-constexpr double Slack = 1.3;
+constexpr double Slack = 2.6;
 
-/// Mean step time of a stage's usable servers, by the work that each can do.
-double stageStepTime(const Configuration &configuration, const ServerIndices &stage, TimePoint now)
+} // namespace
+
+double PipelineCapacity::StageRoom::slots(std::size_t hosts) const
 {
-    double batches = 0;
-    double rate = 0;
-    for (const std::uint32_t i : stage) {
-        const ConfiguredServer &server = configuration.servers()[i];
-        if (server.spec->draining || server.state->leaving() || server.state->ejected(now))
-            continue;
-        batches += server.spec->batch;
-        rate += server.spec->batch / static_cast<double>(server.state->stepTime().count());
-    }
-    return rate > 0 ? batches / rate : 0;
+    const double free = total - own - others;
+    const double equalShare = 1.0 / static_cast<double>(std::max<std::size_t>(hosts, 1));
+    const double used = own + others;
+    const double share = used > 0 ? std::max(own / used, equalShare) : equalShare;
+    return own + free * share;
 }
 
-} // namespace
-
-int PipelineCapacity::reckon(const Configuration &configuration, const ConfiguredPipeline &pipeline,
-                             TimePoint now)
+PipelineCapacity::StageRoom PipelineCapacity::roomOf(const Configuration &configuration,
+                                                     const ServerIndices &stage,
+                                                     TimePoint now) const
 {
-    double cycle = 0;
-    const auto &stages = pipeline.candidates.front();
-    for (const ServerIndices &stage : stages)
-        cycle += stageStepTime(configuration, stage, now);
-    double fewest = std::numeric_limits<int>::max();
-    for (const ServerIndices &stage : stages) {
-        double room = 0;
-        for (const std::uint32_t i : stage) {
-            const ConfiguredServer &server = configuration.servers()[i];
-            const BackendServer &state = *server.state;
-            if (server.spec->draining || state.leaving() || state.ejected(now))
-                continue;
-            // A sequence is at one stage at a time, so a server keeps busy with as many more
-            // sequences as the whole cycle is longer than its own step.
-            const double step = static_cast<double>(state.stepTime().count());
-            const double resident = server.spec->batch * std::max(1.0, cycle / step) * Slack;
-            const double others = std::max(0.0, state.estimatedLoad(now) - state.inFlight());
-            room += std::max(0.0, resident - others);
-        }
-        fewest = std::min(fewest, room);
+    const ZoneIndex entryZone = configuration.zoneIndex(m_entryZone);
+    StageRoom room;
+    for (const std::uint32_t i : stage) {
+        const ConfiguredServer &server = configuration.servers()[i];
+        const BackendServer &state = *server.state;
+        if (server.spec->draining || state.leaving() || state.ejected(now))
+            continue;
+        const Duration roundTrip = 2 * configuration.link(entryZone, server.zone).latency;
+        room.total += state.residentCapacity(server.spec->batch, roundTrip) * Slack;
+        room.own += state.inFlight();
+        room.others += std::max(0.0, state.estimatedLoad(now) - state.inFlight());
     }
-    return static_cast<int>(fewest);
+    return room;
 }
 
 int PipelineCapacity::slots(std::string_view pipeline)
@@ -64,7 +52,21 @@
         return it->second.slots;
     const auto configuration = m_configuration();
     const ConfiguredPipeline *found = configuration->pipeline(pipeline);
-    const int slots = found ? reckon(*configuration, *found, now) : 0;
+    std::vector<StageRoom> rooms;
+    double own = 0;
+    if (found) {
+        for (const ServerIndices &stage : found->candidates.front()) {
+            rooms.push_back(roomOf(*configuration, stage, now));
+            own = std::max(own, rooms.back().own);
+        }
+    }
+    double fewest = rooms.empty() ? 0 : std::numeric_limits<int>::max();
+    for (StageRoom &room : rooms) {
+        // A sequence that has not come to a stage yet will need room there.
+        room.own = own;
+        fewest = std::min(fewest, room.slots(m_hosts()));
+    }
+    const int slots = static_cast<int>(std::max(0.0, fewest));
     m_cache[std::string(pipeline)] = {slots, now};
     return slots;
 }
--- a/src/core/routing.cpp
+++ b/src/core/routing.cpp
@@ -131,7 +131,7 @@
     double leastDefault = 0;
     for (const Candidate &candidate : m_candidates) {
         const BackendServer &state = *candidate.server->state;
-        const auto step = static_cast<double>(state.stepTime().count());
+        const auto step = static_cast<double>(state.unloadedStepTime().count());
         double &target = state.stepTimeUnknown(query.now) ? leastDefault : least;
         target = target == 0 ? step : std::min(target, step);
     }
@@ -145,11 +145,12 @@
     candidate.load = server.state->estimatedLoad(query.now);
     const double step = server.state->stepTimeUnknown(query.now)
         ? optimisticStep
-        : static_cast<double>(server.state->stepTime().count());
-    const double use = (candidate.load + 1) / server.spec->batch;
+        : static_cast<double>(server.state->unloadedStepTime().count());
+    const LinkCost &link = configuration.link(query.entryZone, server.zone);
+    const double use =
+        (candidate.load + 1) / server.state->residentCapacity(server.spec->batch, 2 * link.latency);
     const double queued = std::max(0.0, use - 1);
     candidate.stepCost = step * (1 + UtilisationWeight * use + QueueWeight * queued);
-    const LinkCost &link = configuration.link(query.entryZone, server.zone);
     candidate.linkCost = 2.0 * static_cast<double>(link.latency.count());
     if (!query.prefixBlocks.empty()) {
         const std::size_t matched =
--- a/src/core/sequence.cpp
+++ b/src/core/sequence.cpp
@@ -152,8 +152,8 @@
     const int positions = m_stage == 0 && slot.kept == 0
         ? static_cast<int>(m_request.prompt.size() / 4 + m_tokens.size())
         : static_cast<int>(std::max(step.hidden.size(), step.tokens.size()));
-    m_stepDeadline =
-        m_environment.timers().now() + m_environment.stepTimeout(*slot.server, positions);
+    m_stepSentAt = m_environment.timers().now();
+    m_stepDeadline = m_stepSentAt + m_environment.stepTimeout(*slot.server, positions);
     armStepTimer();
 }
 
@@ -205,7 +205,9 @@
         return fail({ErrorKind::Internal, "a layer would run out of order", "send it again"}, 1s);
     m_nextLayer = answer.layers.last + 1;
     StageSlot &slot = m_chain[m_stage];
+    const TimePoint now = m_environment.timers().now();
     slot.server->noteSuccess();
+    slot.server->noteStep(now - m_stepSentAt, answer.basePosition == 0, now);
     slot.kept += answer.count;
     if (m_stage + 1 == m_chain.size())
         return acceptToken(answer);
@@ -249,9 +251,21 @@
     runStage();
 }
 
+/// Tells the servers of the chain how long a token takes through all of them.
+void Sequence::noteCycle()
+{
+    Duration cycle {};
+    for (const StageSlot &slot : m_chain)
+        cycle += slot.server->unloadedStepTime();
+    for (const StageSlot &slot : m_chain)
+        slot.server->noteCycle(cycle);
+}
+
 void Sequence::acceptToken(const StepAnswer &answer)
 {
     const std::size_t index = m_tokens.size();
+    if (index == 1)
+        noteCycle();
     m_tokens.push_back(answer.token);
     ++m_statistics.tokens;
     if (!answer.endOfText)
--- a/src/daemon/completion_session.cpp
+++ b/src/daemon/completion_session.cpp
@@ -23,6 +23,9 @@
 /// More unsent bytes than this stop the making of tokens.
 constexpr std::size_t StreamHighWater = 64 * 1024;
 constexpr std::size_t CharactersPerToken = 4;
+/// Priorities at the engines, for workspaces within their fair share and beyond it.
+constexpr double FullPriority = 1;
+constexpr double YieldingPriority = 0.5;
 
 std::int64_t wallSeconds()
 {
@@ -119,7 +122,9 @@
     if (m_request.maxTokens > 0)
         request.maxTokens = std::min(request.maxTokens, m_request.maxTokens);
     request.idempotent = m_idempotent;
-    request.weight = m_workspace.spec->limits.weight;
+    const bool withinShare = m_host.context().withAdmission(
+        [this](AdmissionController &controller) { return controller.withinShare(m_ticket); });
+    request.weight = withinShare ? FullPriority : YieldingPriority;
     request.deadline = m_arrivedAt + m_host.context().settings().requestTimeout;
     m_writer = std::make_unique<CompletionWriter>(
         m_request.kind,
@@ -134,14 +139,6 @@
     if (!m_sequence)
         return;
     const int dropped = m_sequence->statistics().droppedAnswers;
-    const Duration took = timers().now() - m_stepSentAt;
-    for (std::size_t i = 0; i < m_sequence->stageCount(); ++i) {
-        const bool fits =
-            m_pipeline->spec->stages[i] == answer.layers && answer.fault == StepFault::None;
-        if (fits && m_sequence->server(i))
-            const_cast<BackendServer *>(m_sequence->server(i))
-                ->noteStep(took, m_stepIsPrefill, timers().now());
-    }
     m_sequence->onAnswer(answer);
     m_host.context().metrics().countDroppedAnswers(m_sequence->statistics().droppedAnswers
                                                    - dropped);
@@ -209,8 +206,6 @@
 
 bool CompletionSession::send(BackendServer &server, const StepRequest &request)
 {
-    m_stepSentAt = timers().now();
-    m_stepIsPrefill = request.basePosition == 0;
     return m_host.sendStep(server, request);
 }
 
--- a/src/daemon/completion_session.h
+++ b/src/daemon/completion_session.h
@@ -87,8 +87,6 @@
     AdmissionController::Ticket m_ticket = 0;
     TimePoint m_arrivedAt;
     TimePoint m_lastTokenAt {};
-    TimePoint m_stepSentAt {};
-    bool m_stepIsPrefill = false;
     bool m_admitted = false;
     bool m_streaming = false;
     bool m_ended = false;
--- a/src/daemon/control_plane.cpp
+++ b/src/daemon/control_plane.cpp
@@ -187,6 +187,7 @@
 void ControlPlane::membersChanged()
 {
     m_context.publishMembers(m_membership.members());
+    m_context.liveHosts.store(m_membership.liveCount(), std::memory_order_relaxed);
     m_context.metrics().setMembers(m_membership.liveCount());
     LogEvent("members").field("live", m_membership.liveCount());
 }
--- a/src/daemon/entry_context.cpp
+++ b/src/daemon/entry_context.cpp
@@ -21,7 +21,9 @@
     , m_configuration(
           std::make_unique<ConfigurationPointer>(std::make_shared<const Configuration>()))
     , m_members(std::make_unique<std::vector<Member>>())
-    , m_capacity([this] { return configuration(); }, m_clock)
+    , m_capacity(
+          m_settings.zone, [this] { return configuration(); }, m_clock,
+          [this] { return liveHosts.load(std::memory_order_relaxed); })
     , m_admission(m_capacity, makeQueue(m_settings.queue))
     , m_keys(std::make_unique<KeyLedger>(m_settings.name, boot, m_clock(), m_settings.keys))
     , m_boot(boot)
--- a/src/daemon/entry_context.h
+++ b/src/daemon/entry_context.h
@@ -83,6 +83,8 @@
     std::atomic<bool> ready {false};
     std::atomic<bool> isolated {false};
     std::atomic<int> openRequests {0};
+    /// Entry hosts believed alive, this one included.
+    std::atomic<std::size_t> liveHosts {1};
 
 private:
     const EntrySettings m_settings;
--- a/tools/testtool/engine_core.cpp
+++ b/tools/testtool/engine_core.cpp
@@ -82,6 +82,9 @@
 /// Takes the steps that wait, up to the batch, and answers them all when the step time is over.
 void EngineCore::beginIteration()
 {
+    std::stable_sort(m_queue.begin(), m_queue.end(), [](const Waiting &a, const Waiting &b) {
+        return a.command.weight > b.command.weight;
+    });
     const auto n = std::min<std::size_t>(m_queue.size(), static_cast<std::size_t>(m_profile.batch));
     int prefill = 0;
     for (std::size_t i = 0; i < n; ++i) {
