--- a/include/dogwoodvalve/membership.h
+++ b/include/dogwoodvalve/membership.h
@@ -48,7 +48,7 @@
 /// Times and sizes of the membership.
 struct MembershipOptions
 {
-    Duration heartbeatInterval = 300ms;
+    Duration heartbeatInterval = 400ms;
     /// A link that is silent for this long has failed.
     Duration linkTimeout = 1000ms;
     /// A suspect that does not object for this long is dead.
--- a/src/daemon/caller_api.cpp
+++ b/src/daemon/caller_api.cpp
@@ -253,7 +253,7 @@
         m_host.context().openRequests.fetch_sub(1, std::memory_order_relaxed);
         unreachable();
     });
-    session->start();
+    launch(session);
 }
 
 void CallerApi::handleCompletion(const Exchange &exchange, CompletionKind kind)
@@ -298,6 +298,19 @@
                                                    idempotent, caller.key));
 }
 
+/// Owns a session until it has ended and this turn of the loop is over.
+void CallerApi::launch(const std::shared_ptr<ProxySession> &session)
+{
+    m_proxies.insert(session);
+    session->onReleased([this, weak = std::weak_ptr(session)] {
+        m_host.loop().post([this, weak, alive = std::weak_ptr(m_alive)] {
+            if (!alive.expired())
+                m_proxies.erase(weak.lock());
+        });
+    });
+    session->start();
+}
+
 void CallerApi::handleService(const Exchange &exchange)
 {
     std::optional<Caller> caller = receive(exchange);
@@ -339,13 +352,12 @@
     request.workspace = caller->workspace->name;
     request.kind = "service";
     m_host.context().openRequests.fetch_add(1, std::memory_order_relaxed);
-    std::make_shared<ProxySession>(m_host.context(), m_host.loop(), exchange, std::move(request),
-                                   [this, caller = *caller](Outcome outcome) {
-                                       settle(caller, outcome);
-                                       m_host.context().openRequests.fetch_sub(
-                                           1, std::memory_order_relaxed);
-                                   })
-        ->start();
+    launch(std::make_shared<ProxySession>(
+        m_host.context(), m_host.loop(), exchange, std::move(request),
+        [this, caller = *caller](Outcome outcome) {
+            settle(caller, outcome);
+            m_host.context().openRequests.fetch_sub(1, std::memory_order_relaxed);
+        }));
 }
 
 /// Callers of one workspace begin at one or another of its homes in turn.
--- a/src/daemon/caller_api.h
+++ b/src/daemon/caller_api.h
@@ -6,6 +6,7 @@
 
 #include <memory>
 #include <optional>
+#include <set>
 #include <string_view>
 
 namespace dogwoodvalve {
@@ -53,9 +54,12 @@
     void respondReady(const Exchange &exchange);
     void refuse(const Exchange &exchange, const Error &error, Outcome outcome);
     void settle(const Caller &caller, Outcome outcome);
+    void launch(const std::shared_ptr<ProxySession> &session);
 
     SessionHost &m_host;
     std::size_t m_lookUps = 0;
+    std::set<std::shared_ptr<ProxySession>> m_proxies;
+    std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
 
 } // namespace dogwoodvalve
--- a/src/daemon/proxy_session.cpp
+++ b/src/daemon/proxy_session.cpp
@@ -80,7 +80,6 @@
 
 void ProxySession::start()
 {
-    m_self = shared_from_this();
     m_exchange->onClosed([weak = weak_from_this()] {
         if (const auto self = weak.lock())
             self->finish(self->m_sent ? Outcome::Unknown : Outcome::NotRun, "the caller went away");
@@ -108,7 +107,7 @@
         m_ended = true;
         m_timers.cancel(m_timer);
         m_exchange->onClosed(nullptr);
-        m_self.reset();
+        m_onReleased();
         return callback();
     }
     respondFailure(m_context, m_exchange, 503,
@@ -247,7 +246,7 @@
     if (m_ended)
         return;
     m_ended = true;
-    const auto keep = std::move(m_self);
+    const auto keep = shared_from_this();
     m_timers.cancel(m_timer);
     m_timer = 0;
     uncount();
@@ -261,6 +260,7 @@
         .field("reason", reason)
         .field("ms", (m_timers.now() - m_startedAt).count() / 1000);
     m_finished(outcome);
+    m_onReleased();
 }
 
 } // namespace dogwoodvalve
--- a/src/daemon/proxy_session.h
+++ b/src/daemon/proxy_session.h
@@ -59,6 +59,9 @@
     /// been read then.
     void onUnreachable(std::function<void()> callback) { m_onUnreachable = std::move(callback); }
 
+    /// Called once when the session needs its owner no more. It may still be on the stack then.
+    void onReleased(std::function<void()> callback) { m_onReleased = std::move(callback); }
+
     void start();
 
     void onConnected() override;
@@ -83,7 +86,7 @@
     ProxyRequest m_proxied;
     Finished m_finished;
     std::function<void()> m_onUnreachable;
-    std::shared_ptr<ProxySession> m_self;
+    std::function<void()> m_onReleased;
     std::shared_ptr<HttpClientRequest> m_client;
     /// The server that counts this request among those in flight.
     std::shared_ptr<BackendServer> m_counted;
--- a/tools/testtool/caller.cpp
+++ b/tools/testtool/caller.cpp
@@ -176,7 +176,8 @@
         using End = CallResult::End;
         const bool mayRepeat =
             m_result.end == End::NotRun || (m_result.end == End::Unknown && !m_request.keyed);
-        const bool transient = m_result.status == 0 || m_result.status == 503
+        const bool busy = m_result.status == 429 && m_caller.m_options.comeBack;
+        const bool transient = m_result.status == 0 || m_result.status == 503 || busy
             || (m_result.status == 200 && m_result.end == End::Unknown);
         if (!mayRepeat || !transient || m_result.tries >= MostTries)
             return finish();
@@ -189,20 +190,20 @@
         m_result.gaps.clear();
         m_result.finishReason.clear();
         m_result.status = 0;
-        m_caller.m_timers.subscribe(m_caller.m_timers.now() + RetryPause,
-                                    [weak = weak_from_this()] {
-                                        const auto self = weak.lock();
-                                        if (!self)
-                                            return;
-                                        self->m_caller.lookUp([weak](bool) {
-                                            const auto again = weak.lock();
-                                            if (!again || !again->m_self)
-                                                return;
-                                            if (again->m_request.keyed)
-                                                again->m_key = again->makeKey();
-                                            again->send();
-                                        });
-                                    });
+        const Duration pause = busy ? std::chrono::seconds(m_result.retryAfter) : RetryPause;
+        m_caller.m_timers.subscribe(m_caller.m_timers.now() + pause, [weak = weak_from_this()] {
+            const auto self = weak.lock();
+            if (!self)
+                return;
+            self->m_caller.lookUp([weak](bool) {
+                const auto again = weak.lock();
+                if (!again || !again->m_self)
+                    return;
+                if (again->m_request.keyed)
+                    again->m_key = again->makeKey();
+                again->send();
+            });
+        });
     }
 
     void finish()
--- a/tools/testtool/load_plan.h
+++ b/tools/testtool/load_plan.h
@@ -34,6 +34,8 @@
     /// Time from the intended start after which a request counts as failed.
     Duration patience = 60s;
     bool verify = true;
+    /// Whether a request that was refused for overload is sent again when the answer says.
+    bool comeBack = false;
 };
 
 /// One request of a load.
--- a/tools/testtool/main.cpp
+++ b/tools/testtool/main.cpp
@@ -44,6 +44,7 @@
 DEFINE_double(keyed, 0, "load: share of requests with a key");
 DEFINE_int32(patience_seconds, 60, "load: a request that takes longer has failed");
 DEFINE_uint64(seed, 1, "seed of all random choices");
+DEFINE_bool(come_back, false, "load: send refused requests again when the answer says");
 DEFINE_string(report, "", "load: file for the results as JSON");
 
 namespace dogwoodvalve::testtool {
@@ -132,6 +133,7 @@
     options.sharedPrefix = FLAGS_shared_prefix;
     options.keyed = FLAGS_keyed;
     options.seed = FLAGS_seed;
+    options.comeBack = FLAGS_come_back;
     options.patience = std::chrono::seconds(FLAGS_patience_seconds);
     return options;
 }
