--- a/include/dogwoodvalve/configuration.h
+++ b/include/dogwoodvalve/configuration.h
@@ -107,7 +107,7 @@
     void compileWorkspaces(const ConfigurationState &state);
     void compilePipelines(const ConfigurationState &state, std::string_view hostName);
     void compileServices(const ConfigurationState &state);
-    bool placementAllows(PlacementClass placementClass, const Labels &labels) const;
+    bool placementAllows(std::size_t placementClass, const Labels &labels) const;
 
     LogOffset m_nextOffset = 0;
     std::vector<std::string> m_zoneNames;
--- a/include/dogwoodvalve/sequence.h
+++ b/include/dogwoodvalve/sequence.h
@@ -5,6 +5,7 @@
 #include <dogwoodvalve/timer_service.h>
 #include <dogwoodvalve/world.h>
 
+#include <compare>
 #include <cstdint>
 #include <memory>
 #include <optional>
@@ -22,7 +23,7 @@
     std::uint64_t origin = 0;
     std::uint64_t number = 0;
 
-    auto operator<=>(const SequenceId &) const = default;
+    std::strong_ordering operator<=>(const SequenceId &) const = default;
 };
 
 /// What can be said of a request that ended.
--- a/include/dogwoodvalve/specs.h
+++ b/include/dogwoodvalve/specs.h
@@ -138,7 +138,7 @@
     ObjectKind kind = ObjectKind::Zone;
     std::string name;
 
-    auto operator<=>(const ObjectId &) const = default;
+    std::strong_ordering operator<=>(const ObjectId &) const = default;
     /// For example pool/chat.
     std::string describe() const;
 };
--- a/src/codec/yaml_reader.cpp
+++ b/src/codec/yaml_reader.cpp
@@ -39,8 +39,13 @@
         return scalarToJson(node);
     if (node.IsSequence()) {
         json list = json::array();
-        for (const YAML::Node &it : node)
-            list.push_back(toJson(it, path + '[' + std::to_string(list.size()) + ']', document));
+        for (const YAML::Node &it : node) {
+            std::string place = path;
+            place += '[';
+            place += std::to_string(list.size());
+            place += ']';
+            list.push_back(toJson(it, place, document));
+        }
         return list;
     }
     if (!node.IsMap())
--- a/src/core/configuration.cpp
+++ b/src/core/configuration.cpp
@@ -115,7 +115,7 @@
     });
 }
 
-bool Configuration::placementAllows(PlacementClass placementClass, const Labels &labels) const
+bool Configuration::placementAllows(std::size_t placementClass, const Labels &labels) const
 {
     const auto &binding = m_placementClasses[placementClass];
     return std::all_of(binding.begin(), binding.end(),
@@ -142,7 +142,7 @@
             if (pipeline.pool->servers.matches(m_servers[i].spec->labels))
                 members.push_back(i);
         }
-        for (PlacementClass c = 0; c < m_placementClasses.size(); ++c) {
+        for (std::size_t c = 0; c < m_placementClasses.size(); ++c) {
             std::vector<ServerIndices> stages(spec->stages.size());
             for (const std::uint32_t i : members) {
                 const BackendServerSpec &server = *m_servers[i].spec;
@@ -164,7 +164,7 @@
 {
     forEachSpec<ServiceSpec>(state, ObjectKind::Service, [&](const auto &name, auto &spec) {
         ConfiguredService service {name, spec, {}};
-        for (PlacementClass c = 0; c < m_placementClasses.size(); ++c) {
+        for (std::size_t c = 0; c < m_placementClasses.size(); ++c) {
             ServerIndices indices;
             for (std::uint32_t i = 0; i < m_servers.size(); ++i) {
                 const BackendServerSpec &server = *m_servers[i].spec;
--- a/src/daemon/caller_api.cpp
+++ b/src/daemon/caller_api.cpp
@@ -278,7 +278,7 @@
         });
 }
 
-void CallerApi::runCompletion(const Exchange &exchange, CompletionKind kind, Caller caller,
+void CallerApi::runCompletion(const Exchange &exchange, CompletionKind kind, const Caller &caller,
                               std::string_view body)
 {
     Result<CompletionRequest> request = readCompletionRequest(kind, body);
--- a/src/daemon/caller_api.h
+++ b/src/daemon/caller_api.h
@@ -44,7 +44,7 @@
                  std::function<void()> unreachable);
     void handleCompletion(const Exchange &exchange, CompletionKind kind);
     void complete(const Exchange &exchange, CompletionKind kind, Caller caller);
-    void runCompletion(const Exchange &exchange, CompletionKind kind, Caller caller,
+    void runCompletion(const Exchange &exchange, CompletionKind kind, const Caller &caller,
                        std::string_view body);
     void handleService(const Exchange &exchange);
     void spreadOverHomes(std::vector<Member> &entries, int homesPerWorkspace);
--- a/src/daemon/completion_session.cpp
+++ b/src/daemon/completion_session.cpp
@@ -22,7 +22,7 @@
 constexpr Duration TimeoutPerPosition = 2ms;
 /// More unsent bytes than this stop the making of tokens.
 constexpr std::size_t StreamHighWater = 64 * 1024;
-constexpr std::size_t CharactersPerToken = 4;
+constexpr double CharactersPerToken = 4;
 /// Priorities at the engines, for workspaces within their fair share and beyond it.
 constexpr double FullPriority = 1;
 constexpr double YieldingPriority = 0.5;
@@ -79,7 +79,7 @@
     admission.pipeline = m_pipeline->name;
     admission.limits = shareOf(m_workspace.spec->limits, homes);
     const int wanted = m_request.maxTokens > 0 ? m_request.maxTokens : m_pipeline->spec->maxTokens;
-    admission.cost = static_cast<double>(m_request.prompt.size() / CharactersPerToken) + wanted;
+    admission.cost = static_cast<double>(m_request.prompt.size()) / CharactersPerToken + wanted;
     admission.startBy = m_arrivedAt + context.settings().queueTimeout;
     context.noteRequest(m_pipeline->spec->pool, m_pipeline->pool->retryPercent);
     // The decision may come on any thread and under a lock, so it is passed on. It keeps the
--- a/src/daemon/entry_shard.cpp
+++ b/src/daemon/entry_shard.cpp
@@ -22,7 +22,7 @@
     const auto endpoint = parseEndpoint(m_context.settings().listen);
     if (!endpoint)
         return endpoint.error();
-    const Result<void> listening = m_server.listen(endpoint.value());
+    Result<void> listening = m_server.listen(endpoint.value());
     if (!listening)
         return listening;
     m_thread = std::thread([this] {
--- a/src/daemon/settings.cpp
+++ b/src/daemon/settings.cpp
@@ -23,7 +23,7 @@
 
 std::string readAddress(ObjectReader &reader, std::string_view key)
 {
-    const std::string address = reader.requiredText(key);
+    std::string address = reader.requiredText(key);
     const auto endpoint = parseEndpoint(address);
     if (!address.empty() && !endpoint)
         reader.fail(key, endpoint.error().message, endpoint.error().remedy);
--- a/tools/testtool/engine_core.cpp
+++ b/tools/testtool/engine_core.cpp
@@ -223,6 +223,7 @@
         tokens = tokenise(command.prompt);
     tokens.insert(tokens.end(), command.tokens.begin(), command.tokens.end());
     std::vector<std::uint64_t> inputs;
+    inputs.reserve(tokens.size());
     for (const std::int32_t token : tokens)
         inputs.push_back(embedToken(m_profile.model, token,
                                     command.basePosition + static_cast<int>(inputs.size())));
--- a/tools/testtool/load_plan.cpp
+++ b/tools/testtool/load_plan.cpp
@@ -20,7 +20,7 @@
 
 int between(Random &random, int least, int most)
 {
-    return least + static_cast<int>(random.below(static_cast<std::uint64_t>(most - least + 1)));
+    return least + static_cast<int>(random.below(static_cast<std::uint64_t>(most - least) + 1));
 }
 
 } // namespace
@@ -29,6 +29,7 @@
 {
     Random random(options.seed);
     std::vector<std::string> shared;
+    shared.reserve(SharedPrompts);
     for (int i = 0; i < SharedPrompts; ++i)
         shared.push_back(randomText(random, SharedPromptLength));
     std::vector<PlannedRequest> plan;
