--- a/src/codec/yaml_reader.cpp
+++ b/src/codec/yaml_reader.cpp
@@ -53,7 +53,10 @@
     json object = json::object();
     for (const auto &it : node) {
         const std::string key = it.first.Scalar();
-        const std::string keyPath = path.empty() ? key : path + '.' + key;
+        std::string keyPath = path;
+        if (!path.empty())
+            keyPath += '.';
+        keyPath += key;
         document.lines.emplace(keyPath, it.first.Mark().line + 1);
         object[key] = toJson(it.second, keyPath, document);
     }
--- a/src/core/pipeline_capacity.cpp
+++ b/src/core/pipeline_capacity.cpp
@@ -12,7 +12,7 @@
 /// meanwhile, the others have not yet seen.
 constexpr Duration CacheTime = 200ms;
 /// Sequences beyond what keeps the servers busy, so that none idles while answers travel.
-constexpr double Slack = 2.6;
+constexpr double Slack = 2.4;
 
 } // namespace
 
