Let a test fleet know itself before tests begin

Cause: keyedCallsRunAtMostOnce failed once, 503 for 200: it sent a key of host 0 to host 2 half a second after the start, when host 2 did not know host 0 yet, and so rightly answered unknown.

Change: a fleet is started when each host names all hosts. No assertion of a test has changed.

--- a/tests/process/fleet.cpp
+++ b/tests/process/fleet.cpp
@@ -221,6 +221,13 @@
     for (int i = 0; i < m_entries; ++i)
         eventually(entryName(i) + " is ready",
                    [this, i] { return ask(callerAddress(i), "GET", "/readyz").status == 200; });
+    for (int i = 0; i < m_entries; ++i)
+        eventually(entryName(i) + " knows all hosts", [this, i] {
+            const json body =
+                json::parse(ask(callerAddress(i), "GET", "/v1/entries").body, nullptr, false);
+            return body.is_object()
+                && body["entries"].size() == static_cast<std::size_t>(m_entries);
+        });
     applyConfiguration();
 }
 
