Drop a second percentile and a zone that nobody read

Cause: reading the whole change again: the experiments had their own copy of percentileMillis, each completion session looked its zone up at the start and never used it, and failed() tested for overload twice.

Change: the experiments call testtool::percentileMillis; the member and the second test are gone.

--- a/benchmark/experiments.cpp
+++ b/benchmark/experiments.cpp
@@ -1,4 +1,5 @@
 #include "fleet_model.h"
+#include "load_report.h"
 
 #include <gflags/gflags.h>
 
@@ -52,9 +53,10 @@
 {
     std::printf("%-24s %8.0f %9.3f %8d %8d %8d %9.1f %9.1f %9.1f %9.1f\n", name.c_str(),
                 result.tokensPerSecond, result.tokensPerSecond / bound, result.complete,
-                result.refused, result.failed, percentile(result.firstTokens, 0.5),
-                percentile(result.firstTokens, 0.95), percentile(result.gaps, 0.5),
-                percentile(result.gaps, 0.95));
+                result.refused, result.failed, testtool::percentileMillis(result.firstTokens, 0.5),
+                testtool::percentileMillis(result.firstTokens, 0.95),
+                testtool::percentileMillis(result.gaps, 0.5),
+                testtool::percentileMillis(result.gaps, 0.95));
 }
 
 FleetResult runRow(const std::string &name, const FleetOptions &options)
@@ -138,7 +140,8 @@
         std::accumulate(result.refusedBySecond.begin(), result.refusedBySecond.end(), 0);
     std::printf("tokens/s before %.0f, with the zone lost %.0f; steady again %zu s after the loss, "
                 "back %zu s after the return; refused in all %d; longest gap %.0f ms\n",
-                before, during, steady - 40, back - 55, refusals, percentile(result.gaps, 1.0));
+                before, during, steady - 40, back - 55, refusals,
+                testtool::percentileMillis(result.gaps, 1.0));
     writeSeries(result);
 }
 
@@ -167,8 +170,9 @@
             runRow(std::to_string(load).substr(0, 3) + " offered", mixedOptions(load));
         peak = std::max(peak, result.tokensPerSecond);
         std::printf("  of the peak so far %.3f; refusals after p50 %.1f ms, p95 %.1f ms\n",
-                    result.tokensPerSecond / peak, percentile(result.refusalWaits, 0.5),
-                    percentile(result.refusalWaits, 0.95));
+                    result.tokensPerSecond / peak,
+                    testtool::percentileMillis(result.refusalWaits, 0.5),
+                    testtool::percentileMillis(result.refusalWaits, 0.95));
     }
 }
 
@@ -203,8 +207,9 @@
         std::printf("  queue=%s greedy=%d weight=%.0f: modest p50 %.0f ms p95 %.0f ms, %zu "
                     "complete; refused in all %d\n",
                     priority ? "priority" : "weighted-fair", withNoise, noisyWeight,
-                    percentile(all, 0.5), percentile(all, 0.95), all.size(), result.refused);
-        return percentile(all, 0.95);
+                    testtool::percentileMillis(all, 0.5), testtool::percentileMillis(all, 0.95),
+                    all.size(), result.refused);
+        return testtool::percentileMillis(all, 0.95);
     };
     const double quiet = modestP95(false, false, 1);
     const double fair = modestP95(false, true, 1);
--- a/benchmark/fleet_model.cpp
+++ b/benchmark/fleet_model.cpp
@@ -52,15 +52,6 @@
 
 } // namespace
 
-double percentile(std::vector<Duration> values, double share)
-{
-    if (values.empty())
-        return 0;
-    const auto at = static_cast<std::ptrdiff_t>(share * static_cast<double>(values.size() - 1));
-    std::nth_element(values.begin(), values.begin() + at, values.end());
-    return static_cast<double>(values[static_cast<std::size_t>(at)].count()) / 1000;
-}
-
 /// Knows the engines' true queues, which no router can.
 class FleetModel::OraclePolicy : public RoutingPolicy
 {
--- a/benchmark/fleet_model.h
+++ b/benchmark/fleet_model.h
@@ -132,7 +132,4 @@
     std::uint64_t m_nextRequest = 1;
 };
 
-/// The value below which a share of the values lies, in milliseconds.
-double percentile(std::vector<Duration> values, double share);
-
 } // namespace dogwoodvalve::experiments
--- a/src/daemon/completion_session.cpp
+++ b/src/daemon/completion_session.cpp
@@ -49,7 +49,6 @@
     , m_idempotent(idempotent)
     , m_key(std::move(key))
     , m_id {host.context().boot(), host.context().nextSequence()}
-    , m_zone(m_configuration->zoneIndex(host.context().settings().zone))
     , m_arrivedAt(host.loop().timers().now())
 {
     const std::uint64_t salt = stableHash(m_pipeline->name, stableHash(m_workspace.name));
@@ -318,7 +317,7 @@
     } else {
         const bool busy = failure.error.kind == ErrorKind::Overloaded;
         const int status = busy && failure.outcome == Outcome::NotRun ? 429
-            : failure.error.kind == ErrorKind::Overloaded             ? 503
+            : busy                                                    ? 503
                                                                       : statusOf(failure.error);
         respondFailure(m_host.context(), m_exchange, status, failure.error, failure.outcome,
                        failure.retryAfter);
--- a/src/daemon/completion_session.h
+++ b/src/daemon/completion_session.h
@@ -78,7 +78,6 @@
     bool m_idempotent;
     std::optional<RequestKey> m_key;
     SequenceId m_id;
-    ZoneIndex m_zone;
     std::vector<std::uint64_t> m_prefixBlocks;
     std::unique_ptr<Sequence> m_sequence;
     std::unique_ptr<CompletionWriter> m_writer;
