--- /dev/null
+++ b/include/dogwoodvalve/layer_span.h
@@ -0,0 +1,18 @@
+#pragma once
+
+namespace dogwoodvalve {
+
+/// A run of model layers that a server holds or runs, from first up to, but not including, end. It may be
+/// empty, unlike the LayerRange of a configured stage.
+struct LayerSpan
+{
+    int first = 0;
+    int end = 0;
+
+    int size() const { return end - first; }
+    bool empty() const { return end <= first; }
+    bool contains(int layer) const { return first <= layer && layer < end; }
+    bool operator==(const LayerSpan &other) const = default;
+};
+
+} // namespace dogwoodvalve
--- /dev/null
+++ b/include/dogwoodvalve/server_health.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include <dogwoodvalve/timer_service.h>
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+
+namespace dogwoodvalve {
+
+/// What a request showed about a server.
+enum class ServerEvidence {
+    Served,
+    /// It answered that it can't take the request now.
+    Refused,
+    /// It failed the request: a broken, garbled or missing answer.
+    Failed,
+    /// It named another server as dead, or did not answer at all.
+    Unreachable,
+};
+
+/// Ejects servers by what requests show, for a time that doubles with each further failure, and
+/// lets single requests through afterwards to find out whether they have recovered.
+class ServerHealth
+{
+public:
+    void note(std::string_view id, std::int64_t startedAtMs, ServerEvidence evidence,
+              TimePoint now);
+    /// Whether new requests may go to the server. A new life of a server starts sound.
+    bool usable(std::string_view id, std::int64_t startedAtMs, TimePoint now) const;
+    /// Forgets servers that are not registered any more.
+    template <class Predicate>
+    void retain(Predicate isRegistered)
+    {
+        std::erase_if(m_servers, [&](const auto &entry) { return !isRegistered(entry.first); });
+    }
+
+private:
+    struct Record
+    {
+        std::int64_t startedAtMs = 0;
+        double failures = 0;
+        int ejections = 0;
+        TimePoint ejectedUntil {};
+        TimePoint notedAt {};
+    };
+
+    std::map<std::string, Record, std::less<>> m_servers;
+};
+
+} // namespace dogwoodvalve
--- a/src/cli/query_commands.cpp
+++ b/src/cli/query_commands.cpp
@@ -3,6 +3,8 @@
 #include "cli/operator_client.h"
 #include "codec/yaml_reader.h"
 #include "daemon/entry_process.h"
+#include "gateway/gateway_process.h"
+#include "platform/adapter.h"
 
 #include <gflags/gflags.h>
 
@@ -132,4 +134,18 @@
     return static_cast<ExitCode>(runEntryProcess(settings.value()));
 }
 
+ExitCode runGateway(const Words &)
+{
+    const Result<std::string> text = readFile(FLAGS_settings);
+    if (!text)
+        return reportError(text.error());
+    const auto settings = readGatewaySettings(text.value(), FLAGS_settings);
+    if (!settings)
+        return reportError(settings.error());
+    const GatewayPlatformFactory platform = [&settings](LoopServices &loop) {
+        return platform::makePlatform(loop, settings.value().store);
+    };
+    return static_cast<ExitCode>(runGatewayProcess(settings.value(), platform));
+}
+
 } // namespace dogwoodvalve
--- /dev/null
+++ b/src/core/host_table.cpp
@@ -0,0 +1,94 @@
+#include <dogwoodvalve/host_table.h>
+
+namespace dogwoodvalve {
+
+namespace {
+
+/// With fewer hosts than this in the caller's zone, hosts of other zones are named too.
+constexpr std::size_t LeastAddresses = 2;
+constexpr std::size_t MostAddresses = 64;
+
+bool isServing(const HostDigest &digest)
+{
+    return digest.ready && !digest.leaving && !digest.callerAddress.empty();
+}
+
+} // namespace
+
+bool HostTable::take(const HostDigest &digest, TimePoint now)
+{
+    Peer &peer = m_peers[digest.name];
+    const HostDigest &known = peer.digest;
+    const bool older = digest.startedAtMs < known.startedAtMs
+        || (digest.startedAtMs == known.startedAtMs && digest.sequence <= known.sequence);
+    if (!known.name.empty() && older)
+        return false;
+    peer.digest = digest;
+    peer.heardAt = now;
+    return true;
+}
+
+void HostTable::expire(TimePoint now)
+{
+    std::erase_if(m_peers, [now](const auto &entry) {
+        return now - entry.second.heardAt > ForgetTimeout;
+    });
+}
+
+bool HostTable::isLive(const Peer &peer, TimePoint now)
+{
+    return now - peer.heardAt <= LiveTimeout;
+}
+
+int HostTable::liveHosts(TimePoint now) const
+{
+    int n = 1;
+    for (const auto &[name, peer] : m_peers)
+        n += isLive(peer, now) ? 1 : 0;
+    return n;
+}
+
+double HostTable::committedElsewhere(std::string_view server, TimePoint now) const
+{
+    double sum = 0;
+    for (const auto &[name, peer] : m_peers) {
+        const auto it = peer.digest.commitments.find(std::string(server));
+        if (isLive(peer, now) && it != peer.digest.commitments.end())
+            sum += it->second;
+    }
+    return sum;
+}
+
+int HostTable::inFlightElsewhere(std::string_view server, TimePoint now) const
+{
+    int sum = 0;
+    for (const auto &[name, peer] : m_peers) {
+        const auto it = peer.digest.inFlight.find(std::string(server));
+        if (isLive(peer, now) && it != peer.digest.inFlight.end())
+            sum += it->second;
+    }
+    return sum;
+}
+
+std::vector<std::string> chooseCallerAddresses(const HostDigest &self, const HostTable &table,
+                                               std::string_view zone, TimePoint now)
+{
+    std::vector<std::string> near;
+    std::vector<std::string> far;
+    const auto add = [&](const HostDigest &digest) {
+        if (isServing(digest))
+            (digest.zone == zone ? near : far).push_back(digest.callerAddress);
+    };
+    add(self);
+    for (const auto &[name, peer] : table.peers()) {
+        if (HostTable::isLive(peer, now) && name != self.name)
+            add(peer.digest);
+    }
+    if (near.size() < LeastAddresses)
+        near.insert(near.end(), far.begin(), far.end());
+    if (near.size() > MostAddresses)
+        near.resize(MostAddresses);
+    return near;
+}
+
+} // namespace dogwoodvalve
--- /dev/null
+++ b/src/core/layer_planner.cpp
@@ -0,0 +1,128 @@
+#include <dogwoodvalve/layer_planner.h>
+
+#include <algorithm>
+#include <cmath>
+#include <numeric>
+
+namespace dogwoodvalve {
+
+namespace {
+
+/// Share of an accelerator's memory that layers may take; the rest holds contexts. A request's
+/// context of 1,000 tokens over a block should be a few hundredths of the rest.
+constexpr double LayerMemoryShare = 0.83;
+/// Blocks that the model is cut into at least, so that slow kinds hold a small share of it.
+constexpr int LeastBlocks = 8;
+
+} // namespace
+
+LayerPlanner::LayerPlanner(const EngineProfile &profile)
+    : m_profile(profile)
+{
+    if (profile.layers <= 0 || profile.layerMb <= 0)
+        return;
+    int most = std::max(1, profile.layers / LeastBlocks);
+    for (const AcceleratorKind &kind : profile.kinds) {
+        const int fits = static_cast<int>(kind.memoryMb * LayerMemoryShare / profile.layerMb);
+        if (fits >= 1)
+            most = std::min(most, fits);
+    }
+    // The largest divisor of the model keeps all blocks equal and paths short.
+    for (int size = most; size >= 1; --size) {
+        if (profile.layers % size == 0) {
+            m_blockSize = size;
+            return;
+        }
+    }
+}
+
+int LayerPlanner::layersFor(const AcceleratorKind &kind) const
+{
+    const int fits = static_cast<int>(kind.memoryMb * LayerMemoryShare / m_profile.layerMb);
+    const int blocks = std::min(fits, m_profile.layers) / m_blockSize;
+    return blocks * m_blockSize;
+}
+
+double LayerPlanner::tokensFor(const AcceleratorKind &kind, int layers) const
+{
+    return layers > 0 ? m_profile.contextCapacity(kind, layers) / layers : 0;
+}
+
+void LayerPlanner::addCoverage(std::vector<double> &blocks, const PlannedServer &server) const
+{
+    const AcceleratorKind *kind = m_profile.kind(server.kind);
+    if (!kind || server.layers.empty())
+        return;
+    const double tokens = tokensFor(*kind, server.layers.size());
+    for (std::size_t i = 0; i < blocks.size(); ++i) {
+        const int first = static_cast<int>(i) * m_blockSize;
+        if (server.layers.first <= first && first + m_blockSize <= server.layers.end)
+            blocks[i] += tokens;
+    }
+}
+
+std::vector<double> LayerPlanner::coverage(std::span<const PlannedServer> servers,
+                                           std::string_view zone) const
+{
+    std::vector<double> blocks(static_cast<std::size_t>(m_profile.layers / m_blockSize), 0.0);
+    for (const PlannedServer &server : servers) {
+        if (server.zone == zone)
+            addCoverage(blocks, server);
+    }
+    return blocks;
+}
+
+double LayerPlanner::zoneCapacity(std::span<const PlannedServer> servers,
+                                  std::string_view zone) const
+{
+    const std::vector<double> blocks = coverage(servers, zone);
+    return blocks.empty() ? 0 : *std::min_element(blocks.begin(), blocks.end());
+}
+
+/// The range whose blocks need the added room most: the need of a block falls with what it has.
+LayerSpan LayerPlanner::poorestRange(const std::vector<double> &blocks, int length,
+                                      double tokensAdded) const
+{
+    const auto need = [tokensAdded](double tokens) { return 1 / (tokensAdded + tokens); };
+    const int width = length / m_blockSize;
+    int best = 0;
+    double bestNeed = -1;
+    for (int start = 0; start + width <= static_cast<int>(blocks.size()); ++start) {
+        const double sum = std::accumulate(
+            blocks.begin() + start, blocks.begin() + start + width, 0.0,
+            [&need](double total, double tokens) { return total + need(tokens); });
+        if (sum > bestNeed * (1 + 1e-9)) {
+            bestNeed = sum;
+            best = start;
+        }
+    }
+    return {best * m_blockSize, best * m_blockSize + length};
+}
+
+std::vector<LayerAssignment> LayerPlanner::assign(std::span<const PlannedServer> servers) const
+{
+    std::vector<PlannedServer> known(servers.begin(), servers.end());
+    std::vector<std::size_t> order(known.size());
+    std::iota(order.begin(), order.end(), 0U);
+    const auto speed = [this](const PlannedServer &server) {
+        const AcceleratorKind *kind = m_profile.kind(server.kind);
+        return kind ? kind->stepFactor : HUGE_VAL;
+    };
+    std::stable_sort(order.begin(), order.end(), [&](std::size_t a, std::size_t b) {
+        return speed(known[a]) < speed(known[b]);
+    });
+    std::vector<LayerAssignment> assignments;
+    for (const std::size_t i : order) {
+        PlannedServer &server = known[i];
+        const AcceleratorKind *kind = m_profile.kind(server.kind);
+        const int length = kind ? layersFor(*kind) : 0;
+        if (!server.layers.empty() || length <= 0)
+            continue;
+        server.layers =
+            poorestRange(coverage(known, server.zone), length, tokensFor(*kind, length));
+        assignments.push_back({server.id, server.layers});
+    }
+    return assignments;
+}
+
+} // namespace dogwoodvalve
--- /dev/null
+++ b/src/core/path_selector.cpp
@@ -0,0 +1,185 @@
+#include <dogwoodvalve/path_selector.h>
+
+#include <algorithm>
+#include <limits>
+#include <map>
+#include <set>
+
+namespace dogwoodvalve {
+
+namespace {
+
+/// A server whose memory is wholly promised counts as this many times slower, plus one.
+constexpr double BusyWeight = 3;
+
+double asMs(Duration duration)
+{
+    return static_cast<double>(duration.count()) / 1000;
+}
+
+Duration fromMs(double ms)
+{
+    return Duration(static_cast<Duration::rep>(ms * 1000));
+}
+
+double busyFactor(const PathServer &server)
+{
+    const double used = server.capacity > 0 ? server.committed / server.capacity : 1;
+    return 1 + BusyWeight * used * used;
+}
+
+bool hasRoom(const PathServer &server, int layers, const SequenceSize &size)
+{
+    return server.committed + size.total() * layers
+        <= server.capacity * PathSelector::CommitShare;
+}
+
+bool usesServerTwice(std::span<const PathPart> parts)
+{
+    std::set<std::size_t> seen;
+    return std::any_of(parts.begin(), parts.end(), [&seen](const PathPart &part) {
+        return !seen.insert(part.server).second;
+    });
+}
+
+} // namespace
+
+PathSelector::PathSelector(int modelLayers, int stepsPerPass, HopCosts hops)
+    : m_layers(modelLayers)
+    , m_stepsPerPass(std::max(1, stepsPerPass))
+    , m_hops(hops)
+{ }
+
+double PathSelector::hopMs(const PathServer &from, const PathServer &to, bool penalised) const
+{
+    if (from.zone == to.zone)
+        return asMs(m_hops.sameZone);
+    return asMs(m_hops.otherZone) * (penalised ? m_hops.crossingPenalty : 1);
+}
+
+/// The cheapest way to have reached a layer with a server as the last part.
+struct PathSelector::State
+{
+    double cost = std::numeric_limits<double>::infinity();
+    int from = 0;
+    /// Server of the part before, or the number of servers if this is the first part.
+    std::size_t previous = 0;
+};
+
+std::optional<std::vector<PathPart>> PathSelector::cheapest(std::span<const PathServer> servers,
+                                                            const std::vector<bool> &excluded,
+                                                            const SequenceSize &size) const
+{
+    std::set<int> cuts {0, m_layers};
+    for (std::size_t i = 0; i < servers.size(); ++i) {
+        if (!excluded[i] && !servers[i].layers.empty()) {
+            cuts.insert(std::clamp(servers[i].layers.first, 0, m_layers));
+            cuts.insert(std::clamp(servers[i].layers.end, 0, m_layers));
+        }
+    }
+    const std::size_t none = servers.size();
+    std::map<int, std::vector<State>> reached;
+    for (const int cut : cuts)
+        reached[cut].resize(servers.size());
+    const auto extend = [&](std::size_t i, int from, double cost, std::size_t previous) {
+        const PathServer &server = servers[i];
+        const double msPerLayer = busyFactor(server)
+            * (server.stepMsPerLayer * size.answerTokens
+               + server.readMsPerTokenLayer * size.promptTokens);
+        for (auto cut = cuts.upper_bound(from); cut != cuts.end() && *cut <= server.layers.end;
+             ++cut) {
+            if (!hasRoom(server, *cut - from, size))
+                break;
+            State &state = reached[*cut][i];
+            const double total = cost + msPerLayer * (*cut - from);
+            if (total < state.cost)
+                state = {total, from, previous};
+        }
+    };
+    for (std::size_t i = 0; i < servers.size(); ++i) {
+        if (!excluded[i] && servers[i].layers.contains(0))
+            extend(i, 0, 0, none);
+    }
+    for (const int cut : cuts) {
+        if (cut == 0 || cut == m_layers)
+            continue;
+        for (std::size_t last = 0; last < servers.size(); ++last) {
+            const State &state = reached[cut][last];
+            if (state.cost == std::numeric_limits<double>::infinity())
+                continue;
+            for (std::size_t i = 0; i < servers.size(); ++i) {
+                if (i == last || excluded[i] || !servers[i].layers.contains(cut))
+                    continue;
+                const double hop = hopMs(servers[last], servers[i], true) * size.answerTokens;
+                extend(i, cut, state.cost + hop, last);
+            }
+        }
+    }
+    const std::vector<State> &ends = reached[m_layers];
+    std::size_t last = none;
+    for (std::size_t i = 0; i < ends.size(); ++i) {
+        if (ends[i].cost < std::numeric_limits<double>::infinity()
+            && (last == none || ends[i].cost < ends[last].cost))
+            last = i;
+    }
+    if (last == none)
+        return std::nullopt;
+    std::vector<PathPart> parts;
+    for (int cut = m_layers; last != none;) {
+        const State &state = reached[cut][last];
+        parts.push_back({last, {state.from, cut}});
+        cut = state.from;
+        last = state.previous;
+    }
+    std::reverse(parts.begin(), parts.end());
+    return parts;
+}
+
+EnginePath PathSelector::describe(std::span<const PathServer> servers,
+                                  std::vector<PathPart> parts, const SequenceSize &size) const
+{
+    double readMs = 0;
+    double stepMs = 0;
+    for (std::size_t i = 0; i < parts.size(); ++i) {
+        const PathServer &server = servers[parts[i].server];
+        const double layers = parts[i].layers.size();
+        readMs += server.readMsPerTokenLayer * size.promptTokens * layers * busyFactor(server);
+        stepMs += server.stepMsPerLayer * layers * busyFactor(server);
+        if (i > 0) {
+            const double hop = hopMs(servers[parts[i - 1].server], server, false);
+            stepMs += hop;
+            readMs += hop;
+        }
+    }
+    EnginePath path;
+    path.parts = std::move(parts);
+    path.stepTime = fromMs(stepMs);
+    path.firstEvent = fromMs(readMs + stepMs * m_stepsPerPass);
+    return path;
+}
+
+std::optional<EnginePath> PathSelector::select(std::span<const PathServer> servers,
+                                               const SequenceSize &size) const
+{
+    std::vector<bool> excluded(servers.size(), false);
+    // Each round excludes one server, so the rounds are bounded by the number of servers.
+    for (std::size_t round = 0; round <= servers.size(); ++round) {
+        std::optional<std::vector<PathPart>> parts = cheapest(servers, excluded, size);
+        if (!parts)
+            return std::nullopt;
+        if (!usesServerTwice(*parts))
+            return describe(servers, std::move(*parts), size);
+        // A server may appear once: leave out the part that lies between its two appearances.
+        for (std::size_t i = 1; i + 1 < parts->size(); ++i) {
+            if ((*parts)[i - 1].server == (*parts)[i + 1].server) {
+                excluded[(*parts)[i].server] = true;
+                break;
+            }
+            if (i + 2 == parts->size())
+                excluded[(*parts)[1].server] = true;
+        }
+    }
+    return std::nullopt;
+}
+
+} // namespace dogwoodvalve
--- /dev/null
+++ b/src/core/server_health.cpp
@@ -0,0 +1,75 @@
+#include <dogwoodvalve/server_health.h>
+
+#include <algorithm>
+#include <cmath>
+
+namespace dogwoodvalve {
+
+namespace {
+
+/// Failures in quick succession that eject a server. One may be the request's own fault.
+constexpr double EjectingFailures = 3;
+/// Weight of a server that can't be reached: no request can succeed there.
+constexpr double UnreachableWeight = 3;
+/// Failures lose half of their weight in this time.
+constexpr Duration FailureHalfLife = 3s;
+/// A refusing server is left out for about the time that its queue needs to shrink.
+constexpr Duration RefusalPause = 100ms;
+constexpr Duration FirstEjection = 1s;
+constexpr Duration LongestEjection = 8s;
+
+} // namespace
+
+void ServerHealth::note(std::string_view id, std::int64_t startedAtMs, ServerEvidence evidence,
+                        TimePoint now)
+{
+    auto it = m_servers.find(id);
+    if (it == m_servers.end()) {
+        if (evidence == ServerEvidence::Served)
+            return;
+        it = m_servers.emplace(std::string(id), Record {}).first;
+        it->second.startedAtMs = startedAtMs;
+    }
+    Record &record = it->second;
+    if (record.startedAtMs != startedAtMs) {
+        if (startedAtMs < record.startedAtMs)
+            return;
+        record = Record {};
+        record.startedAtMs = startedAtMs;
+    }
+    const double halves = static_cast<double>((now - record.notedAt).count())
+        / static_cast<double>(FailureHalfLife.count());
+    record.failures *= std::exp2(-std::max(0.0, halves));
+    record.notedAt = now;
+    switch (evidence) {
+    case ServerEvidence::Served:
+        record.failures = std::max(0.0, record.failures - 1);
+        if (record.failures < 1)
+            record.ejections = 0;
+        return;
+    case ServerEvidence::Refused:
+        record.ejectedUntil = std::max(record.ejectedUntil, now + RefusalPause);
+        return;
+    case ServerEvidence::Failed:
+        record.failures += 1;
+        break;
+    case ServerEvidence::Unreachable:
+        record.failures += UnreachableWeight;
+        break;
+    }
+    if (record.failures < EjectingFailures || now < record.ejectedUntil)
+        return;
+    const Duration pause = FirstEjection * (1 << std::min(record.ejections, 3));
+    record.ejectedUntil = now + std::min<Duration>(pause, LongestEjection);
+    ++record.ejections;
+    record.failures = 0;
+}
+
+bool ServerHealth::usable(std::string_view id, std::int64_t startedAtMs, TimePoint now) const
+{
+    const auto it = m_servers.find(id);
+    return it == m_servers.end() || it->second.startedAtMs != startedAtMs
+        || it->second.ejectedUntil <= now;
+}
+
+} // namespace dogwoodvalve
--- /dev/null
+++ b/src/core/shared_retry_budget.cpp
@@ -0,0 +1,46 @@
+#include <dogwoodvalve/shared_retry_budget.h>
+
+#include <algorithm>
+
+namespace dogwoodvalve {
+
+namespace {
+
+/// Part of the allowance that hosts spend: their views of how many they are may differ for a
+/// moment, and requests that a host has counted may leave the window before its retries do.
+constexpr double SpentShare = 0.7;
+
+} // namespace
+
+void SharedRetryBudget::forget(TimePoint now)
+{
+    const TimePoint oldest = now - m_allowance.window;
+    while (!m_requests.empty() && m_requests.front() < oldest)
+        m_requests.pop_front();
+    while (!m_retries.empty() && m_retries.front() < oldest)
+        m_retries.pop_front();
+}
+
+void SharedRetryBudget::noteRequest(TimePoint now)
+{
+    forget(now);
+    m_requests.push_back(now);
+}
+
+double SharedRetryBudget::left(TimePoint now, int hosts)
+{
+    forget(now);
+    const double allowed = m_allowance.ratio * static_cast<double>(m_requests.size())
+        + m_allowance.slack / std::max(1, hosts);
+    return SpentShare * allowed - static_cast<double>(m_retries.size());
+}
+
+bool SharedRetryBudget::take(TimePoint now, int hosts)
+{
+    if (left(now, hosts) < 1)
+        return false;
+    m_retries.push_back(now);
+    return true;
+}
+
+} // namespace dogwoodvalve
--- a/src/daemon/log.cpp
+++ b/src/daemon/log.cpp
@@ -5,12 +5,16 @@
 #include <log4cplus/initializer.h>
 #include <log4cplus/layout.h>
 #include <log4cplus/logger.h>
+#include <log4cplus/spi/loggingevent.h>
+#include <fcntl.h>
+#include <unistd.h>
 
 #include <array>
 #include <atomic>
 #include <charconv>
 #include <chrono>
 #include <memory>
+#include <sstream>
 
 namespace dogwoodvalve {
 
@@ -86,6 +90,74 @@
     return value.empty() || value.find_first_of(" \t\r\n\"=") != std::string_view::npos;
 }
 
+/// Lines that wait for a reader of standard output that is slow.
+constexpr std::size_t MostPendingBytes = 256 * 1024;
+
+/// Writes to standard output as much as is taken at once.
+class NonBlockingAppender : public log4cplus::Appender
+{
+public:
+    NonBlockingAppender()
+    {
+        const int flags = ::fcntl(STDOUT_FILENO, F_GETFL);
+        ::fcntl(STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK);
+    }
+    ~NonBlockingAppender() override { destructorImpl(); }
+
+    NonBlockingAppender(const NonBlockingAppender &) = delete;
+    NonBlockingAppender &operator=(const NonBlockingAppender &) = delete;
+
+    void close() override
+    {
+        flush();
+        closed = true;
+    }
+
+protected:
+    void append(const log4cplus::spi::InternalLoggingEvent &event) override
+    {
+        std::ostringstream text;
+        layout->formatAndAppend(text, event);
+        const std::string line = text.str();
+        if (m_pending.size() + line.size() > MostPendingBytes) {
+            ++m_dropped;
+            return flush();
+        }
+        if (m_dropped > 0)
+            m_pending += "level=warning event=log_lines_dropped count="
+                + std::to_string(std::exchange(m_dropped, 0)) + '\n';
+        m_pending += line;
+        flush();
+    }
+
+private:
+    void flush()
+    {
+        const ssize_t n = ::write(STDOUT_FILENO, m_pending.data(), m_pending.size());
+        if (n > 0)
+            m_pending.erase(0, static_cast<std::size_t>(n));
+    }
+
+    std::string m_pending;
+    std::uint64_t m_dropped = 0;
+};
+
+void useAppender(const log4cplus::SharedAppenderPtr &appender, LogLevel level)
+{
+    appender->setLayout(
+        std::make_unique<log4cplus::PatternLayout>("time=%d{%Y-%m-%dT%H:%M:%S.%q}Z %m%n"));
+    logger().removeAllAppenders();
+    logger().addAppender(appender);
+    setLogLevel(level);
+    started.store(true, std::memory_order_release);
+}
+
+log4cplus::Initializer &initializer()
+{
+    static log4cplus::Initializer instance;
+    return instance;
+}
+
 } // namespace
 
 Result<LogLevel> logLevelFromString(std::string_view text)
@@ -101,18 +173,19 @@
 
 void startLog(LogLevel level, const std::string &file)
 {
-    static log4cplus::Initializer initializer;
-    log4cplus::SharedAppenderPtr appender;
+    initializer();
     if (file.empty())
-        appender = new log4cplus::ConsoleAppender(true, true);
+        useAppender(log4cplus::SharedAppenderPtr(new log4cplus::ConsoleAppender(true, true)), level);
     else
-        appender = new log4cplus::FileAppender(file, std::ios_base::app);
-    appender->setLayout(
-        std::make_unique<log4cplus::PatternLayout>("time=%d{%Y-%m-%dT%H:%M:%S.%q}Z %m%n"));
-    logger().removeAllAppenders();
-    logger().addAppender(appender);
-    setLogLevel(level);
-    started.store(true, std::memory_order_release);
+        useAppender(
+            log4cplus::SharedAppenderPtr(new log4cplus::FileAppender(file, std::ios_base::app)),
+            level);
+}
+
+void startLogOnStandardOutput(LogLevel level)
+{
+    initializer();
+    useAppender(log4cplus::SharedAppenderPtr(new NonBlockingAppender), level);
 }
 
 void setLogLevel(LogLevel level)
--- a/src/daemon/proxy_session.cpp
+++ b/src/daemon/proxy_session.cpp
@@ -5,7 +5,6 @@
 #include "net/http_text.h"
 
 #include <algorithm>
-#include <array>
 
 namespace dogwoodvalve {
 
@@ -14,45 +13,6 @@
 /// Unsent bytes beyond which the other side is not read.
 constexpr std::size_t HighWater = 256 * 1024;
 
-/// Fields that concern one connection only, and lengths, which are made anew.
-bool isHopByHop(std::string_view name)
-{
-    static constexpr std::array<std::string_view, 11> Names {
-        "connection", "keep-alive",       "proxy-authenticate", "proxy-authorization",
-        "te",         "trailer",          "transfer-encoding",  "upgrade",
-        "host",       "proxy-connection", "content-length"};
-    return std::any_of(Names.begin(), Names.end(),
-                       [name](std::string_view it) { return equalsIgnoringCase(it, name); });
-}
-
-/// Whether a field is named in the Connection field, which makes it hop-by-hop too.
-bool namedInConnection(std::string_view connection, std::string_view name)
-{
-    while (!connection.empty()) {
-        const std::size_t end = std::min(connection.find(','), connection.size());
-        std::string_view token = connection.substr(0, end);
-        while (!token.empty() && token.front() == ' ')
-            token.remove_prefix(1);
-        while (!token.empty() && token.back() == ' ')
-            token.remove_suffix(1);
-        if (equalsIgnoringCase(token, name))
-            return true;
-        connection.remove_prefix(std::min(end + 1, connection.size()));
-    }
-    return false;
-}
-
-std::vector<HttpField> endToEndFields(std::span<const HttpField> fields)
-{
-    const std::string_view connection = findField(fields, "Connection");
-    std::vector<HttpField> kept;
-    for (const HttpField &field : fields) {
-        if (!isHopByHop(field.name) && !namedInConnection(connection, field.name))
-            kept.push_back(field);
-    }
-    return kept;
-}
-
 } // namespace
 
 ProxySession::ProxySession(EntryContext &context, LoopServices &loop,
--- /dev/null
+++ b/src/gateway/fleet_view.cpp
@@ -0,0 +1,219 @@
+#include "gateway/fleet_view.h"
+
+#include "daemon/log.h"
+
+#include <algorithm>
+
+namespace dogwoodvalve {
+
+namespace {
+
+/// Time that a request may take from the check of its key until it reaches a server, with the
+/// uncertainty of ages that other hosts tell.
+constexpr Duration KeyCheckMargin = 800ms;
+/// A report of layers goes before the registration for this long: registrations lag by a heartbeat
+/// and the interval at which they are read.
+constexpr Duration ReportPrecedence = 4s;
+
+} // namespace
+
+FleetView::FleetView(TimerService &timers, HostDigest self, Duration keyRevocation)
+    : m_timers(timers)
+    , m_self(std::move(self))
+    , m_keyRevocation(keyRevocation)
+{ }
+
+bool FleetView::ready() const
+{
+    return m_configuration && m_serversKnown && !m_self.leaving;
+}
+
+Duration FleetView::configurationAge() const
+{
+    return m_configurationConfirmed ? m_timers.now() - m_configurationConfirmedAt : Duration::max();
+}
+
+Duration FleetView::serversAge() const
+{
+    return m_serversKnown ? m_timers.now() - m_serversReadAt : Duration::max();
+}
+
+bool FleetView::keysTrusted() const
+{
+    return m_configurationConfirmed && configurationAge() < m_keyRevocation - KeyCheckMargin;
+}
+
+HostDigest FleetView::digest()
+{
+    HostDigest digest = m_self;
+    digest.sequence = ++m_self.sequence;
+    digest.ready = ready();
+    digest.configurationVersion = m_configuration ? m_configuration->version() : 0;
+    digest.configurationAge = configurationAge();
+    digest.registrationsEnd = m_serversEnd;
+    digest.registrationsAge = serversAge();
+    for (const auto &[id, load] : m_loads) {
+        if (load->committed > 0)
+            digest.commitments.emplace(id, load->committed);
+        if (load->inFlight > 0)
+            digest.inFlight.emplace(id, load->inFlight);
+    }
+    return digest;
+}
+
+void FleetView::takeDigest(const HostDigest &digest)
+{
+    const TimePoint now = m_timers.now();
+    const bool known = m_hosts.peers().count(digest.name) > 0;
+    if (digest.name == m_self.name || !m_hosts.take(digest, now))
+        return;
+    if (!known)
+        LogEvent("host_discovered").field("host", digest.name).field("zone", digest.zone);
+    const bool same = m_configuration && digest.configurationVersion == m_configuration->version();
+    if (same && digest.configurationAge < m_keyRevocation)
+        onConfigurationConfirmed(now - digest.configurationAge);
+}
+
+std::shared_ptr<ServerLoad> FleetView::load(std::string_view server)
+{
+    auto it = m_loads.find(server);
+    if (it == m_loads.end())
+        it = m_loads.emplace(std::string(server), std::make_shared<ServerLoad>()).first;
+    return it->second;
+}
+
+LayerSpan FleetView::layersOf(const ServerRegistration &server) const
+{
+    const auto it = m_reported.find(server.id);
+    if (it == m_reported.end() || it->second.startedAtMs != server.startedAtMs
+        || m_timers.now() - it->second.at > ReportPrecedence)
+        return server.layers;
+    return it->second.layers;
+}
+
+void FleetView::noteLayers(const ServerRegistration &server, LayerSpan layers)
+{
+    m_reported[server.id] = {server.startedAtMs, layers, m_timers.now()};
+}
+
+const ServerRegistration *FleetView::serverAt(std::string_view address) const
+{
+    for (const auto &[id, server] : m_registry.servers()) {
+        if (server.address == address)
+            return &server;
+    }
+    return nullptr;
+}
+
+std::vector<PathServer> FleetView::pathServers(const ServiceRule &service) const
+{
+    std::vector<PathServer> servers;
+    if (!service.engine)
+        return servers;
+    const EngineProfile &profile = *service.engine;
+    const TimePoint now = m_timers.now();
+    for (const ServerRegistration *server : m_registry.available(service.name)) {
+        const AcceleratorKind *kind = profile.kind(server->kind);
+        const LayerSpan layers = layersOf(*server);
+        if (!kind || layers.empty() || !m_health.usable(server->id, server->startedAtMs, now))
+            continue;
+        PathServer part;
+        part.id = server->id;
+        part.zone = server->zone;
+        part.layers = layers;
+        part.stepMsPerLayer = profile.stepMs * kind->stepFactor / profile.layers;
+        part.readMsPerTokenLayer =
+            kind->readFactor / (profile.readTokensPerMs * profile.layers);
+        part.capacity = profile.contextCapacity(*kind, layers.size());
+        part.committed = m_hosts.committedElsewhere(server->id, now);
+        if (const auto it = m_loads.find(server->id); it != m_loads.end())
+            part.committed += it->second->committed;
+        servers.push_back(part);
+    }
+    return servers;
+}
+
+void FleetView::onConfiguration(FleetConfigurationPointer configuration, std::string_view document)
+{
+    if (m_configuration && configuration->version() <= m_configuration->version())
+        return;
+    m_configuration = std::move(configuration);
+    m_document = document;
+    LogEvent("configuration_in_force")
+        .field("version", m_configuration->version())
+        .field("routes", m_configuration->routeCount())
+        .field("services", m_configuration->services().size())
+        .field("bytes", document.size());
+    if (m_observer)
+        m_observer->configurationChanged();
+}
+
+void FleetView::onConfigurationConfirmed(TimePoint asOf)
+{
+    if (!m_configuration)
+        return;
+    if (!m_configurationConfirmed || asOf > m_configurationConfirmedAt)
+        m_configurationConfirmedAt = asOf;
+    m_configurationConfirmed = true;
+}
+
+void FleetView::onServer(const ServerRegistration &registration)
+{
+    std::erase(m_unconfirmedServers, registration.id);
+    const ServerRegistration *known = m_registry.find(registration.id);
+    const bool reborn = known && known->startedAtMs != registration.startedAtMs;
+    if (!m_registry.put(registration))
+        return;
+    if (reborn)
+        m_reported.erase(registration.id);
+    LogEvent::decision("server_changed")
+        .field("server", registration.id)
+        .field("service", registration.service)
+        .field("address", registration.address)
+        .field("zone", registration.zone)
+        .field("draining", registration.draining)
+        .field("started_ms", registration.startedAtMs)
+        .field("first_layer", registration.layers.first)
+        .field("end_layer", registration.layers.end);
+    if (m_observer)
+        m_observer->serversChanged();
+}
+
+void FleetView::onServerGone(std::string_view id)
+{
+    if (!m_registry.remove(id))
+        return;
+    m_reported.erase(std::string(id));
+    LogEvent::decision("server_gone").field("server", id);
+    if (m_observer)
+        m_observer->serversChanged();
+}
+
+void FleetView::onServersRead(std::uint64_t end, TimePoint asOf)
+{
+    const std::vector<std::string> gone = std::move(m_unconfirmedServers);
+    m_unconfirmedServers.clear();
+    for (const std::string &id : gone)
+        onServerGone(id);
+    m_serversEnd = end;
+    m_serversReadAt = asOf;
+    if (!std::exchange(m_serversKnown, true)) {
+        LogEvent("servers_known").field("count", m_registry.servers().size());
+        if (m_observer)
+            m_observer->serversChanged();
+    }
+    // Loads of servers that are gone are kept while streams still run there.
+    std::erase_if(m_loads, [this](const auto &entry) {
+        return entry.second.use_count() == 1 && !m_registry.find(entry.first);
+    });
+    m_health.retain([this](const std::string &id) { return m_registry.find(id) != nullptr; });
+}
+
+void FleetView::onServersReset()
+{
+    m_unconfirmedServers.clear();
+    for (const auto &[id, server] : m_registry.servers())
+        m_unconfirmedServers.push_back(id);
+}
+
+} // namespace dogwoodvalve
--- /dev/null
+++ b/src/gateway/fleet_view.h
@@ -0,0 +1,117 @@
+#pragma once
+
+#include "gateway/platform_interfaces.h"
+
+#include <dogwoodvalve/host_table.h>
+#include <dogwoodvalve/server_health.h>
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace dogwoodvalve {
+
+/// What this host has running on one server, and what it saw there last.
+struct ServerLoad
+{
+    /// Context memory promised, in tokens x layers.
+    double committed = 0;
+    /// Requests of plain services.
+    int inFlight = 0;
+    /// Streams that have a part on the server.
+    int streams = 0;
+    /// When a stream that runs over the server last brought an event.
+    TimePoint progressAt {};
+};
+
+/// Told when the view has changed.
+class FleetViewObserver
+{
+public:
+    virtual ~FleetViewObserver() = default;
+    virtual void configurationChanged() = 0;
+    virtual void serversChanged() = 0;
+};
+
+/// What this host believes of the configuration, the servers and the other hosts, and how old each
+/// belief is. It belongs to the thread of the event loop.
+class FleetView : public FeedEvents
+{
+public:
+    FleetView(TimerService &timers, HostDigest self, Duration keyRevocation);
+
+    void setObserver(FleetViewObserver *observer) { m_observer = observer; }
+
+    const FleetConfigurationPointer &configuration() const { return m_configuration; }
+    const std::string &configurationDocument() const { return m_document; }
+    const ServerRegistry &registry() const { return m_registry; }
+    ServerHealth &health() { return m_health; }
+    HostTable &hosts() { return m_hosts; }
+    const HostTable &hosts() const { return m_hosts; }
+
+    /// This host's digest as of now.
+    HostDigest digest();
+    void setLeaving() { m_self.leaving = true; }
+    bool leaving() const { return m_self.leaving; }
+    /// Whether callers can be served: a configuration and the servers are known.
+    bool ready() const;
+
+    /// Whether callers' keys can still be judged. A host that neither the store nor another host has
+    /// confirmed for too long could accept a key that was taken away.
+    bool keysTrusted() const;
+    Duration configurationAge() const;
+    Duration serversAge() const;
+
+    /// Adopts what another host tells of itself. Its knowledge of an equal configuration counts as
+    /// confirmation.
+    void takeDigest(const HostDigest &digest);
+
+    std::shared_ptr<ServerLoad> load(std::string_view server);
+    /// Layers that a server holds: its registration, or what it has reported since.
+    LayerSpan layersOf(const ServerRegistration &server) const;
+    /// The server has reported its layers, or has refused work for layers that it lacks.
+    void noteLayers(const ServerRegistration &server, LayerSpan layers);
+
+    /// Servers that can be parts of a path, with all hosts' commitments.
+    std::vector<PathServer> pathServers(const ServiceRule &service) const;
+    const ServerRegistration *serverAt(std::string_view address) const;
+
+    void onConfiguration(FleetConfigurationPointer configuration,
+                         std::string_view document) override;
+    void onConfigurationConfirmed(TimePoint asOf) override;
+    void onServer(const ServerRegistration &registration) override;
+    void onServerGone(std::string_view id) override;
+    void onServersRead(std::uint64_t end, TimePoint asOf) override;
+    void onServersReset() override;
+
+private:
+    /// Layers that were learnt otherwise than by the registration.
+    struct ReportedLayers
+    {
+        std::int64_t startedAtMs = 0;
+        LayerSpan layers;
+        TimePoint at {};
+    };
+
+    TimerService &m_timers;
+    HostDigest m_self;
+    Duration m_keyRevocation;
+    FleetViewObserver *m_observer = nullptr;
+    FleetConfigurationPointer m_configuration;
+    std::string m_document;
+    TimePoint m_configurationConfirmedAt {};
+    bool m_configurationConfirmed = false;
+    ServerRegistry m_registry;
+    std::uint64_t m_serversEnd = 0;
+    TimePoint m_serversReadAt {};
+    bool m_serversKnown = false;
+    /// Ids that a reading of all registrations has not named again yet.
+    std::vector<std::string> m_unconfirmedServers;
+    ServerHealth m_health;
+    HostTable m_hosts;
+    std::map<std::string, std::shared_ptr<ServerLoad>, std::less<>> m_loads;
+    std::map<std::string, ReportedLayers, std::less<>> m_reported;
+};
+
+} // namespace dogwoodvalve
--- /dev/null
+++ b/src/gateway/front_api.cpp
@@ -0,0 +1,105 @@
+#include "gateway/front_api.h"
+
+#include "daemon/log.h"
+#include "gateway/request_session.h"
+#include "net/http_text.h"
+
+namespace dogwoodvalve {
+
+namespace {
+
+constexpr int StatusBadRequest = 400;
+constexpr int StatusUnauthorized = 401;
+constexpr int StatusNotFound = 404;
+constexpr int StatusTooLarge = 413;
+constexpr int StatusUnavailable = 503;
+constexpr std::size_t MostBodyBytes = 16U << 20;
+/// A host that does not know enough to serve is likely to know it by then, or to be left out of
+/// look-ups.
+constexpr Duration RetryAfterNotReady = 500ms;
+
+} // namespace
+
+void FrontApi::handle(const std::shared_ptr<HttpExchange> &exchange)
+{
+    FleetView &view = m_node.view();
+    if (view.leaving())
+        exchange->closeAfterAnswer();
+    AcceptedRequest request;
+    request.exchange = exchange;
+    request.arrivedAt = m_node.now();
+    request.caller = m_node.dialect().decodeRequest(*exchange);
+    request.configuration = view.configuration();
+    if (!request.configuration || !view.ready()) {
+        if (!view.leaving() || !request.configuration)
+            return answer(exchange, request.caller, StatusUnavailable,
+                          {ErrorKind::Unavailable, "the configuration is not known yet",
+                           "send it again later"});
+    }
+    request.route = request.configuration->findRoute(request.caller.host,
+                                                     pathOf(exchange->target()));
+    if (!request.route)
+        return answer(exchange, request.caller, StatusNotFound,
+                      {ErrorKind::NotFound, "no route for this host and path",
+                       "see the routes in the configuration"});
+    request.priority = request.route->priority;
+    if (!request.route->open && request.configuration->hasWorkspaces()) {
+        if (!view.keysTrusted())
+            return answer(exchange, request.caller, StatusUnavailable,
+                          {ErrorKind::Unavailable, "keys can't be checked now",
+                           "use another address"});
+        const WorkspaceRule *workspace =
+            request.configuration->findWorkspace(request.caller.key);
+        if (!workspace)
+            return answer(exchange, request.caller, StatusUnauthorized,
+                          {ErrorKind::Unauthorized, "unknown key", "use a key in force"});
+        request.workspace = workspace->name;
+        request.priority = workspace->priority.value_or(request.priority);
+    }
+    const WeightedService *service =
+        chooseService(*request.route, m_node.random().fraction());
+    request.service = service ? request.configuration->findService(service->service) : nullptr;
+    if (!request.service)
+        return answer(exchange, request.caller, StatusUnavailable,
+                      {ErrorKind::Unavailable, "the route's service is not configured",
+                       "add the service"});
+    readBody(std::move(request));
+}
+
+void FrontApi::readBody(AcceptedRequest request)
+{
+    auto exchange = request.exchange;
+    auto shared = std::make_shared<AcceptedRequest>(std::move(request));
+    exchange->readBody(MostBodyBytes, [this, shared](Result<std::string> body) {
+        if (!body) {
+            // A caller that went away while it sent needs no answer.
+            if (body.error().kind != ErrorKind::Unavailable)
+                answer(shared->exchange, shared->caller,
+                       body.error().kind == ErrorKind::TooLarge ? StatusTooLarge
+                                                                : StatusBadRequest,
+                       body.error());
+            return;
+        }
+        shared->body = std::move(body.value());
+        makeSession(m_node, std::move(*shared))->start();
+    });
+}
+
+void FrontApi::answer(const std::shared_ptr<HttpExchange> &exchange, const CallerRequest &caller,
+                      int status, const Error &error)
+{
+    LogEvent::decision("refused")
+        .field("request", caller.id)
+        .field("status", status)
+        .field("reason", error.message)
+        .field("version",
+               m_node.view().configuration() ? m_node.view().configuration()->version() : 0)
+        .field("configuration_age_ms", m_node.view().configurationAge().count() / 1000);
+    m_node.metrics().countRequest("refused");
+    const auto pause = status == StatusUnavailable ? std::optional<Duration>(RetryAfterNotReady)
+                                                   : std::nullopt;
+    exchange->respond(status, m_node.dialect().refusalFields(caller.id, pause),
+                      errorBody(error, "not_run"));
+}
+
+} // namespace dogwoodvalve
--- /dev/null
+++ b/src/gateway/front_api.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include "gateway/gateway_node.h"
+#include "net/http_server.h"
+
+namespace dogwoodvalve {
+
+struct AcceptedRequest;
+
+/// Takes callers' requests: finds route and workspace, reads the body and starts a session. What can't
+/// be served by the configuration in force is answered at once.
+class FrontApi : public HttpHandler
+{
+public:
+    explicit FrontApi(GatewayNode &node)
+        : m_node(node)
+    { }
+
+    void handle(const std::shared_ptr<HttpExchange> &exchange) override;
+
+private:
+    void answer(const std::shared_ptr<HttpExchange> &exchange, const CallerRequest &caller,
+                int status, const Error &error);
+    void readBody(AcceptedRequest request);
+
+    GatewayNode &m_node;
+};
+
+} // namespace dogwoodvalve
--- /dev/null
+++ b/src/gateway/gateway_node.cpp
@@ -0,0 +1,100 @@
+#include "gateway/gateway_node.h"
+
+#include "gateway/request_session.h"
+
+#include <dogwoodvalve/hash.h>
+
+namespace dogwoodvalve {
+
+namespace {
+
+HostDigest selfDigest(const GatewaySettings &settings, std::int64_t startedAtMs)
+{
+    HostDigest digest;
+    digest.name = settings.name;
+    digest.zone = settings.zone;
+    digest.callerAddress = settings.listen;
+    digest.peerAddress = settings.peerListen;
+    digest.startedAtMs = startedAtMs;
+    return digest;
+}
+
+} // namespace
+
+std::string_view toString(OrderOutcome outcome)
+{
+    switch (outcome) {
+    case OrderOutcome::Begun:
+        return "begun";
+    case OrderOutcome::AlreadyHolds:
+        return "already_holds";
+    case OrderOutcome::Conflict:
+        return "conflict";
+    case OrderOutcome::Fenced:
+        return "fenced";
+    case OrderOutcome::WrongServer:
+        return "wrong_server";
+    case OrderOutcome::Unknown:
+        return "unknown";
+    }
+    return "unknown";
+}
+
+GatewayNode::GatewayNode(LoopServices &loop, const GatewaySettings &settings,
+                         GatewayPlatform platform, std::int64_t startedAtMs)
+    : m_loop(loop)
+    , m_settings(settings)
+    , m_platform(std::move(platform))
+    , m_view(loop.timers(), selfDigest(settings, startedAtMs), settings.keyRevocation)
+    , m_random(stableHash(settings.name, static_cast<std::uint64_t>(startedAtMs)))
+{ }
+
+WaitQueue &GatewayNode::queue(const std::string &service)
+{
+    return m_queues[service];
+}
+
+SharedRetryBudget &GatewayNode::retryBudget(const std::string &service)
+{
+    return m_budgets.try_emplace(service, m_settings.retries).first->second;
+}
+
+bool GatewayNode::takeRetry(const std::string &service)
+{
+    return retryBudget(service).take(now(), m_view.hosts().liveHosts(now()));
+}
+
+void GatewayNode::sessionStarted(const std::shared_ptr<RequestSession> &session)
+{
+    m_sessions.insert(session);
+}
+
+void GatewayNode::sessionEnded(const std::shared_ptr<RequestSession> &session)
+{
+    m_sessions.erase(session);
+    m_loop.post([this] { pumpQueues(); });
+}
+
+void GatewayNode::pumpQueues()
+{
+    for (auto &[service, queue] : m_queues) {
+        if (!queue.empty())
+            queue.pump();
+    }
+}
+
+void GatewayNode::refreshGauges()
+{
+    std::size_t waiting = 0;
+    for (const auto &[service, queue] : m_queues)
+        waiting += queue.size();
+    m_metrics.setOpen(m_sessions.size());
+    m_metrics.setWaiting(waiting);
+    const auto &configuration = m_view.configuration();
+    m_metrics.setConfiguration(configuration ? configuration->version() : 0,
+                               m_view.configurationAge());
+    m_metrics.setServers(m_view.registry().servers().size(), m_view.serversAge());
+    m_metrics.setLiveHosts(m_view.hosts().liveHosts(now()));
+}
+
+} // namespace dogwoodvalve
--- /dev/null
+++ b/src/gateway/gateway_process.cpp
@@ -0,0 +1,178 @@
+#include "gateway/gateway_process.h"
+
+#include "daemon/log.h"
+#include "gateway/front_api.h"
+#include "gateway/gateway_node.h"
+#include "gateway/peer_exchange.h"
+#include "gateway/placement_controller.h"
+#include "gateway/support_api.h"
+#include "net/asio_loop_services.h"
+#include "net/endpoint.h"
+
+#include <boost/asio/signal_set.hpp>
+
+#include <chrono>
+#include <csignal>
+#include <cstdio>
+
+namespace dogwoodvalve {
+
+namespace {
+
+constexpr Duration PumpInterval = 25ms;
+constexpr Duration DrainPoll = 50ms;
+/// Callers may keep the answer to a look-up for this long after a host began to leave.
+constexpr Duration LeastDrain = 2500ms;
+/// Ends before the platform kills the process.
+constexpr Duration GraceMargin = 400ms;
+/// Callers' connections may be idle for the configuration's limit, which this exceeds.
+constexpr Duration CallerIdleTimeout = 120s;
+
+std::int64_t unixMillis()
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(
+               std::chrono::system_clock::now().time_since_epoch())
+        .count();
+}
+
+HttpServerLimits callerLimits()
+{
+    HttpServerLimits limits;
+    limits.maxHeaderBytes = 64 * 1024;
+    limits.maxBodyBytes = 16U << 20;
+    limits.maxConnections = 3'000;
+    limits.idleTimeout = CallerIdleTimeout;
+    return limits;
+}
+
+/// All parts of a gateway host, and its end in good order.
+class GatewayProcess : public FleetViewObserver
+{
+public:
+    GatewayProcess(const GatewaySettings &settings, const GatewayPlatformFactory &platform)
+        : m_services(m_loop)
+        , m_signals(m_loop, SIGTERM, SIGINT, SIGHUP)
+        , m_node(m_services, settings, platform(m_services), unixMillis())
+        , m_peers(m_loop, m_node)
+        , m_placement(m_node)
+        , m_frontApi(m_node)
+        , m_supportApi(m_node)
+        , m_front(m_loop, m_frontApi, callerLimits())
+        , m_lookup(m_loop, m_supportApi, {})
+        , m_readiness(m_loop, m_supportApi, {})
+        , m_peerServer(m_loop, m_supportApi, {})
+        , m_metricsServer(m_loop, m_supportApi, {})
+    { }
+
+    int run()
+    {
+        if (const Result<void> started = start(); !started) {
+            std::fprintf(stderr, "dogwoodvalve: %s\n", started.error().describe().c_str());
+            return 1;
+        }
+        LogEvent("started")
+            .field("host", m_node.settings().name)
+            .field("zone", m_node.settings().zone)
+            .field("listen", m_node.settings().listen);
+        m_loop.run();
+        LogEvent("stopped").field("open", m_node.openSessions());
+        return 0;
+    }
+
+    void configurationChanged() override { m_node.pumpQueues(); }
+    void serversChanged() override { m_node.pumpQueues(); }
+
+private:
+    Result<void> start()
+    {
+        const GatewaySettings &settings = m_node.settings();
+        const std::pair<HttpServer *, const std::string *> servers[] {
+            {&m_front, &settings.listen},
+            {&m_lookup, &settings.lookupListen},
+            {&m_readiness, &settings.readinessListen},
+            {&m_peerServer, &settings.peerListen},
+            {&m_metricsServer, &settings.metricsListen}};
+        for (const auto &[server, address] : servers) {
+            const auto endpoint = parseEndpoint(*address);
+            if (!endpoint)
+                return endpoint.error();
+            if (const Result<void> listening = server->listen(endpoint.value()); !listening)
+                return listening;
+        }
+        m_node.view().setObserver(this);
+        m_node.platform().feed->start(m_node.view());
+        if (const Result<void> started = m_peers.start(); !started)
+            return started;
+        m_placement.start();
+        pump();
+        awaitSignal();
+        return BOOST_OUTCOME_V2_NAMESPACE::success();
+    }
+
+    void pump()
+    {
+        m_node.pumpQueues();
+        m_services.timers().subscribe(m_node.now() + PumpInterval, [this] { pump(); });
+    }
+
+    void awaitSignal()
+    {
+        m_signals.async_wait([this](boost::system::error_code ec, int signal) {
+            if (ec)
+                return;
+            LogEvent("signal").field("number", signal);
+            if (signal != SIGHUP)
+                drain();
+            awaitSignal();
+        });
+    }
+
+    void drain()
+    {
+        if (m_node.view().leaving())
+            return;
+        m_node.view().setLeaving();
+        m_peers.sendNow();
+        m_placement.stop();
+        m_node.platform().coordination->leaveLease(m_node.settings().name);
+        m_node.platform().coordination->withdraw(m_node.settings().name);
+        LogEvent("draining").field("open", m_node.openSessions());
+        m_drainStarted = m_node.now();
+        awaitEmpty();
+    }
+
+    void awaitEmpty()
+    {
+        const Duration elapsed = m_node.now() - m_drainStarted;
+        const bool empty = m_node.openSessions() == 0 && m_front.unfinishedExchanges() == 0;
+        if ((empty && elapsed >= LeastDrain) || elapsed >= m_node.settings().grace - GraceMargin)
+            return m_loop.stop();
+        m_services.timers().subscribe(m_node.now() + DrainPoll, [this] { awaitEmpty(); });
+    }
+
+    boost::asio::io_context m_loop {1};
+    AsioLoopServices m_services;
+    boost::asio::signal_set m_signals;
+    GatewayNode m_node;
+    PeerExchange m_peers;
+    PlacementController m_placement;
+    FrontApi m_frontApi;
+    SupportApi m_supportApi;
+    HttpServer m_front;
+    HttpServer m_lookup;
+    HttpServer m_readiness;
+    HttpServer m_peerServer;
+    HttpServer m_metricsServer;
+    TimePoint m_drainStarted {};
+};
+
+} // namespace
+
+int runGatewayProcess(const GatewaySettings &settings, const GatewayPlatformFactory &platform)
+{
+    startLogOnStandardOutput(settings.logLevel);
+    setDecisionLogRate(static_cast<std::uint32_t>(settings.decisionLogRate));
+    return GatewayProcess(settings, platform).run();
+}
+
+} // namespace dogwoodvalve
--- /dev/null
+++ b/src/gateway/gateway_settings.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "daemon/log.h"
+#include "net/http_server.h"
+
+#include <dogwoodvalve/shared_retry_budget.h>
+
+#include <string>
+#include <string_view>
+
+namespace dogwoodvalve {
+
+/// Everything that a gateway host learns from its settings file.
+struct GatewaySettings
+{
+    std::string name;
+    std::string zone;
+    std::string region;
+    /// IP:PORT for callers, for look-ups of callers' addresses, for the platform's readiness
+    /// checks, for other gateway hosts (TCP and UDP), and for metrics.
+    std::string listen;
+    std::string lookupListen;
+    std::string readinessListen;
+    std::string peerListen;
+    std::string metricsListen;
+    /// IP:PORT of the platform's store.
+    std::string store;
+    /// Time from SIGTERM to SIGKILL.
+    Duration grace = 8s;
+    /// A key that was taken away must not be accepted any more after this time.
+    Duration keyRevocation = 5s;
+    /// How long callers may keep the answer to a look-up.
+    Duration lookupTimeToLive = 2s;
+    RetryAllowance retries;
+    LogLevel logLevel = LogLevel::Info;
+    int decisionLogRate = 200;
+};
+
+/// Reads settings from YAML. Errors name the file, the line, the key and the remedy.
+Result<GatewaySettings> readGatewaySettings(std::string_view yaml, std::string_view file);
+
+} // namespace dogwoodvalve
--- /dev/null
+++ b/src/gateway/generation_session.cpp
@@ -0,0 +1,330 @@
+#include "gateway/generation_session.h"
+
+#include "daemon/log.h"
+
+#include <algorithm>
+
+namespace dogwoodvalve {
+
+namespace {
+
+/// Unsent bytes to the caller beyond which the engine is not read.
+constexpr std::size_t HighWater = 128 * 1024;
+/// A stream without events for this many expected pauses, and at least the least time, may have lost a
+/// part of its path. Callers leave after 2 s of silence.
+constexpr int StallPauses = 8;
+constexpr Duration LeastStall = 350ms;
+/// Waiting for the first event includes the queues of all engines of the path.
+constexpr int FirstEventFactor = 4;
+constexpr Duration LeastFirstStall = 700ms;
+/// If all parts of a silent stream's path serve others, the stream is held up rather than lost.
+constexpr Duration LongestStall = 1300ms;
+/// Part of the target for the first event that may be spent waiting for room here.
+constexpr double WaitShare = 0.6;
+constexpr Duration RetryAfterRefusal = 500ms;
+constexpr int StatusBadGateway = 502;
+constexpr int StatusUnavailable = 503;
+constexpr int StatusWrongServer = 421;
+/// Engines admit 0 first; the middle of their ten levels stands for routes of rank 1.
+constexpr int MostUrgency = 9;
+
+std::string describePath(std::span<const PathServer> servers, std::span<const PathPart> parts)
+{
+    std::string text;
+    for (const PathPart &part : parts) {
+        if (!text.empty())
+            text += ',';
+        text += std::string(servers[part.server].id) + ':' + std::to_string(part.layers.first)
+            + '-' + std::to_string(part.layers.end);
+    }
+    return text;
+}
+
+} // namespace
+
+GenerationSession::GenerationSession(GatewayNode &node, AcceptedRequest request)
+    : RequestSession(node, std::move(request))
+    , m_order(m_request.caller.lastEventId)
+{
+    m_size = *m_request.caller.size;
+    if (m_size.answerTokens <= 0)
+        m_size.answerTokens = m_request.service->engine->usualAnswerTokens;
+}
+
+GenerationSession::~GenerationSession()
+{
+    m_node.timers().cancel(m_stallTimer);
+}
+
+Duration GenerationSession::longestUsefulWait() const
+{
+    return Duration(static_cast<Duration::rep>(
+        static_cast<double>(m_request.route->firstByteTarget.count()) * WaitShare));
+}
+
+bool GenerationSession::tryStart()
+{
+    FleetView &view = m_node.view();
+    const EngineProfile &profile = *m_request.service->engine;
+    std::vector<PathServer> servers = view.pathServers(*m_request.service);
+    std::erase_if(servers, [this](const PathServer &server) {
+        return m_avoided.count(std::string(server.id)) > 0;
+    });
+    const PathSelector selector(profile.layers, profile.stepsPerPass, HopCosts {});
+    auto path = selector.select(servers, m_size);
+    if (!path)
+        return false;
+    m_path = std::move(*path);
+    m_pathText = describePath(servers, m_path.parts);
+    std::vector<DispatchPart> parts;
+    m_parts.clear();
+    for (const PathPart &part : m_path.parts) {
+        const PathServer &server = servers[part.server];
+        const ServerRegistration *registration = view.registry().find(server.id);
+        Part mine {registration->id, registration->address, registration->startedAtMs,
+                   view.load(server.id), m_size.total() * part.layers.size()};
+        mine.load->committed += mine.committed;
+        ++mine.load->streams;
+        m_parts.push_back(std::move(mine));
+        parts.push_back({registration->address, part.layers});
+    }
+    DispatchRequest request;
+    const ServerRegistration *first = view.registry().find(m_parts.front().server);
+    request.server = first;
+    request.workspace = m_request.workspace;
+    request.timeLeft = timeLeft();
+    if (m_order.last())
+        request.lastEventId = m_order.last();
+    request.path = parts;
+    request.urgency = std::clamp(m_request.priority, 0, MostUrgency);
+    m_splitter.discardUnfinished();
+    m_answerBody.clear();
+    m_eventsOfAttempt = 0;
+    m_progressAt = m_node.now();
+    dispatch(*first, request, m_attempts == 0 ? "least_time" : "continue");
+    watchForStall();
+    return true;
+}
+
+void GenerationSession::releaseAttempt()
+{
+    m_node.timers().cancel(m_stallTimer);
+    m_stallTimer = 0;
+    if (m_parts.empty())
+        return;
+    for (const Part &part : m_parts) {
+        part.load->committed -= part.committed;
+        --part.load->streams;
+    }
+    m_parts.clear();
+    m_node.queue(m_request.service->name).predictor().noteDone(m_size.total(), m_node.now());
+}
+
+void GenerationSession::onHead(int status, std::span<const HttpField> fields)
+{
+    m_answer = m_node.dialect().decodeAnswer(status, fields, m_request.caller.id);
+    m_streaming = status == 200 && m_answer.stamped && m_answer.idMatches && !m_answer.encoded;
+    if (!m_streaming || !m_responded)
+        m_answerFields = m_node.dialect().answerFields(fields);
+}
+
+void GenerationSession::onBody(std::string_view part)
+{
+    if (!m_streaming) {
+        m_answerBody += part;
+        return;
+    }
+    m_splitter.append(part);
+    deliverEvents();
+}
+
+void GenerationSession::deliverEvents()
+{
+    const auto keep = shared_from_this();
+    std::string whole;
+    bool inOrder = true;
+    while (inOrder) {
+        const auto event = m_splitter.next();
+        if (!event)
+            break;
+        const EventVerdict verdict = m_order.check(event->id);
+        inOrder = verdict != EventVerdict::OutOfOrder;
+        if (verdict != EventVerdict::Deliver)
+            continue;
+        whole += event->bytes;
+        ++m_events;
+        ++m_eventsOfAttempt;
+    }
+    if (!whole.empty()) {
+        if (!std::exchange(m_responded, true)) {
+            m_request.exchange->beginStream(m_answer.status, m_answerFields);
+            m_node.metrics().observeFirstByte(m_node.now() - m_request.arrivedAt);
+        }
+        m_request.exchange->write(whole);
+        noteProgress();
+    }
+    if (!inOrder || m_splitter.overflowed())
+        return continueElsewhere("the engine's events are out of order", true);
+    if (m_request.exchange->pendingBytes() > HighWater && m_client) {
+        m_client->pauseReading(true);
+        m_request.exchange->onDrained([weak = weak_from_this()] {
+            const auto self = std::static_pointer_cast<GenerationSession>(weak.lock());
+            if (self && self->m_client)
+                self->m_client->pauseReading(false);
+        });
+    }
+}
+
+void GenerationSession::noteProgress()
+{
+    const TimePoint now = m_node.now();
+    if (m_events > 1)
+        m_node.metrics().observeEventGap(now - m_progressAt);
+    if (m_lostAt != TimePoint {}) {
+        m_node.metrics().observeRepair(now - m_lostAt);
+        m_lostAt = {};
+    }
+    m_progressAt = now;
+    for (const Part &part : m_parts)
+        part.load->progressAt = now;
+}
+
+Duration GenerationSession::stallLimit() const
+{
+    if (m_eventsOfAttempt == 0)
+        return std::max<Duration>(LeastFirstStall, m_path.firstEvent * FirstEventFactor);
+    const int steps = m_request.service->engine->stepsPerPass;
+    return std::max<Duration>(LeastStall, m_path.stepTime * steps * StallPauses);
+}
+
+void GenerationSession::watchForStall()
+{
+    m_stallTimer =
+        m_node.timers().subscribe(m_progressAt + stallLimit(), [weak = weak_from_this()] {
+            const auto self = std::static_pointer_cast<GenerationSession>(weak.lock());
+            if (self && !self->m_ended && !self->m_parts.empty())
+                self->checkStall();
+        });
+}
+
+/// Looks for parts over which no stream at all has brought an event since this one fell silent.
+void GenerationSession::checkStall()
+{
+    const TimePoint now = m_node.now();
+    const Duration silence = now - m_progressAt;
+    if (silence < stallLimit() || m_request.exchange->pendingBytes() > 0)
+        return watchForStall();
+    std::vector<const Part *> silent;
+    for (const Part &part : m_parts) {
+        if (now - part.load->progressAt >= LeastStall)
+            silent.push_back(&part);
+    }
+    if (silent.empty() && silence < LongestStall) {
+        m_stallTimer = m_node.timers().subscribe(now + LeastStall, [weak = weak_from_this()] {
+            const auto self = std::static_pointer_cast<GenerationSession>(weak.lock());
+            if (self && !self->m_ended && !self->m_parts.empty())
+                self->checkStall();
+        });
+        return;
+    }
+    // With several silent parts any of them may be the dead one; single ones are blamed.
+    if (silent.size() == 1)
+        blame(*silent.front(), ServerEvidence::Unreachable);
+    for (const Part *part : silent)
+        m_avoided.insert(part->server);
+    continueElsewhere("no event for too long", true);
+}
+
+void GenerationSession::blame(const Part &part, ServerEvidence evidence)
+{
+    m_avoided.insert(part.server);
+    m_node.view().health().note(part.server, part.startedAtMs, evidence, m_node.now());
+    LogEvent::decision("server_blamed")
+        .field("request", m_request.caller.id)
+        .field("server", part.server)
+        .field("streams", part.load->streams)
+        .field("silent_ms", (m_node.now() - part.load->progressAt).count() / 1000)
+        .field("evidence", static_cast<int>(evidence));
+}
+
+void GenerationSession::onEnd()
+{
+    const auto keep = shared_from_this();
+    if (!m_streaming)
+        return takeRefusal();
+    if (m_splitter.unfinishedBytes() > 0)
+        return continueElsewhere("the stream ended within an event", true);
+    if (!std::exchange(m_responded, true))
+        m_request.exchange->beginStream(m_answer.status, m_answerFields);
+    for (const Part &part : m_parts)
+        m_node.view().health().note(part.server, part.startedAtMs, ServerEvidence::Served,
+                                    m_node.now());
+    m_request.exchange->endStream();
+    finish("complete", std::to_string(m_answer.status));
+}
+
+/// An answer that is no stream: the engine, or another one of the path, did not take the request, or
+/// failed it.
+void GenerationSession::takeRefusal()
+{
+    if (!m_answer.notRun) {
+        const bool own = m_answer.stamped && m_answer.idMatches && !m_answer.encoded;
+        if (!m_parts.empty())
+            blame(m_parts.front(), ServerEvidence::Failed);
+        if (own && m_answer.status != 200 && !m_responded && !takeAnotherAttempt(true)) {
+            m_responded = true;
+            m_request.exchange->respond(m_answer.status, m_answerFields, m_answerBody);
+            return finish("complete", std::to_string(m_answer.status));
+        }
+        if (own && m_answer.status != 200 && !m_responded) {
+            closeAttempt();
+            return startOrWait(true);
+        }
+        return continueElsewhere("the answer is not the engine's own", true);
+    }
+    const auto at = std::find_if(m_parts.begin(), m_parts.end(), [this](const Part &part) {
+        return part.address == m_answer.faultyAddress;
+    });
+    const Part &faulty = at == m_parts.end() ? m_parts.front() : *at;
+    blame(faulty,
+          m_answer.status == StatusWrongServer ? ServerEvidence::Unreachable
+                                               : ServerEvidence::Refused);
+    continueElsewhere("engine " + faulty.server + " refused with "
+                          + std::to_string(m_answer.status),
+                      false);
+}
+
+void GenerationSession::onError(const Error &error)
+{
+    const auto keep = shared_from_this();
+    const bool sent = m_client && m_client->anyByteSent();
+    if (!m_parts.empty())
+        blame(m_parts.front(), sent ? ServerEvidence::Failed : ServerEvidence::Unreachable);
+    continueElsewhere(error.message, sent);
+}
+
+void GenerationSession::continueElsewhere(std::string_view reason, bool ran)
+{
+    if (m_ended)
+        return;
+    LogEvent::decision("attempt_failed")
+        .field("request", m_request.caller.id)
+        .field("path", m_pathText)
+        .field("reason", reason)
+        .field("events", m_events)
+        .field("silent_ms", (m_node.now() - m_progressAt).count() / 1000)
+        .field("may_have_run", ran);
+    if (m_lostAt == TimePoint {})
+        m_lostAt = m_progressAt;
+    m_mayHaveRun = ran || m_ranAttempts > 0;
+    closeAttempt();
+    const bool repeatable = m_request.route->repetition == Repetition::Resumable || !ran;
+    if (repeatable && takeAnotherAttempt(ran))
+        return startOrWait(true);
+    const Error error {ErrorKind::Unavailable, std::string(reason), "send it again later"};
+    if (m_mayHaveRun || m_responded)
+        return fail(StatusBadGateway, error);
+    refuse(StatusUnavailable, error, RetryAfterRefusal);
+}
+
+} // namespace dogwoodvalve
--- /dev/null
+++ b/src/gateway/generation_session.h
@@ -0,0 +1,70 @@
+#pragma once
+
+#include "gateway/request_session.h"
+
+#include <dogwoodvalve/event_stream.h>
+
+#include <set>
+
+namespace dogwoodvalve {
+
+/// A generation on a path of engines: the first engine streams the events of the whole path. Only whole
+/// events reach the caller, with ids that rise by one. When a part of the path dies or stalls, the stream
+/// goes on on another path after the last event that was delivered.
+class GenerationSession : public RequestSession
+{
+public:
+    GenerationSession(GatewayNode &node, AcceptedRequest request);
+    ~GenerationSession() override;
+
+    bool tryStart() override;
+    double work() const override { return m_size.total(); }
+
+    void onHead(int status, std::span<const HttpField> fields) override;
+    void onBody(std::string_view part) override;
+    void onEnd() override;
+    void onError(const Error &error) override;
+
+protected:
+    Duration longestUsefulWait() const override;
+    void releaseAttempt() override;
+
+private:
+    /// A part of the path in hand.
+    struct Part
+    {
+        std::string server;
+        std::string address;
+        std::int64_t startedAtMs = 0;
+        std::shared_ptr<ServerLoad> load;
+        double committed = 0;
+    };
+
+    void deliverEvents();
+    void noteProgress();
+    void watchForStall();
+    void checkStall();
+    Duration stallLimit() const;
+    void takeRefusal();
+    void continueElsewhere(std::string_view reason, bool ran);
+    void blame(const Part &part, ServerEvidence evidence);
+
+    SequenceSize m_size;
+    std::vector<Part> m_parts;
+    EnginePath m_path;
+    /// Servers that have failed this request.
+    std::set<std::string> m_avoided;
+    EventSplitter m_splitter;
+    EventOrder m_order;
+    ServerAnswer m_answer;
+    std::vector<HttpField> m_answerFields;
+    std::string m_answerBody;
+    int m_events = 0;
+    int m_eventsOfAttempt = 0;
+    TimePoint m_progressAt {};
+    TimePoint m_lostAt {};
+    TimerId m_stallTimer = 0;
+    bool m_streaming = false;
+};
+
+} // namespace dogwoodvalve
--- /dev/null
+++ b/src/gateway/peer_exchange.cpp
@@ -0,0 +1,186 @@
+#include "gateway/peer_exchange.h"
+
+#include "daemon/log.h"
+#include "gateway/host_digest_codec.h"
+#include "gateway/support_api.h"
+#include "net/endpoint.h"
+#include "net/whole_request.h"
+
+namespace dogwoodvalve {
+
+namespace {
+
+/// Commitments of other hosts are this old at most; 8 requests a second may come to a host meanwhile.
+constexpr Duration DigestInterval = 100ms;
+/// Hosts that the store names are looked up again this often, for those that no digest reached.
+constexpr Duration FindInterval = 8s;
+constexpr Duration FindRetry = 700ms;
+constexpr Duration PullTimeout = 1s;
+
+} // namespace
+
+PeerExchange::PeerExchange(boost::asio::io_context &loop, GatewayNode &node)
+    : m_node(node)
+    , m_socket(loop)
+{ }
+
+PeerExchange::~PeerExchange()
+{
+    stop();
+}
+
+Result<void> PeerExchange::start()
+{
+    const auto endpoint = parseEndpoint(m_node.settings().peerListen);
+    if (!endpoint)
+        return endpoint.error();
+    const boost::asio::ip::udp::endpoint local(endpoint.value().address(),
+                                               endpoint.value().port());
+    boost::system::error_code ec;
+    m_socket.open(local.protocol(), ec);
+    if (!ec)
+        m_socket.bind(local, ec);
+    if (ec)
+        return Error {ErrorKind::Unavailable,
+                      "cannot bind " + m_node.settings().peerListen + ": " + ec.message(),
+                      "give a free address of this host"};
+    m_socket.non_blocking(true, ec);
+    receive();
+    announce();
+    findHosts();
+    sendPeriodically();
+    return BOOST_OUTCOME_V2_NAMESPACE::success();
+}
+
+void PeerExchange::stop()
+{
+    m_alive = std::make_shared<bool>(true);
+    boost::system::error_code ec;
+    m_socket.close(ec);
+}
+
+void PeerExchange::subscribe(Duration pause, void (PeerExchange::*step)())
+{
+    m_node.timers().subscribe(m_node.now() + pause, [this, step, alive = std::weak_ptr(m_alive)] {
+        if (!alive.expired())
+            (this->*step)();
+    });
+}
+
+void PeerExchange::announce()
+{
+    const HostRecord record {m_node.settings().name, m_node.settings().peerListen};
+    m_node.platform().coordination->announce(
+        record, [this, alive = std::weak_ptr(m_alive)](const Result<void> &result) {
+            if (alive.expired() || std::exchange(m_announced, result.has_value()))
+                return;
+            if (!result)
+                subscribe(FindRetry, &PeerExchange::announce);
+        });
+}
+
+void PeerExchange::findHosts()
+{
+    m_node.platform().coordination->readHosts(
+        [this, alive = std::weak_ptr(m_alive)](Result<std::vector<HostRecord>> hosts) {
+            if (alive.expired())
+                return;
+            if (!hosts)
+                return subscribe(FindRetry, &PeerExchange::findHosts);
+            m_addresses.clear();
+            for (const HostRecord &host : hosts.value()) {
+                if (host.name != m_node.settings().name)
+                    m_addresses.insert(host.peerAddress);
+            }
+            for (const auto &[name, peer] : m_node.view().hosts().peers())
+                m_addresses.insert(peer.digest.peerAddress);
+            m_addresses.erase(m_node.settings().peerListen);
+            // Until a host is heard, others may have started without it.
+            const bool alone = m_node.view().hosts().liveHosts(m_node.now()) <= 1;
+            subscribe(alone ? FindRetry : FindInterval, &PeerExchange::findHosts);
+        });
+}
+
+void PeerExchange::sendPeriodically()
+{
+    sendNow();
+    m_node.view().hosts().expire(m_node.now());
+    subscribe(DigestInterval, &PeerExchange::sendPeriodically);
+}
+
+void PeerExchange::sendNow()
+{
+    if (m_addresses.empty())
+        return;
+    const std::vector<std::uint8_t> bytes = encodeDigest(m_node.view().digest());
+    for (const std::string &address : m_addresses) {
+        const auto endpoint = parseEndpoint(address);
+        if (!endpoint)
+            continue;
+        // A datagram that can't be sent now is as good as lost: the next digest replaces it.
+        boost::system::error_code ignored;
+        m_socket.send_to(boost::asio::buffer(bytes),
+                         {endpoint.value().address(), endpoint.value().port()}, 0, ignored);
+    }
+}
+
+void PeerExchange::receive()
+{
+    m_socket.async_receive_from(
+        boost::asio::buffer(m_buffer), m_sender,
+        [this, alive = std::weak_ptr(m_alive)](boost::system::error_code ec, std::size_t n) {
+            if (alive.expired() || ec == boost::asio::error::operation_aborted)
+                return;
+            // Other errors tell of a datagram that a peer's host has turned away.
+            if (!ec) {
+                const auto digest = decodeDigest(std::span(m_buffer).first(n));
+                if (digest)
+                    take(digest.value());
+                else
+                    LogEvent::decision("digest_unreadable").field("bytes", n);
+            }
+            receive();
+        });
+}
+
+void PeerExchange::take(const HostDigest &digest)
+{
+    if (digest.name == m_node.settings().name)
+        return;
+    m_addresses.insert(digest.peerAddress);
+    m_node.view().takeDigest(digest);
+    const auto &configuration = m_node.view().configuration();
+    if (digest.configurationVersion > (configuration ? configuration->version() : 0))
+        pullConfiguration(digest);
+}
+
+void PeerExchange::pullConfiguration(const HostDigest &peer)
+{
+    const auto endpoint = parseEndpoint(peer.peerAddress);
+    if (!endpoint || std::exchange(m_pulling, true))
+        return;
+    HttpRequestHead head;
+    head.method = "GET";
+    head.target = SupportApi::ConfigurationPath;
+    const TimePoint asOf = m_node.now() - peer.configurationAge;
+    sendWholeRequest(
+        m_node.loop(), endpoint.value(), head, "", PullTimeout,
+        [this, asOf, name = peer.name, alive = std::weak_ptr(m_alive)](Result<HttpReply> reply) {
+            if (alive.expired())
+                return;
+            m_pulling = false;
+            if (!reply || reply.value().status != 200)
+                return;
+            const auto decoded =
+                m_node.platform().feed->decodeConfiguration(reply.value().body);
+            if (!decoded)
+                return;
+            LogEvent("configuration_from_host")
+                .field("host", name)
+                .field("version", decoded.value()->version());
+            m_node.view().onConfiguration(decoded.value(), reply.value().body);
+            m_node.view().onConfigurationConfirmed(asOf);
+        });
+}
+
+} // namespace dogwoodvalve
--- /dev/null
+++ b/src/gateway/placement_controller.cpp
@@ -0,0 +1,181 @@
+#include "gateway/placement_controller.h"
+
+#include "daemon/log.h"
+
+#include <dogwoodvalve/layer_planner.h>
+
+namespace dogwoodvalve {
+
+namespace {
+
+constexpr Duration RenewInterval = 1s;
+/// The lease lasts 3 s from its renewal; the holder stops earlier, by what an order may take to arrive.
+constexpr Duration LeaseUse = 2s;
+constexpr Duration StepInterval = 200ms;
+/// Engines register within about a second of one another; a plan made over a part of them would be worse.
+constexpr Duration SettleTime = 1s;
+/// An order without effect after this long is given again.
+constexpr Duration OrderRepeat = 4s;
+/// Loading is watched by reports, which are priced, from this long after the order.
+constexpr Duration ReportInterval = 300ms;
+
+} // namespace
+
+PlacementController::PlacementController(GatewayNode &node)
+    : m_node(node)
+{ }
+
+PlacementController::~PlacementController()
+{
+    stop();
+}
+
+void PlacementController::start()
+{
+    renew();
+    step();
+}
+
+void PlacementController::stop()
+{
+    m_alive = std::make_shared<bool>(true);
+}
+
+void PlacementController::subscribe(Duration pause, void (PlacementController::*step)())
+{
+    m_node.timers().subscribe(m_node.now() + pause, [this, step, alive = std::weak_ptr(m_alive)] {
+        if (!alive.expired())
+            (this->*step)();
+    });
+}
+
+bool PlacementController::leaseValid() const
+{
+    return m_lease.held && m_node.now() - m_leaseRenewedAt < LeaseUse;
+}
+
+void PlacementController::renew()
+{
+    const TimePoint askedAt = m_node.now();
+    m_node.platform().coordination->renewLease(
+        m_node.settings().name,
+        [this, askedAt, alive = std::weak_ptr(m_alive)](const Result<PlacementLease> &lease) {
+            if (alive.expired())
+                return;
+            if (lease) {
+                if (lease.value().held != m_lease.held) {
+                    LogEvent(lease.value().held ? "placement_lease_taken"
+                                                : "placement_lease_lost")
+                        .field("fence", lease.value().fence);
+                    m_heldSince = m_node.now();
+                    m_orders.clear();
+                    m_examined.clear();
+                }
+                m_lease = lease.value();
+                m_leaseRenewedAt = askedAt;
+            }
+            subscribe(RenewInterval, &PlacementController::renew);
+        });
+}
+
+void PlacementController::step()
+{
+    const auto &configuration = m_node.view().configuration();
+    if (leaseValid() && configuration && m_node.now() - m_heldSince > SettleTime) {
+        for (const ServiceRule &service : configuration->services()) {
+            if (service.engine && service.engine->layers > 0)
+                place(service);
+        }
+    }
+    subscribe(StepInterval, &PlacementController::step);
+}
+
+void PlacementController::place(const ServiceRule &service)
+{
+    FleetView &view = m_node.view();
+    const TimePoint now = m_node.now();
+    std::vector<PlannedServer> planned;
+    for (const ServerRegistration *server : view.registry().available(service.name)) {
+        PlannedServer it {server->id, server->zone, server->kind, view.layersOf(*server)};
+        const auto order = m_orders.find(server->id);
+        const bool ordered =
+            order != m_orders.end() && order->second.startedAtMs == server->startedAtMs;
+        if (it.layers.empty() && ordered) {
+            if (now - order->second.sentAt < OrderRepeat)
+                it.layers = order->second.layers;
+            if (now - order->second.sentAt > ReportInterval && !order->second.asking)
+                ask(*server);
+        }
+        planned.push_back(std::move(it));
+    }
+    const LayerPlanner planner(*service.engine);
+    for (const LayerAssignment &assignment : planner.assign(planned)) {
+        const ServerRegistration *server = view.registry().find(assignment.server);
+        // The registration lags: what an engine holds is read from itself before the first order.
+        const auto examined = m_examined.find(server->id);
+        if (examined == m_examined.end() || examined->second != server->startedAtMs)
+            ask(*server);
+        else
+            order(*server, assignment.layers);
+    }
+}
+
+void PlacementController::order(const ServerRegistration &server, LayerSpan layers)
+{
+    m_orders[server.id] = {server.startedAtMs, layers, m_node.now(), false, false};
+    LogEvent("layers_ordered")
+        .field("server", server.id)
+        .field("kind", server.kind)
+        .field("zone", server.zone)
+        .field("first_layer", layers.first)
+        .field("end_layer", layers.end)
+        .field("fence", m_lease.fence)
+        .field("servers_age_ms", m_node.view().serversAge().count() / 1000);
+    m_node.platform().engines->orderLayers(
+        server, layers, m_lease.fence,
+        [this, id = server.id, alive = std::weak_ptr(m_alive)](OrderOutcome outcome) {
+            if (alive.expired())
+                return;
+            LogEvent("layers_order_answered").field("server", id).field("outcome",
+                                                                        toString(outcome));
+            m_node.metrics().countOrder(toString(outcome));
+            if (outcome == OrderOutcome::Fenced)
+                m_lease.held = false;
+            if (const auto it = m_orders.find(id); it != m_orders.end())
+                it->second.answered = true;
+        });
+}
+
+void PlacementController::ask(const ServerRegistration &server)
+{
+    Order &order = m_orders[server.id];
+    if (order.asking)
+        return;
+    order.asking = true;
+    m_node.platform().engines->readReport(
+        server, [this, id = server.id, startedAtMs = server.startedAtMs,
+                 alive = std::weak_ptr(m_alive)](const Result<EngineReport> &report) {
+            if (alive.expired())
+                return;
+            if (const auto it = m_orders.find(id); it != m_orders.end())
+                it->second.asking = false;
+            const ServerRegistration *known = m_node.view().registry().find(id);
+            if (report && known && known->startedAtMs == startedAtMs)
+                takeReport(*known, report.value());
+        });
+}
+
+void PlacementController::takeReport(const ServerRegistration &server, const EngineReport &report)
+{
+    m_examined[server.id] = server.startedAtMs;
+    LogEvent::decision("engine_report")
+        .field("server", server.id)
+        .field("first_layer", report.layers.first)
+        .field("end_layer", report.layers.end)
+        .field("busy", report.busy)
+        .field("orders", report.ordersBegun);
+    if (!report.layers.empty() && !report.busy)
+        m_node.view().noteLayers(server, report.layers);
+}
+
+} // namespace dogwoodvalve
--- /dev/null
+++ b/src/gateway/plain_session.cpp
@@ -0,0 +1,135 @@
+#include "gateway/plain_session.h"
+
+#include "daemon/log.h"
+
+#include <dogwoodvalve/plain_selector.h>
+
+#include <algorithm>
+
+namespace dogwoodvalve {
+
+namespace {
+
+constexpr int FirstServerError = 500;
+constexpr int StatusNotRun = 503;
+constexpr int StatusBadGateway = 502;
+/// Share of the caller's target that a request may wait here and still be answered on time.
+constexpr double WaitShare = 0.6;
+/// When a caller should come back if all servers turned its request away.
+constexpr Duration RetryAfterRefusal = 300ms;
+
+} // namespace
+
+bool PlainSession::tryStart()
+{
+    FleetView &view = m_node.view();
+    const TimePoint now = m_node.now();
+    std::vector<const ServerRegistration *> servers =
+        view.registry().available(m_request.service->name);
+    std::erase_if(servers, [&](const ServerRegistration *server) {
+        return !view.health().usable(server->id, server->startedAtMs, now);
+    });
+    std::vector<PlainServer> candidates;
+    for (const ServerRegistration *server : servers)
+        candidates.push_back({server->slots,
+                              view.load(server->id)->inFlight
+                                  + view.hosts().inFlightElsewhere(server->id, now),
+                              m_tried.count(server->id) > 0});
+    const auto picked = pickLeastOutstanding(candidates, m_node.random().next() % 64);
+    if (!picked)
+        return false;
+    const ServerRegistration &server = *servers[*picked];
+    m_load = view.load(server.id);
+    ++m_load->inFlight;
+    m_server = server.id;
+    m_serverStartedAtMs = server.startedAtMs;
+    m_tried.insert(server.id);
+    m_answerFields.clear();
+    m_answerBody.clear();
+    DispatchRequest request;
+    request.server = &server;
+    request.workspace = m_request.workspace;
+    request.timeLeft = timeLeft();
+    dispatch(server, request, m_attempts == 0 ? "least_outstanding" : "retry");
+    return true;
+}
+
+Duration PlainSession::longestUsefulWait() const
+{
+    return Duration(static_cast<Duration::rep>(
+        static_cast<double>(m_request.route->firstByteTarget.count()) * WaitShare));
+}
+
+void PlainSession::releaseAttempt()
+{
+    if (const auto load = std::exchange(m_load, nullptr)) {
+        --load->inFlight;
+        m_node.queue(m_request.service->name).predictor().noteDone(1, m_node.now());
+    }
+}
+
+void PlainSession::onHead(int status, std::span<const HttpField> fields)
+{
+    m_answer = m_node.dialect().decodeAnswer(status, fields, m_request.caller.id);
+    m_answerFields = m_node.dialect().answerFields(fields);
+}
+
+void PlainSession::onBody(std::string_view part)
+{
+    m_answerBody += part;
+}
+
+void PlainSession::onEnd()
+{
+    const auto keep = shared_from_this();
+    const bool success = m_answer.status >= 200 && m_answer.status < 300;
+    if (m_answer.notRun)
+        return takeFailure(ServerEvidence::Refused, "the server refused the request", false);
+    if (!m_answer.idMatches || m_answer.encoded || (success && !m_answer.stamped))
+        return takeFailure(ServerEvidence::Failed, "the answer is not the server's own", true);
+    if (m_answer.status >= FirstServerError
+        && m_request.route->repetition == Repetition::Idempotent && takeAnotherAttempt(true)) {
+        m_lastFailure = "the server answered " + std::to_string(m_answer.status);
+        closeAttempt();
+        return startOrWait(true);
+    }
+    deliver();
+}
+
+void PlainSession::deliver()
+{
+    m_node.view().health().note(m_server, m_serverStartedAtMs,
+                                m_answer.stamped ? ServerEvidence::Served : ServerEvidence::Failed,
+                                m_node.now());
+    m_node.metrics().observeFirstByte(m_node.now() - m_request.arrivedAt);
+    m_responded = true;
+    m_request.exchange->respond(m_answer.status, m_answerFields, m_answerBody);
+    finish("complete", std::to_string(m_answer.status));
+}
+
+void PlainSession::onError(const Error &error)
+{
+    const auto keep = shared_from_this();
+    const bool sent = m_client && m_client->anyByteSent();
+    takeFailure(sent ? ServerEvidence::Failed : ServerEvidence::Unreachable, error.message, sent);
+}
+
+void PlainSession::takeFailure(ServerEvidence evidence, std::string_view reason, bool ran)
+{
+    m_node.view().health().note(m_server, m_serverStartedAtMs, evidence, m_node.now());
+    LogEvent::decision("attempt_failed")
+        .field("request", m_request.caller.id)
+        .field("server", m_server)
+        .field("reason", reason)
+        .field("may_have_run", ran);
+    m_mayHaveRun = ran || m_ranAttempts > 0;
+    closeAttempt();
+    if (takeAnotherAttempt(ran))
+        return startOrWait(true);
+    const Error error {ErrorKind::Unavailable, std::string(reason), "send it again later"};
+    if (m_mayHaveRun)
+        return fail(StatusBadGateway, error);
+    refuse(StatusNotRun, error, RetryAfterRefusal);
+}
+
+} // namespace dogwoodvalve
--- /dev/null
+++ b/src/gateway/request_session.cpp
@@ -0,0 +1,193 @@
+#include "gateway/request_session.h"
+
+#include "daemon/log.h"
+#include "gateway/generation_session.h"
+#include "gateway/plain_session.h"
+#include "net/endpoint.h"
+#include "net/http_text.h"
+
+#include <algorithm>
+
+namespace dogwoodvalve {
+
+namespace {
+
+/// Hosts and servers are at most a few milliseconds apart; a server that has not accepted the
+/// connection by then is overloaded or gone.
+constexpr Duration ConnectTimeout = 400ms;
+/// Servers that may turn one request away, besides those that may run it.
+constexpr int MostRefusals = 2;
+constexpr int StatusUnavailable = 503;
+constexpr int StatusTimeout = 504;
+
+} // namespace
+
+RequestSession::RequestSession(GatewayNode &node, AcceptedRequest request)
+    : m_node(node)
+    , m_request(std::move(request))
+{
+    Duration allowed = m_request.route->timeout;
+    if (m_request.caller.deadline)
+        allowed = std::min(allowed, *m_request.caller.deadline);
+    m_deadline = m_request.arrivedAt + allowed;
+}
+
+void RequestSession::start()
+{
+    const auto self = shared_from_this();
+    m_node.sessionStarted(self);
+    m_node.retryBudget(m_request.service->name).noteRequest(m_node.now());
+    m_request.exchange->onClosed([weak = weak_from_this()] {
+        if (const auto session = weak.lock())
+            session->callerLeft();
+    });
+    m_deadlineTimer = m_node.timers().subscribe(m_deadline, [weak = weak_from_this()] {
+        if (const auto session = weak.lock())
+            session->expire();
+    });
+    startOrWait(false);
+}
+
+void RequestSession::startOrWait(bool goesFirst)
+{
+    WaitQueue &queue = m_node.queue(m_request.service->name);
+    m_waits = false;
+    if ((goesFirst || queue.empty()) && tryStart())
+        return;
+    if (m_ended)
+        return;
+    m_waits = true;
+    if (goesFirst)
+        return queue.pushFront(shared_from_this());
+    const TimePoint now = m_node.now();
+    const Duration wait = queue.predictor().timeFor(queue.waitingWork() + work(), now);
+    const WaitDecision decision =
+        decideWait(wait, longestUsefulWait(), timeLeft(), m_node.random().fraction());
+    LogEvent::decision(decision.wait ? "wait_for_room" : "refuse_for_room")
+        .field("request", m_request.caller.id)
+        .field("service", m_request.service->name)
+        .field("predicted_ms", wait.count() / 1000)
+        .field("useful_ms", longestUsefulWait().count() / 1000)
+        .field("waiting", queue.size())
+        .field("servers_age_ms", m_node.view().serversAge().count() / 1000);
+    if (decision.wait)
+        return queue.push(shared_from_this());
+    refuse(StatusUnavailable,
+           {ErrorKind::Overloaded, "no server has room in time", "come back later"},
+           decision.retryAfter);
+}
+
+void RequestSession::dispatch(const ServerRegistration &server, const DispatchRequest &request,
+                              std::string_view reason)
+{
+    const auto endpoint = parseEndpoint(server.address);
+    m_waits = false;
+    ++m_attempts;
+    m_dispatchedAt = m_node.now();
+    m_mayHaveRun = true;
+    m_node.metrics().countDispatch(reason);
+    LogEvent::decision("dispatch")
+        .field("request", m_request.caller.id)
+        .field("route", m_request.route->name)
+        .field("workspace", m_request.workspace)
+        .field("server", server.id)
+        .field("path", m_pathText)
+        .field("reason", reason)
+        .field("attempt", m_attempts)
+        .field("version", m_request.configuration->version())
+        .field("servers_age_ms", m_node.view().serversAge().count() / 1000)
+        .field("left_ms", request.timeLeft.count() / 1000);
+    HttpRequestHead head = m_node.dialect().encodeDispatch(*m_request.exchange, request);
+    head.bodyBytes = m_request.body.size();
+    m_client = m_node.loop().createHttpClient();
+    m_client->start(endpoint.value(), head, ConnectTimeout, *this);
+    m_client->write(m_request.body);
+}
+
+void RequestSession::closeAttempt()
+{
+    releaseAttempt();
+    if (const auto client = std::exchange(m_client, nullptr))
+        client->close();
+}
+
+bool RequestSession::takeAnotherAttempt(bool lastOneRan)
+{
+    m_ranAttempts += lastOneRan ? 1 : 0;
+    if (m_request.route->repetition == Repetition::Never && lastOneRan)
+        return false;
+    if (m_ranAttempts >= m_request.route->maxAttempts
+        || m_attempts >= m_request.route->maxAttempts + MostRefusals)
+        return false;
+    return timeLeft() > Duration::zero() && m_node.takeRetry(m_request.service->name);
+}
+
+void RequestSession::refuse(int status, const Error &error, std::optional<Duration> retryAfter)
+{
+    if (m_ended)
+        return;
+    m_request.exchange->respond(
+        status, m_node.dialect().refusalFields(m_request.caller.id, retryAfter),
+        errorBody(error, m_mayHaveRun ? "unknown" : "not_run"));
+    finish("refused", error.message);
+}
+
+void RequestSession::fail(int status, const Error &error)
+{
+    if (m_ended)
+        return;
+    if (m_responded)
+        m_request.exchange->abort();
+    else
+        m_request.exchange->respond(
+            status, m_node.dialect().refusalFields(m_request.caller.id, std::nullopt),
+            errorBody(error, "unknown"));
+    finish("failed", error.message);
+}
+
+void RequestSession::finish(std::string_view outcome, std::string_view reason)
+{
+    if (m_ended)
+        return;
+    m_ended = true;
+    m_waits = false;
+    const auto self = shared_from_this();
+    m_request.exchange->onClosed(nullptr);
+    m_node.timers().cancel(m_deadlineTimer);
+    closeAttempt();
+    m_node.metrics().countRequest(outcome);
+    LogEvent::decision("request")
+        .field("request", m_request.caller.id)
+        .field("route", m_request.route->name)
+        .field("workspace", m_request.workspace)
+        .field("outcome", outcome)
+        .field("reason", reason)
+        .field("attempts", m_attempts)
+        .field("path", m_pathText)
+        .field("ms", (m_node.now() - m_request.arrivedAt).count() / 1000);
+    m_node.sessionEnded(self);
+}
+
+void RequestSession::expire()
+{
+    m_deadlineTimer = 0;
+    if (m_mayHaveRun || m_responded)
+        return fail(StatusTimeout, {ErrorKind::Timeout, "no whole answer in time", ""});
+    refuse(StatusUnavailable, {ErrorKind::Timeout, "no server had room in time", "come back later"},
+           std::nullopt);
+}
+
+void RequestSession::callerLeft()
+{
+    finish("caller_left", "the caller closed its connection");
+}
+
+std::shared_ptr<RequestSession> makeSession(GatewayNode &node, AcceptedRequest request)
+{
+    const auto &engine = request.service->engine;
+    if (engine && engine->layers > 0 && request.caller.size)
+        return std::make_shared<GenerationSession>(node, std::move(request));
+    return std::make_shared<PlainSession>(node, std::move(request));
+}
+
+} // namespace dogwoodvalve
--- /dev/null
+++ b/src/gateway/request_session.h
@@ -0,0 +1,92 @@
+#pragma once
+
+#include "gateway/gateway_node.h"
+#include "gateway/wait_queue.h"
+
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace dogwoodvalve {
+
+/// A caller's request, checked against the configuration that was in force when it came.
+struct AcceptedRequest
+{
+    FleetConfigurationPointer configuration;
+    const RouteRule *route = nullptr;
+    const ServiceRule *service = nullptr;
+    std::string workspace;
+    int priority = 5;
+    std::shared_ptr<HttpExchange> exchange;
+    CallerRequest caller;
+    std::string body;
+    TimePoint arrivedAt {};
+};
+
+/// One request of a caller from its arrival to its final answer. It is sent to one server at a time;
+/// what happens when that fails is up to the kind of request.
+class RequestSession : public HttpClientEvents,
+                       public WaitingRequest,
+                       public std::enable_shared_from_this<RequestSession>
+{
+public:
+    RequestSession(GatewayNode &node, AcceptedRequest request);
+    ~RequestSession() override = default;
+
+    RequestSession(const RequestSession &) = delete;
+    RequestSession &operator=(const RequestSession &) = delete;
+
+    /// Starts the request, lets it wait for room, or refuses it.
+    void start();
+
+    bool stillWaits() const override { return m_waits && !m_ended; }
+
+protected:
+    /// What the deadline leaves.
+    Duration timeLeft() const { return m_deadline - m_node.now(); }
+    /// The longest wait for room after which the answer is still on time.
+    virtual Duration longestUsefulWait() const = 0;
+    /// Gives up what the attempt in hand has taken on servers.
+    virtual void releaseAttempt() = 0;
+
+    /// Looks for room now or later. Goes before others if the request is under way already.
+    void startOrWait(bool goesFirst);
+    void dispatch(const ServerRegistration &server, const DispatchRequest &request,
+                  std::string_view reason);
+    void closeAttempt();
+    /// Whether the request may be sent to another server. An attempt that never ran counts against
+    /// the budget only.
+    bool takeAnotherAttempt(bool lastOneRan);
+
+    /// The final answer, made here. The outcome names what callers may rely on.
+    void refuse(int status, const Error &error, std::optional<Duration> retryAfter);
+    void fail(int status, const Error &error);
+    void finish(std::string_view outcome, std::string_view reason);
+    std::string pathText() const { return m_pathText; }
+
+    GatewayNode &m_node;
+    AcceptedRequest m_request;
+    std::shared_ptr<HttpClientRequest> m_client;
+    TimePoint m_deadline {};
+    TimePoint m_dispatchedAt {};
+    std::string m_pathText;
+    std::string m_lastFailure;
+    int m_attempts = 0;
+    int m_ranAttempts = 0;
+    /// Bytes of the request were handed to a server that has not said that it did not run it.
+    bool m_mayHaveRun = false;
+    bool m_responded = false;
+    bool m_ended = false;
+    bool m_waits = false;
+
+private:
+    void expire();
+    void callerLeft();
+
+    TimerId m_deadlineTimer = 0;
+};
+
+/// Makes the session that suits the service.
+std::shared_ptr<RequestSession> makeSession(GatewayNode &node, AcceptedRequest request);
+
+} // namespace dogwoodvalve
--- /dev/null
+++ b/src/gateway/support_api.cpp
@@ -0,0 +1,44 @@
+#include "gateway/support_api.h"
+
+#include "net/http_text.h"
+
+namespace dogwoodvalve {
+
+namespace {
+
+const std::vector<HttpField> Json {{"Content-Type", "application/json"}};
+const std::vector<HttpField> Text {{"Content-Type", "text/plain; version=0.0.4"}};
+
+} // namespace
+
+void SupportApi::handle(const std::shared_ptr<HttpExchange> &exchange)
+{
+    const std::string_view path = pathOf(exchange->target());
+    if (m_node.view().leaving())
+        exchange->closeAfterAnswer();
+    if (path == m_node.dialect().lookupPath())
+        return answerLookup(*exchange);
+    if (path == m_node.dialect().readinessPath())
+        return exchange->respond(m_node.view().ready() ? 200 : 503, Text, "");
+    if (path == "/metrics") {
+        m_node.refreshGauges();
+        return exchange->respond(200, Text, m_node.metrics().text());
+    }
+    if (path == ConfigurationPath)
+        return exchange->respond(200, Json, m_node.view().configurationDocument());
+    exchange->respond(404, Text, "");
+}
+
+void SupportApi::answerLookup(HttpExchange &exchange)
+{
+    const std::string zone = m_node.dialect().lookupZone(exchange.target());
+    const std::vector<std::string> addresses = chooseCallerAddresses(
+        m_node.view().digest(), m_node.view().hosts(), zone, m_node.now());
+    if (addresses.empty())
+        return exchange.respond(503, Json, "{}");
+    exchange.respond(200, Json,
+                     m_node.dialect().lookupAnswer(addresses,
+                                                   m_node.settings().lookupTimeToLive));
+}
+
+} // namespace dogwoodvalve
--- /dev/null
+++ b/src/gateway/support_api.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include "gateway/gateway_node.h"
+#include "net/http_server.h"
+
+namespace dogwoodvalve {
+
+/// Answers everything that is not a caller's request: look-ups of addresses, readiness checks, metrics,
+/// and other hosts that want the configuration which this one has.
+class SupportApi : public HttpHandler
+{
+public:
+    explicit SupportApi(GatewayNode &node)
+        : m_node(node)
+    { }
+
+    void handle(const std::shared_ptr<HttpExchange> &exchange) override;
+
+    static constexpr const char *ConfigurationPath = "/configuration";
+
+private:
+    void answerLookup(HttpExchange &exchange);
+
+    GatewayNode &m_node;
+};
+
+} // namespace dogwoodvalve
--- a/src/net/http_text.cpp
+++ b/src/net/http_text.cpp
@@ -9,6 +9,49 @@
 
 namespace dogwoodvalve {
 
+namespace {
+
+/// Fields that concern one connection only, and lengths, which are made anew.
+bool isHopByHop(std::string_view name)
+{
+    static constexpr std::array<std::string_view, 11> Names {
+        "connection", "keep-alive",       "proxy-authenticate", "proxy-authorization",
+        "te",         "trailer",          "transfer-encoding",  "upgrade",
+        "host",       "proxy-connection", "content-length"};
+    return std::any_of(Names.begin(), Names.end(),
+                       [name](std::string_view it) { return equalsIgnoringCase(it, name); });
+}
+
+/// Whether a field is named in the Connection field, which makes it hop-by-hop too.
+bool namedInConnection(std::string_view connection, std::string_view name)
+{
+    while (!connection.empty()) {
+        const std::size_t end = std::min(connection.find(','), connection.size());
+        std::string_view token = connection.substr(0, end);
+        while (!token.empty() && token.front() == ' ')
+            token.remove_prefix(1);
+        while (!token.empty() && token.back() == ' ')
+            token.remove_suffix(1);
+        if (equalsIgnoringCase(token, name))
+            return true;
+        connection.remove_prefix(std::min(end + 1, connection.size()));
+    }
+    return false;
+}
+
+} // namespace
+
+std::vector<HttpField> endToEndFields(std::span<const HttpField> fields)
+{
+    const std::string_view connection = findField(fields, "Connection");
+    std::vector<HttpField> kept;
+    for (const HttpField &field : fields) {
+        if (!isHopByHop(field.name) && !namedInConnection(connection, field.name))
+            kept.push_back(field);
+    }
+    return kept;
+}
+
 bool equalsIgnoringCase(std::string_view a, std::string_view b)
 {
     return boost::beast::iequals({a.data(), a.size()}, {b.data(), b.size()});
--- a/src/net/http_text.h
+++ b/src/net/http_text.h
@@ -7,6 +7,7 @@
 #include <span>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace dogwoodvalve {
 
@@ -16,6 +17,9 @@
 /// Whether two header names or tokens are the same, whatever their case.
 bool equalsIgnoringCase(std::string_view a, std::string_view b);
 
+/// The fields that go beyond one connection, without lengths and the host, which are made anew.
+std::vector<HttpField> endToEndFields(std::span<const HttpField> fields);
+
 void appendStatusLine(std::string &out, int status);
 void appendFields(std::string &out, std::span<const HttpField> fields);
 void appendChunk(std::string &out, std::string_view part);
