Leave two thirds of the engines' memory choice to contexts: smaller blocks, a third for layers

Change: layers take at most 0.65 of an accelerator (was 0.83) and the model is cut into 20 blocks (was 8), so that a zone holds it about 1.6 times with twice the room; a lost block is reached in another zone.

--- a/src/core/layer_planner.cpp
+++ b/src/core/layer_planner.cpp
@@ -10,9 +10,9 @@
 
 /// Share of an accelerator's memory that layers may take; the rest holds contexts. A request's
 /// context of 1,000 tokens over a block should be a few hundredths of the rest.
-constexpr double LayerMemoryShare = 0.83;
+constexpr double LayerMemoryShare = 0.65;
 /// Blocks that the model is cut into at least, so that slow kinds hold a small share of it.
-constexpr int LeastBlocks = 8;
+constexpr int LeastBlocks = 20;
 
 } // namespace
 
--- /dev/null
+++ b/tests/unit/fleet_configuration_test.cpp
@@ -0,0 +1,73 @@
+#include <dogwoodvalve/fleet_configuration.h>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace dogwoodvalve;
+
+namespace {
+
+RouteRule route(std::string host, std::string prefix)
+{
+    RouteRule rule;
+    rule.name = host + prefix;
+    rule.host = std::move(host);
+    rule.pathPrefix = std::move(prefix);
+    rule.services = {{"s", 1}};
+    return rule;
+}
+
+} // namespace
+
+class FleetConfigurationTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(FleetConfigurationTest);
+    CPPUNIT_TEST(theLongestPrefixWins);
+    CPPUNIT_TEST(pathsWithoutARouteFindNone);
+    CPPUNIT_TEST(keysNameTheirWorkspace);
+    CPPUNIT_TEST(servicesGetTheirShareOfRequests);
+    CPPUNIT_TEST_SUITE_END();
+
+    void theLongestPrefixWins()
+    {
+        const FleetConfiguration configuration(
+            1, {route("a", "/x/"), route("a", "/x/y/"), route("b", "/x/"), route("a", "/")}, {});
+        CPPUNIT_ASSERT_EQUAL(std::string("a/x/y/"), configuration.findRoute("a", "/x/y/z")->name);
+        CPPUNIT_ASSERT_EQUAL(std::string("a/x/"), configuration.findRoute("a", "/x/yz")->name);
+        CPPUNIT_ASSERT_EQUAL(std::string("a/x/"), configuration.findRoute("a", "/x/")->name);
+        CPPUNIT_ASSERT_EQUAL(std::string("b/x/"), configuration.findRoute("b", "/x/y/z")->name);
+        CPPUNIT_ASSERT_EQUAL(std::string("a/"), configuration.findRoute("a", "/other")->name);
+    }
+
+    void pathsWithoutARouteFindNone()
+    {
+        const FleetConfiguration configuration(1, {route("a", "/x/")}, {});
+        for (const char *path : {"/x", "/", "", "x/", "/X/"})
+            CPPUNIT_ASSERT_MESSAGE(path, configuration.findRoute("a", path) == nullptr);
+        CPPUNIT_ASSERT(configuration.findRoute("c", "/x/") == nullptr);
+    }
+
+    void keysNameTheirWorkspace()
+    {
+        FleetConfiguration configuration(1, {}, {});
+        const std::vector<std::string> keys {"k1", "k2"};
+        configuration.addWorkspace({"w", 3}, keys);
+        CPPUNIT_ASSERT_EQUAL(std::string("w"), configuration.findWorkspace("k2")->name);
+        CPPUNIT_ASSERT_EQUAL(3, *configuration.findWorkspace("k1")->priority);
+        CPPUNIT_ASSERT(configuration.findWorkspace("k3") == nullptr);
+        CPPUNIT_ASSERT(configuration.findWorkspace("") == nullptr);
+    }
+
+    void servicesGetTheirShareOfRequests()
+    {
+        RouteRule rule = route("a", "/");
+        rule.services = {{"most", 90}, {"few", 10}};
+        int few = 0;
+        for (int i = 0; i < 100; ++i)
+            few += chooseService(rule, i / 100.0)->service == "few" ? 1 : 0;
+        CPPUNIT_ASSERT_EQUAL(10, few);
+        rule.services.clear();
+        CPPUNIT_ASSERT(chooseService(rule, 0.5) == nullptr);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(FleetConfigurationTest);
--- /dev/null
+++ b/tests/unit/gateway_decisions_test.cpp
@@ -0,0 +1,210 @@
+#include <dogwoodvalve/host_table.h>
+#include <dogwoodvalve/plain_selector.h>
+#include <dogwoodvalve/random.h>
+#include <dogwoodvalve/server_health.h>
+#include <dogwoodvalve/shared_retry_budget.h>
+#include <dogwoodvalve/wait_predictor.h>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace dogwoodvalve;
+
+namespace {
+
+TimePoint at(Duration sinceStart)
+{
+    return TimePoint {} + 1h + sinceStart;
+}
+
+HostDigest host(const std::string &name, const std::string &zone, std::uint64_t sequence)
+{
+    HostDigest digest;
+    digest.name = name;
+    digest.zone = zone;
+    digest.callerAddress = name + ":1";
+    digest.sequence = sequence;
+    digest.ready = true;
+    return digest;
+}
+
+} // namespace
+
+/// The smaller decisions of a gateway host, each by itself.
+class GatewayDecisionsTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(GatewayDecisionsTest);
+    CPPUNIT_TEST(allHostsTogetherKeepTheRetryAllowance);
+    CPPUNIT_TEST(retriesComeBackWithTheWindow);
+    CPPUNIT_TEST(failingServersAreEjectedAndTriedAgain);
+    CPPUNIT_TEST(aNewLifeOfAServerIsSound);
+    CPPUNIT_TEST(anOldLifeDoesNotBlameANewOne);
+    CPPUNIT_TEST(olderDigestsAreDropped);
+    CPPUNIT_TEST(commitmentsOfSilentHostsLapse);
+    CPPUNIT_TEST(lookupsNameReadyHostsOfTheZone);
+    CPPUNIT_TEST(lookupsNameOtherZonesWhenAZoneIsPoor);
+    CPPUNIT_TEST(theLeastBusyServerIsPicked);
+    CPPUNIT_TEST(overloadRefusesAtOnceWithATimeToReturn);
+    CPPUNIT_TEST_SUITE_END();
+
+    void allHostsTogetherKeepTheRetryAllowance()
+    {
+        const RetryAllowance allowance {10s, 0.2, 70};
+        constexpr int Hosts = 7;
+        std::vector<SharedRetryBudget> budgets(Hosts, SharedRetryBudget(allowance));
+        int requests = 0;
+        int retries = 0;
+        for (int ms = 0; ms < 10'000; ms += 10) {
+            for (SharedRetryBudget &budget : budgets) {
+                budget.noteRequest(at(std::chrono::milliseconds(ms)));
+                ++requests;
+                // Everything fails: each request would be sent three times more.
+                for (int i = 0; i < 3; ++i)
+                    retries += budget.take(at(std::chrono::milliseconds(ms)), Hosts) ? 1 : 0;
+            }
+        }
+        CPPUNIT_ASSERT(retries <= 0.2 * requests + 70);
+        CPPUNIT_ASSERT(retries > 0.1 * requests);
+    }
+
+    void retriesComeBackWithTheWindow()
+    {
+        SharedRetryBudget budget({10s, 0, 10});
+        int taken = 0;
+        while (budget.take(at(0s), 1))
+            ++taken;
+        CPPUNIT_ASSERT_EQUAL(7, taken);
+        CPPUNIT_ASSERT(!budget.take(at(9s), 1));
+        CPPUNIT_ASSERT(budget.take(at(11s), 1));
+    }
+
+    void failingServersAreEjectedAndTriedAgain()
+    {
+        ServerHealth health;
+        health.note("s", 1, ServerEvidence::Failed, at(0s));
+        CPPUNIT_ASSERT(health.usable("s", 1, at(0s)));
+        health.note("s", 1, ServerEvidence::Failed, at(10ms));
+        health.note("s", 1, ServerEvidence::Failed, at(20ms));
+        health.note("s", 1, ServerEvidence::Failed, at(30ms));
+        CPPUNIT_ASSERT(!health.usable("s", 1, at(500ms)));
+        CPPUNIT_ASSERT(health.usable("s", 1, at(2s)));
+        // Still failing: left out for longer than the first time.
+        health.note("s", 1, ServerEvidence::Unreachable, at(2s));
+        CPPUNIT_ASSERT(!health.usable("s", 1, at(3500ms)));
+        CPPUNIT_ASSERT(health.usable("t", 1, at(0s)));
+    }
+
+    void aNewLifeOfAServerIsSound()
+    {
+        ServerHealth health;
+        health.note("s", 1, ServerEvidence::Unreachable, at(0s));
+        CPPUNIT_ASSERT(!health.usable("s", 1, at(1ms)));
+        CPPUNIT_ASSERT(health.usable("s", 2, at(1ms)));
+    }
+
+    void anOldLifeDoesNotBlameANewOne()
+    {
+        ServerHealth health;
+        health.note("s", 2, ServerEvidence::Failed, at(0s));
+        health.note("s", 1, ServerEvidence::Unreachable, at(1ms));
+        CPPUNIT_ASSERT(health.usable("s", 2, at(2ms)));
+    }
+
+    void olderDigestsAreDropped()
+    {
+        HostTable table;
+        CPPUNIT_ASSERT(table.take(host("h", "a", 5), at(0s)));
+        CPPUNIT_ASSERT(!table.take(host("h", "a", 4), at(1s)));
+        HostDigest restarted = host("h", "a", 1);
+        restarted.startedAtMs = 10;
+        CPPUNIT_ASSERT(table.take(restarted, at(2s)));
+        CPPUNIT_ASSERT(!table.take(host("h", "a", 6), at(3s)));
+    }
+
+    void commitmentsOfSilentHostsLapse()
+    {
+        HostTable table;
+        HostDigest digest = host("h", "a", 1);
+        digest.commitments["s"] = 500;
+        digest.inFlight["p"] = 3;
+        table.take(digest, at(0s));
+        CPPUNIT_ASSERT_EQUAL(500.0, table.committedElsewhere("s", at(100ms)));
+        CPPUNIT_ASSERT_EQUAL(3, table.inFlightElsewhere("p", at(100ms)));
+        CPPUNIT_ASSERT_EQUAL(0.0, table.committedElsewhere("s", at(2s)));
+        CPPUNIT_ASSERT_EQUAL(1, table.liveHosts(at(2s)));
+    }
+
+    void lookupsNameReadyHostsOfTheZone()
+    {
+        HostTable table;
+        table.take(host("near", "a", 1), at(0s));
+        table.take(host("far", "b", 1), at(0s));
+        HostDigest leaving = host("leaving", "a", 1);
+        leaving.leaving = true;
+        table.take(leaving, at(0s));
+        HostDigest starting = host("starting", "a", 1);
+        starting.ready = false;
+        table.take(starting, at(0s));
+        const auto addresses = chooseCallerAddresses(host("self", "a", 1), table, "a", at(0s));
+        CPPUNIT_ASSERT((addresses == std::vector<std::string> {"self:1", "near:1"}));
+        const auto later = chooseCallerAddresses(host("self", "a", 1), table, "a", at(2s));
+        CPPUNIT_ASSERT((later == std::vector<std::string> {"self:1"}));
+    }
+
+    void lookupsNameOtherZonesWhenAZoneIsPoor()
+    {
+        HostTable table;
+        table.take(host("other", "b", 1), at(0s));
+        const auto addresses = chooseCallerAddresses(host("self", "a", 1), table, "a", at(0s));
+        CPPUNIT_ASSERT((addresses == std::vector<std::string> {"self:1", "other:1"}));
+    }
+
+    void theLeastBusyServerIsPicked()
+    {
+        std::vector<PlainServer> servers {{6, 3, false}, {6, 1, false}, {2, 0, true}};
+        CPPUNIT_ASSERT_EQUAL(std::size_t {1}, *pickLeastOutstanding(servers, 0));
+        servers[1].inFlight = 6;
+        servers[0].inFlight = 6;
+        CPPUNIT_ASSERT(!pickLeastOutstanding(servers, 0).has_value());
+        CPPUNIT_ASSERT(!pickLeastOutstanding({}, 5).has_value());
+    }
+
+    /// Twice the load that a pool serves, for ten seconds, with callers that come back once when they are
+    /// told to: whoever is let wait starts in time, the pool never idles, and others know at once.
+    void overloadRefusesAtOnceWithATimeToReturn()
+    {
+        constexpr double ServedPerSecond = 50;
+        constexpr Duration Useful = 300ms;
+        WaitPredictor predictor;
+        Random random(5);
+        double queue = 0;
+        int refused = 0;
+        int late = 0;
+        int accepted = 0;
+        for (int ms = 0; ms < 10'000; ++ms) {
+            const TimePoint now = at(std::chrono::milliseconds(ms));
+            if (queue > 0 && ms % 20 == 0) {
+                queue -= 1;
+                predictor.noteDone(1, now);
+            }
+            if (!random.chance(2 * ServedPerSecond / 1000))
+                continue;
+            const Duration wait = predictor.timeFor(queue + 1, now);
+            const WaitDecision decision = decideWait(wait, Useful, 20s, random.fraction());
+            // The first requests find an idle pool and start at once.
+            if (queue < 1 || decision.wait) {
+                queue += 1;
+                ++accepted;
+                late += queue / ServedPerSecond > 0.45 ? 1 : 0;
+            } else {
+                ++refused;
+                CPPUNIT_ASSERT(decision.retryAfter >= 200ms);
+                CPPUNIT_ASSERT(decision.retryAfter <= Duration(20s) / 3);
+            }
+        }
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(accepted), accepted > 0.9 * ServedPerSecond * 10);
+        CPPUNIT_ASSERT(refused > 0.3 * ServedPerSecond * 10);
+        CPPUNIT_ASSERT_EQUAL(0, late);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(GatewayDecisionsTest);
--- /dev/null
+++ b/tests/unit/layer_planner_test.cpp
@@ -0,0 +1,122 @@
+#include "engine_profile.h"
+
+#include <dogwoodvalve/layer_planner.h>
+#include <dogwoodvalve/random.h>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+
+using namespace dogwoodvalve;
+
+namespace {
+
+std::vector<PlannedServer> zoneOf(const std::string &zone, int large, int medium, int small)
+{
+    std::vector<PlannedServer> servers;
+    const auto add = [&](const char *kind, int n) {
+        for (int i = 0; i < n; ++i)
+            servers.push_back({zone + '-' + kind + std::to_string(i), zone, kind, {}});
+    };
+    add("large", large);
+    add("medium", medium);
+    add("small", small);
+    return servers;
+}
+
+void carryOut(std::vector<PlannedServer> &servers, const std::vector<LayerAssignment> &assignments)
+{
+    for (const LayerAssignment &assignment : assignments) {
+        const auto it = std::find_if(
+            servers.begin(), servers.end(),
+            [&](const PlannedServer &server) { return server.id == assignment.server; });
+        it->layers = assignment.layers;
+    }
+}
+
+} // namespace
+
+class LayerPlannerTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(LayerPlannerTest);
+    CPPUNIT_TEST(noServerGetsMoreThanItsMemoryHolds);
+    CPPUNIT_TEST(aZoneHoldsTheModelTwiceWhereItsMemoryAllows);
+    CPPUNIT_TEST(layersThatAreHeldStayWhereTheyAre);
+    CPPUNIT_TEST(aNewServerTakesWhatTheZoneIsPoorestIn);
+    CPPUNIT_TEST(unknownKindsGetNothing);
+    CPPUNIT_TEST(randomZonesAreCoveredAsFarAsMemoryGoes);
+    CPPUNIT_TEST_SUITE_END();
+
+    const EngineProfile m_profile = mixedProfile();
+    const LayerPlanner m_planner {m_profile};
+
+    void noServerGetsMoreThanItsMemoryHolds()
+    {
+        for (const AcceleratorKind &kind : m_profile.kinds) {
+            const int layers = m_planner.layersFor(kind);
+            CPPUNIT_ASSERT(layers > 0);
+            CPPUNIT_ASSERT(layers * m_profile.layerMb < kind.memoryMb);
+            CPPUNIT_ASSERT(m_profile.contextCapacity(kind, layers) / layers > 10'000);
+        }
+    }
+
+    void aZoneHoldsTheModelTwiceWhereItsMemoryAllows()
+    {
+        std::vector<PlannedServer> servers = zoneOf("a", 1, 3, 8);
+        carryOut(servers, m_planner.assign(servers));
+        std::vector<int> holders(80, 0);
+        for (const PlannedServer &server : servers) {
+            for (int layer = server.layers.first; layer < server.layers.end; ++layer)
+                ++holders[layer];
+        }
+        CPPUNIT_ASSERT(*std::min_element(holders.begin(), holders.end()) >= 2);
+        CPPUNIT_ASSERT(m_planner.zoneCapacity(servers, "a") > 60'000);
+    }
+
+    void layersThatAreHeldStayWhereTheyAre()
+    {
+        std::vector<PlannedServer> servers = zoneOf("a", 1, 3, 8);
+        carryOut(servers, m_planner.assign(servers));
+        CPPUNIT_ASSERT(m_planner.assign(servers).empty());
+    }
+
+    void aNewServerTakesWhatTheZoneIsPoorestIn()
+    {
+        std::vector<PlannedServer> servers = zoneOf("a", 1, 3, 8);
+        carryOut(servers, m_planner.assign(servers));
+        // The one that held the first blocks is lost; a new one of its kind comes.
+        const LayerSpan lost = servers.front().layers;
+        servers.front() = {"new", "a", "large", {}};
+        const std::vector<LayerAssignment> assignments = m_planner.assign(servers);
+        CPPUNIT_ASSERT_EQUAL(std::size_t {1}, assignments.size());
+        CPPUNIT_ASSERT(assignments.front().layers == lost);
+    }
+
+    void unknownKindsGetNothing()
+    {
+        std::vector<PlannedServer> servers {{"x", "a", "unheard-of", {}}};
+        CPPUNIT_ASSERT(m_planner.assign(servers).empty());
+    }
+
+    void randomZonesAreCoveredAsFarAsMemoryGoes()
+    {
+        Random random(7);
+        for (int run = 0; run < 300; ++run) {
+            std::vector<PlannedServer> servers =
+                zoneOf("a", static_cast<int>(random.below(4)), static_cast<int>(random.below(8)),
+                       static_cast<int>(random.below(20)));
+            carryOut(servers, m_planner.assign(servers));
+            int held = 0;
+            for (const PlannedServer &server : servers) {
+                CPPUNIT_ASSERT(server.layers.first >= 0 && server.layers.end <= 80);
+                held += server.layers.size();
+            }
+            // Blocks are filled one after the other, so the model is whole once there is room for it.
+            if (held >= 80 + 30)
+                CPPUNIT_ASSERT_MESSAGE("run " + std::to_string(run),
+                                       m_planner.zoneCapacity(servers, "a") > 0);
+        }
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(LayerPlannerTest);
