--- a/include/dogwoodvalve/host_table.h
+++ b/include/dogwoodvalve/host_table.h
@@ -68,8 +68,8 @@
 };
 
 /// Chooses the addresses that callers from a zone should use, best first. Hosts that are not ready
-/// or are leaving are never named. If the zone has few hosts, hosts of other zones are added, so that a
-/// caller can go on when one of them dies.
+/// or are leaving are never named. If the zone has few hosts, hosts of other zones are added, so
+/// that a caller can go on when one of them dies.
 std::vector<std::string> chooseCallerAddresses(const HostDigest &self, const HostTable &table,
                                                std::string_view zone, TimePoint now);
 
--- a/include/dogwoodvalve/layer_planner.h
+++ b/include/dogwoodvalve/layer_planner.h
@@ -52,8 +52,7 @@
     std::vector<double> coverage(std::span<const PlannedServer> servers,
                                  std::string_view zone) const;
     void addCoverage(std::vector<double> &blocks, const PlannedServer &server) const;
-    LayerSpan poorestRange(const std::vector<double> &blocks, int length,
-                            double tokensAdded) const;
+    LayerSpan poorestRange(const std::vector<double> &blocks, int length, double tokensAdded) const;
     double tokensFor(const AcceleratorKind &kind, int layers) const;
 
     const EngineProfile &m_profile;
--- a/include/dogwoodvalve/plain_selector.h
+++ b/include/dogwoodvalve/plain_selector.h
@@ -16,8 +16,8 @@
 };
 
 /// Picks the server with the least share of its slots taken, or nothing if all slots are taken: a
-/// request then waits here, where it can still go to whichever server is free first. A number decides
-/// between equals, so that hosts don't all pick the same.
+/// request then waits here, where it can still go to whichever server is free first. A number
+/// decides between equals, so that hosts don't all pick the same.
 std::optional<std::size_t> pickLeastOutstanding(std::span<const PlainServer> servers,
                                                 std::size_t tieBreak);
 
--- a/include/dogwoodvalve/server_health.h
+++ b/include/dogwoodvalve/server_health.h
@@ -27,8 +27,8 @@
 public:
     void note(std::string_view id, std::int64_t startedAtMs, ServerEvidence evidence,
               TimePoint now);
-    /// The server has renewed its registration. One that could not be reached is left out until it does,
-    /// since a dead server does not.
+    /// The server has renewed its registration. One that could not be reached is left out until it
+    /// does, since a dead server does not.
     void noteHeartbeat(std::string_view id, std::int64_t startedAtMs, TimePoint now);
     /// Whether new requests may go to the server. A new life of a server starts sound.
     bool usable(std::string_view id, std::int64_t startedAtMs, TimePoint now) const;
--- a/include/dogwoodvalve/wait_predictor.h
+++ b/include/dogwoodvalve/wait_predictor.h
@@ -21,12 +21,13 @@
     TimePoint m_updatedAt {};
 };
 
-/// When a caller should come back after a refusal for lack of room, and whether to let it wait here.
+/// When a caller should come back after a refusal for lack of room, and whether to let it wait
+/// here.
 ///
-/// Answers load beyond what a pool can serve: a request is let wait only if it is likely to start early
-/// enough to be on time, so that the work in the pool is work that callers still want. Others are
-/// refused at once and told when the work that is ahead of them should have ended; spreading the times
-/// keeps them from coming back all together.
+/// Answers load beyond what a pool can serve: a request is let wait only if it is likely to start
+/// early enough to be on time, so that the work in the pool is work that callers still want. Others
+/// are refused at once and told when the work that is ahead of them should have ended; spreading
+/// the times keeps them from coming back all together.
 struct WaitDecision
 {
     bool wait = false;
--- a/src/core/host_table.cpp
+++ b/src/core/host_table.cpp
@@ -30,9 +30,8 @@
 
 void HostTable::expire(TimePoint now)
 {
-    std::erase_if(m_peers, [now](const auto &entry) {
-        return now - entry.second.heardAt > ForgetTimeout;
-    });
+    std::erase_if(m_peers,
+                  [now](const auto &entry) { return now - entry.second.heardAt > ForgetTimeout; });
 }
 
 bool HostTable::isLive(const Peer &peer, TimePoint now)
--- a/src/core/layer_planner.cpp
+++ b/src/core/layer_planner.cpp
@@ -81,16 +81,16 @@
 
 /// The range whose blocks need the added room most: the need of a block falls with what it has.
 LayerSpan LayerPlanner::poorestRange(const std::vector<double> &blocks, int length,
-                                      double tokensAdded) const
+                                     double tokensAdded) const
 {
     const auto need = [tokensAdded](double tokens) { return 1 / (tokensAdded + tokens); };
     const int width = length / m_blockSize;
     int best = 0;
     double bestNeed = -1;
     for (int start = 0; start + width <= static_cast<int>(blocks.size()); ++start) {
-        const double sum = std::accumulate(
-            blocks.begin() + start, blocks.begin() + start + width, 0.0,
-            [&need](double total, double tokens) { return total + need(tokens); });
+        const double sum =
+            std::accumulate(blocks.begin() + start, blocks.begin() + start + width, 0.0,
+                            [&need](double total, double tokens) { return total + need(tokens); });
         if (sum > bestNeed * (1 + 1e-9)) {
             bestNeed = sum;
             best = start;
--- a/src/core/path_selector.cpp
+++ b/src/core/path_selector.cpp
@@ -30,8 +30,7 @@
 
 bool hasRoom(const PathServer &server, int layers, const SequenceSize &size)
 {
-    return server.committed + size.total() * layers
-        <= server.capacity * PathSelector::CommitShare;
+    return server.committed + size.total() * layers <= server.capacity * PathSelector::CommitShare;
 }
 
 double timeOf(const EnginePath &path, const SequenceSize &size)
@@ -43,9 +42,8 @@
 bool usesServerTwice(std::span<const PathPart> parts)
 {
     std::set<std::size_t> seen;
-    return std::any_of(parts.begin(), parts.end(), [&seen](const PathPart &part) {
-        return !seen.insert(part.server).second;
-    });
+    return std::any_of(parts.begin(), parts.end(),
+                       [&seen](const PathPart &part) { return !seen.insert(part.server).second; });
 }
 
 } // namespace
@@ -141,8 +139,8 @@
     return parts;
 }
 
-EnginePath PathSelector::describe(std::span<const PathServer> servers,
-                                  std::vector<PathPart> parts, const SequenceSize &size) const
+EnginePath PathSelector::describe(std::span<const PathServer> servers, std::vector<PathPart> parts,
+                                  const SequenceSize &size) const
 {
     double readMs = 0;
     double stepMs = 0;
--- a/src/core/server_health.cpp
+++ b/src/core/server_health.cpp
@@ -19,7 +19,8 @@
 constexpr Duration LongestEjection = 8s;
 /// Heartbeats that are read within this time may have been written before the server died.
 constexpr Duration HeartbeatLag = 1500ms;
-/// If no heartbeat can be read, for example because the store is down, a server is tried again then.
+/// If no heartbeat can be read, for example because the store is down, a server is tried again
+/// then.
 constexpr Duration LongestHeartbeatWait = 6s;
 
 } // namespace
--- a/src/core/wait_predictor.cpp
+++ b/src/core/wait_predictor.cpp
@@ -46,8 +46,8 @@
 {
     if (predictedWait <= longestUsefulWait && predictedWait < timeLeft)
         return {true, {}};
-    const Duration spread(static_cast<Duration::rep>(
-        static_cast<double>(predictedWait.count()) * (0.75 + 0.5 * fraction)));
+    const Duration spread(static_cast<Duration::rep>(static_cast<double>(predictedWait.count())
+                                                     * (0.75 + 0.5 * fraction)));
     const Duration most = std::max<Duration>(ShortestRetry, timeLeft / RetryShare);
     return {false, std::clamp<Duration>(spread, ShortestRetry, most)};
 }
--- a/src/daemon/log.cpp
+++ b/src/daemon/log.cpp
@@ -6,15 +6,15 @@
 #include <log4cplus/layout.h>
 #include <log4cplus/logger.h>
 #include <log4cplus/spi/loggingevent.h>
-#include <fcntl.h>
-#include <unistd.h>
 
 #include <array>
 #include <atomic>
 #include <charconv>
 #include <chrono>
+#include <fcntl.h>
 #include <memory>
 #include <sstream>
+#include <unistd.h>
 
 namespace dogwoodvalve {
 
@@ -175,7 +175,8 @@
 {
     initializer();
     if (file.empty())
-        useAppender(log4cplus::SharedAppenderPtr(new log4cplus::ConsoleAppender(true, true)), level);
+        useAppender(log4cplus::SharedAppenderPtr(new log4cplus::ConsoleAppender(true, true)),
+                    level);
     else
         useAppender(
             log4cplus::SharedAppenderPtr(new log4cplus::FileAppender(file, std::ios_base::app)),
--- a/src/daemon/log.h
+++ b/src/daemon/log.h
@@ -20,8 +20,8 @@
 
 /// Sets up the log: to a file if one is named, else to standard error.
 void startLog(LogLevel level, const std::string &file);
-/// Sets up the log on standard output without ever waiting for its reader: what the reader does not take
-/// is kept up to a bound, and lines beyond it are counted instead.
+/// Sets up the log on standard output without ever waiting for its reader: what the reader does not
+/// take is kept up to a bound, and lines beyond it are counted instead.
 void startLogOnStandardOutput(LogLevel level);
 void setLogLevel(LogLevel level);
 
--- a/src/gateway/fleet_view.cpp
+++ b/src/gateway/fleet_view.cpp
@@ -11,9 +11,9 @@
 /// Time that a request may take from the check of its key until it reaches a server, with the
 /// uncertainty of ages that other hosts tell.
 constexpr Duration KeyCheckMargin = 800ms;
-/// A report of layers goes before the registration for this long: registrations lag by a heartbeat
-/// and the interval at which they are read.
-constexpr Duration ReportPrecedence = 4s;
+/// Registrations that are read within this time of a report may be older than it: they lag by a
+/// heartbeat, the store, and the interval at which they are read.
+constexpr Duration RegistrationLag = 3s;
 
 } // namespace
 
@@ -23,6 +23,12 @@
     , m_keyRevocation(keyRevocation)
 { }
 
+void FleetView::setLeaving()
+{
+    m_self.leaving = true;
+    m_leavingSince = m_timers.now();
+}
+
 bool FleetView::ready() const
 {
     return m_configuration && m_serversKnown && !m_self.leaving;
@@ -85,8 +91,7 @@
 LayerSpan FleetView::layersOf(const ServerRegistration &server) const
 {
     const auto it = m_reported.find(server.id);
-    if (it == m_reported.end() || it->second.startedAtMs != server.startedAtMs
-        || m_timers.now() - it->second.at > ReportPrecedence)
+    if (it == m_reported.end() || it->second.startedAtMs != server.startedAtMs)
         return server.layers;
     return it->second.layers;
 }
@@ -122,8 +127,7 @@
         part.zone = server->zone;
         part.layers = layers;
         part.stepMsPerLayer = profile.stepMs * kind->stepFactor / profile.layers;
-        part.readMsPerTokenLayer =
-            kind->readFactor / (profile.readTokensPerMs * profile.layers);
+        part.readMsPerTokenLayer = kind->readFactor / (profile.readTokensPerMs * profile.layers);
         part.capacity = profile.contextCapacity(*kind, layers.size());
         part.committed = m_hosts.committedElsewhere(server->id, now);
         if (const auto it = m_loads.find(server->id); it != m_loads.end())
@@ -154,7 +158,8 @@
         return;
     if (!m_configurationConfirmed || asOf > m_configurationConfirmedAt)
         m_configurationConfirmedAt = asOf;
-    m_configurationConfirmed = true;
+    if (!std::exchange(m_configurationConfirmed, true) && m_observer)
+        m_observer->configurationChanged();
 }
 
 void FleetView::onServer(const ServerRegistration &registration)
@@ -164,6 +169,9 @@
     const ServerRegistration *known = m_registry.find(registration.id);
     if (!known)
         m_lastArrivalAt = m_timers.now();
+    if (const auto it = m_reported.find(registration.id);
+        it != m_reported.end() && m_timers.now() - it->second.at > RegistrationLag)
+        m_reported.erase(it);
     const bool reborn = known && known->startedAtMs != registration.startedAtMs;
     if (!m_registry.put(registration))
         return;
--- a/src/gateway/fleet_view.h
+++ b/src/gateway/fleet_view.h
@@ -52,18 +52,23 @@
 
     /// This host's digest as of now.
     HostDigest digest();
-    void setLeaving() { m_self.leaving = true; }
+    void setLeaving();
     bool leaving() const { return m_self.leaving; }
+    /// Whether the host has been leaving for this long.
+    bool leavingFor(Duration time) const
+    {
+        return leaving() && m_timers.now() - m_leavingSince >= time;
+    }
     /// Whether callers can be served: a configuration and the servers are known.
     bool ready() const;
-    /// Neither a configuration nor the servers have been known since the start.
-    bool starting() const { return !m_configuration || !m_serversKnown; }
+    /// Since the start, the configuration, its confirmation or the servers have not been known yet.
+    bool starting() const { return !m_configurationConfirmed || !m_serversKnown; }
 
     /// How long ago a server was seen for the first time.
     Duration lastArrivalAge() const { return m_timers.now() - m_lastArrivalAt; }
 
-    /// Whether callers' keys can still be judged. A host that neither the store nor another host has
-    /// confirmed for too long could accept a key that was taken away.
+    /// Whether callers' keys can still be judged. A host that neither the store nor another host
+    /// has confirmed for too long could accept a key that was taken away.
     bool keysTrusted() const;
     Duration configurationAge() const;
     Duration serversAge() const;
@@ -102,6 +107,7 @@
     TimerService &m_timers;
     HostDigest m_self;
     Duration m_keyRevocation;
+    TimePoint m_leavingSince {};
     FleetViewObserver *m_observer = nullptr;
     FleetConfigurationPointer m_configuration;
     std::string m_document;
--- a/src/gateway/front_api.cpp
+++ b/src/gateway/front_api.cpp
@@ -14,6 +14,9 @@
 constexpr int StatusTooLarge = 413;
 constexpr int StatusUnavailable = 503;
 constexpr std::size_t MostBodyBytes = 16U << 20;
+/// A leaving host takes requests for this long. Callers keep the answer to a look-up for a few
+/// seconds, and the grace leaves a stream that began by then the time to end.
+constexpr Duration LastAcceptance = 2900ms;
 /// Longest time that requests wait for the first configuration after the start.
 constexpr Duration StartUpHold = 400ms;
 /// A host that does not know enough to serve is likely to know it by then, or to be left out of
@@ -29,8 +32,8 @@
     serve(exchange);
 }
 
-/// A host that has just started knows its configuration within a few calls to the store, sooner than a
-/// caller could come back.
+/// A host that has just started knows its configuration within a few calls to the store, sooner
+/// than a caller could come back.
 void FrontApi::hold(const std::shared_ptr<HttpExchange> &exchange)
 {
     m_held.push_back(exchange);
@@ -62,8 +65,11 @@
                           {ErrorKind::Unavailable, "the configuration is not known yet",
                            "send it again later"});
     }
-    request.route = request.configuration->findRoute(request.caller.host,
-                                                     pathOf(exchange->target()));
+    if (view.leavingFor(LastAcceptance))
+        return answer(exchange, request.caller, StatusUnavailable,
+                      {ErrorKind::Unavailable, "this host is leaving", "use another address"});
+    request.route =
+        request.configuration->findRoute(request.caller.host, pathOf(exchange->target()));
     if (!request.route)
         return answer(exchange, request.caller, StatusNotFound,
                       {ErrorKind::NotFound, "no route for this host and path",
@@ -71,24 +77,22 @@
     request.priority = request.route->priority;
     if (!request.route->open && request.configuration->hasWorkspaces()) {
         if (!view.keysTrusted())
-            return answer(exchange, request.caller, StatusUnavailable,
-                          {ErrorKind::Unavailable, "keys can't be checked now",
-                           "use another address"});
-        const WorkspaceRule *workspace =
-            request.configuration->findWorkspace(request.caller.key);
+            return answer(
+                exchange, request.caller, StatusUnavailable,
+                {ErrorKind::Unavailable, "keys can't be checked now", "use another address"});
+        const WorkspaceRule *workspace = request.configuration->findWorkspace(request.caller.key);
         if (!workspace)
             return answer(exchange, request.caller, StatusUnauthorized,
                           {ErrorKind::Unauthorized, "unknown key", "use a key in force"});
         request.workspace = workspace->name;
         request.priority = workspace->priority.value_or(request.priority);
     }
-    const WeightedService *service =
-        chooseService(*request.route, m_node.random().fraction());
+    const WeightedService *service = chooseService(*request.route, m_node.random().fraction());
     request.service = service ? request.configuration->findService(service->service) : nullptr;
     if (!request.service)
-        return answer(exchange, request.caller, StatusUnavailable,
-                      {ErrorKind::Unavailable, "the route's service is not configured",
-                       "add the service"});
+        return answer(
+            exchange, request.caller, StatusUnavailable,
+            {ErrorKind::Unavailable, "the route's service is not configured", "add the service"});
     readBody(std::move(request));
 }
 
@@ -101,8 +105,7 @@
             // A caller that went away while it sent needs no answer.
             if (body.error().kind != ErrorKind::Unavailable)
                 answer(shared->exchange, shared->caller,
-                       body.error().kind == ErrorKind::TooLarge ? StatusTooLarge
-                                                                : StatusBadRequest,
+                       body.error().kind == ErrorKind::TooLarge ? StatusTooLarge : StatusBadRequest,
                        body.error());
             return;
         }
@@ -122,8 +125,8 @@
                m_node.view().configuration() ? m_node.view().configuration()->version() : 0)
         .field("configuration_age_ms", m_node.view().configurationAge().count() / 1000);
     m_node.metrics().countRequest("refused");
-    const auto pause = status == StatusUnavailable ? std::optional<Duration>(RetryAfterNotReady)
-                                                   : std::nullopt;
+    const auto pause =
+        status == StatusUnavailable ? std::optional<Duration>(RetryAfterNotReady) : std::nullopt;
     exchange->respond(status, m_node.dialect().refusalFields(caller.id, pause),
                       errorBody(error, "not_run"));
 }
--- a/src/gateway/front_api.h
+++ b/src/gateway/front_api.h
@@ -7,8 +7,8 @@
 
 struct AcceptedRequest;
 
-/// Takes callers' requests: finds route and workspace, reads the body and starts a session. What can't
-/// be served by the configuration in force is answered at once.
+/// Takes callers' requests: finds route and workspace, reads the body and starts a session. What
+/// can't be served by the configuration in force is answered at once.
 class FrontApi : public HttpHandler
 {
 public:
--- a/src/gateway/gateway_metrics.cpp
+++ b/src/gateway/gateway_metrics.cpp
@@ -7,8 +7,8 @@
 namespace {
 
 /// Bounds in seconds: from a fraction of the least target to the longest deadline.
-const prometheus::Histogram::BucketBoundaries LatencyBounds {
-    0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.3, 0.5, 1, 2, 5, 10, 20};
+const prometheus::Histogram::BucketBoundaries LatencyBounds {0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.3,
+                                                             0.5,   1,    2,    5,    10,  20};
 
 prometheus::Family<prometheus::Counter> &counters(prometheus::Registry &registry, const char *name,
                                                   const char *help)
@@ -45,8 +45,11 @@
 
 prometheus::Histogram &GatewayMetrics::histogram(const char *name, const char *help)
 {
-    return prometheus::BuildHistogram().Name(name).Help(help).Register(m_registry).Add(
-        {}, LatencyBounds);
+    return prometheus::BuildHistogram()
+        .Name(name)
+        .Help(help)
+        .Register(m_registry)
+        .Add({}, LatencyBounds);
 }
 
 void GatewayMetrics::countRequest(std::string_view outcome)
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -35,10 +35,7 @@
     std::string text() const;
 
 private:
-    static double seconds(Duration duration)
-    {
-        return static_cast<double>(duration.count()) / 1e6;
-    }
+    static double seconds(Duration duration) { return static_cast<double>(duration.count()) / 1e6; }
     prometheus::Gauge &gauge(const char *name, const char *help);
     prometheus::Histogram &histogram(const char *name, const char *help);
 
--- a/src/gateway/gateway_node.h
+++ b/src/gateway/gateway_node.h
@@ -16,8 +16,8 @@
 
 class RequestSession;
 
-/// What the sessions of a gateway host share: its view of the fleet, the queues of requests that wait
-/// for room, the retry budgets, metrics and the adapter.
+/// What the sessions of a gateway host share: its view of the fleet, the queues of requests that
+/// wait for room, the retry budgets, metrics and the adapter.
 class GatewayNode
 {
 public:
--- a/src/gateway/gateway_process.cpp
+++ b/src/gateway/gateway_process.cpp
@@ -77,7 +77,8 @@
             .field("listen", m_node.settings().listen);
         m_loop.run();
         LogEvent("stopped").field("open", m_node.openSessions());
-        // Nothing is left to save; waiting for the log library's idle threads could outlast the grace.
+        // Nothing is left to save; waiting for the log library's idle threads could outlast the
+        // grace.
         std::_Exit(0);
     }
 
@@ -98,12 +99,12 @@
             const auto endpoint = parseEndpoint(*address);
             if (!endpoint)
                 return endpoint.error();
-            if (const Result<void> listening = server->listen(endpoint.value()); !listening)
+            if (Result<void> listening = server->listen(endpoint.value()); !listening)
                 return listening;
         }
         m_node.view().setObserver(this);
         m_node.platform().feed->start(m_node.view());
-        if (const Result<void> started = m_peers.start(); !started)
+        if (Result<void> started = m_peers.start(); !started)
             return started;
         m_placement.start();
         pump();
--- a/src/gateway/gateway_settings.cpp
+++ b/src/gateway/gateway_settings.cpp
@@ -71,16 +71,15 @@
     settings.store = readAddress(reader, "store");
     settings.grace = readSeconds(reader, "graceS", settings.grace);
     settings.keyRevocation = readMillis(reader, "keyRevocationMs", settings.keyRevocation);
-    settings.lookupTimeToLive =
-        readMillis(reader, "lookupTimeToLiveMs", settings.lookupTimeToLive);
+    settings.lookupTimeToLive = readMillis(reader, "lookupTimeToLiveMs", settings.lookupTimeToLive);
     readRetries(reader, settings.retries);
     const Result<LogLevel> level = logLevelFromString(reader.text("logLevel", "info"));
     if (level)
         settings.logLevel = level.value();
     else
         reader.fail("logLevel", level.error().message, level.error().remedy);
-    settings.decisionLogRate = static_cast<int>(
-        reader.integer("decisionLogRate", settings.decisionLogRate, 0, 1'000'000));
+    settings.decisionLogRate =
+        static_cast<int>(reader.integer("decisionLogRate", settings.decisionLogRate, 0, 1'000'000));
     reader.finish();
     if (reader.failure())
         return locateError(*reader.failure(), file, document.lineOf(reader.failedPath()));
--- a/src/gateway/generation_session.cpp
+++ b/src/gateway/generation_session.cpp
@@ -10,8 +10,8 @@
 
 /// Unsent bytes to the caller beyond which the engine is not read.
 constexpr std::size_t HighWater = 128 * 1024;
-/// A stream without events for this many expected pauses, and at least the least time, may have lost a
-/// part of its path. Callers leave after 2 s of silence.
+/// A stream without events for this many expected pauses, and at least the least time, may have
+/// lost a part of its path. Callers leave after 2 s of silence.
 constexpr int StallPauses = 8;
 constexpr Duration LeastStall = 350ms;
 /// Waiting for the first event includes the queues of all engines of the path.
@@ -19,6 +19,8 @@
 constexpr Duration LeastFirstStall = 700ms;
 /// If all parts of a silent stream's path serve others, the stream is held up rather than lost.
 constexpr Duration LongestStall = 1300ms;
+/// Callers abandon a stream that has been silent this long.
+constexpr Duration CallerPatience = 2s;
 /// Part of the target for the first event that may be spent waiting for room here.
 constexpr double WaitShare = 0.6;
 constexpr Duration RetryAfterRefusal = 500ms;
@@ -34,8 +36,8 @@
     for (const PathPart &part : parts) {
         if (!text.empty())
             text += ',';
-        text += std::string(servers[part.server].id) + ':' + std::to_string(part.layers.first)
-            + '-' + std::to_string(part.layers.end);
+        text += std::string(servers[part.server].id) + ':' + std::to_string(part.layers.first) + '-'
+            + std::to_string(part.layers.end);
     }
     return text;
 }
@@ -62,6 +64,11 @@
         static_cast<double>(m_request.route->firstByteTarget.count()) * WaitShare));
 }
 
+Duration GenerationSession::longestRepairWait() const
+{
+    return m_responded ? CallerPatience - (m_node.now() - m_progressAt) : longestUsefulWait();
+}
+
 bool GenerationSession::tryStart()
 {
     FleetView &view = m_node.view();
@@ -276,8 +283,8 @@
     finish("complete", std::to_string(m_answer.status));
 }
 
-/// An answer that is no stream: the engine, or another one of the path, did not take the request, or
-/// failed it.
+/// An answer that is no stream: the engine, or another one of the path, did not take the request,
+/// or failed it.
 void GenerationSession::takeRefusal()
 {
     if (!m_answer.notRun) {
@@ -299,15 +306,14 @@
         return part.address == m_answer.faultyAddress;
     });
     const Part &faulty = at == m_parts.end() ? m_parts.front() : *at;
-    // The same status tells of a dead part and of one that is short of memory; a part that serves other
-    // streams is not dead.
+    // The same status tells of a dead part and of one that is short of memory; a part that serves
+    // other streams is not dead.
     const bool serves = m_node.now() - faulty.load->progressAt < LeastFirstStall;
     blame(faulty,
           m_answer.status == StatusWrongServer || !serves ? ServerEvidence::Unreachable
                                                           : ServerEvidence::Refused);
-    continueElsewhere("engine " + faulty.server + " refused with "
-                          + std::to_string(m_answer.status),
-                      false);
+    continueElsewhere(
+        "engine " + faulty.server + " refused with " + std::to_string(m_answer.status), false);
 }
 
 void GenerationSession::onError(const Error &error)
--- a/src/gateway/generation_session.h
+++ b/src/gateway/generation_session.h
@@ -8,9 +8,9 @@
 
 namespace dogwoodvalve {
 
-/// A generation on a path of engines: the first engine streams the events of the whole path. Only whole
-/// events reach the caller, with ids that rise by one. When a part of the path dies or stalls, the stream
-/// goes on on another path after the last event that was delivered.
+/// A generation on a path of engines: the first engine streams the events of the whole path. Only
+/// whole events reach the caller, with ids that rise by one. When a part of the path dies or
+/// stalls, the stream goes on on another path after the last event that was delivered.
 class GenerationSession : public RequestSession
 {
 public:
@@ -27,6 +27,7 @@
 
 protected:
     Duration longestUsefulWait() const override;
+    Duration longestRepairWait() const override;
     void releaseAttempt() override;
     void describeEnd(LogEvent &event) const override;
 
--- a/src/gateway/peer_exchange.cpp
+++ b/src/gateway/peer_exchange.cpp
@@ -10,7 +10,8 @@
 
 namespace {
 
-/// Commitments of other hosts are this old at most; 8 requests a second may come to a host meanwhile.
+/// Commitments of other hosts are this old at most; 8 requests a second may come to a host
+/// meanwhile.
 constexpr Duration DigestInterval = 100ms;
 /// Hosts that the store names are looked up again this often, for those that no digest reached.
 constexpr Duration FindInterval = 8s;
@@ -34,8 +35,7 @@
     const auto endpoint = parseEndpoint(m_node.settings().peerListen);
     if (!endpoint)
         return endpoint.error();
-    const boost::asio::ip::udp::endpoint local(endpoint.value().address(),
-                                               endpoint.value().port());
+    const boost::asio::ip::udp::endpoint local(endpoint.value().address(), endpoint.value().port());
     boost::system::error_code ec;
     m_socket.open(local.protocol(), ec);
     if (!ec)
@@ -171,8 +171,7 @@
             m_pulling = false;
             if (!reply || reply.value().status != 200)
                 return;
-            const auto decoded =
-                m_node.platform().feed->decodeConfiguration(reply.value().body);
+            const auto decoded = m_node.platform().feed->decodeConfiguration(reply.value().body);
             if (!decoded)
                 return;
             LogEvent("configuration_from_host")
--- a/src/gateway/peer_exchange.h
+++ b/src/gateway/peer_exchange.h
@@ -11,9 +11,9 @@
 
 namespace dogwoodvalve {
 
-/// Tells the other hosts this one's digest and takes theirs, as datagrams: each digest replaces the one
-/// before, so a lost one is made good by the next. Hosts find one another by their records in the
-/// platform's store, and by the digests that reach them.
+/// Tells the other hosts this one's digest and takes theirs, as datagrams: each digest replaces the
+/// one before, so a lost one is made good by the next. Hosts find one another by their records in
+/// the platform's store, and by the digests that reach them.
 class PeerExchange
 {
 public:
--- a/src/gateway/placement_controller.cpp
+++ b/src/gateway/placement_controller.cpp
@@ -11,14 +11,15 @@
 namespace {
 
 constexpr Duration RenewInterval = 600ms;
-/// The lease lasts 2 s from its renewal; the holder stops earlier, by what an order may take to arrive.
+/// The lease lasts 2 s from its renewal; the holder stops earlier, by what an order may take to
+/// arrive.
 constexpr Duration LeaseUse = 1300ms;
 constexpr Duration StepInterval = 200ms;
-/// When all engines are new, they register within seconds of one another; a plan made over a part of them
-/// would be worse. Registrations are read every second.
+/// When all engines are new, they register within seconds of one another; a plan made over a part
+/// of them would be worse. Registrations are read every second.
 constexpr Duration SettleTime = 1800ms;
-/// An order without effect is given again after this long, and this many times what the load should take:
-/// loads share the weight store, and an order may be carried out late.
+/// An order without effect is given again after this long, and this many times what the load should
+/// take: loads share the weight store, and an order may be carried out late.
 constexpr Duration OrderRepeat = 4s;
 constexpr int OrderRepeatLoads = 3;
 /// Loading is watched by reports, which are priced, from half of the time that it should take.
@@ -69,8 +70,7 @@
                 return;
             if (lease) {
                 if (lease.value().held != m_lease.held) {
-                    LogEvent(lease.value().held ? "placement_lease_taken"
-                                                : "placement_lease_lost")
+                    LogEvent(lease.value().held ? "placement_lease_taken" : "placement_lease_lost")
                         .field("fence", lease.value().fence);
                     m_orders.clear();
                     m_examined.clear();
@@ -105,8 +105,8 @@
         const bool ordered =
             order != m_orders.end() && order->second.startedAtMs == server->startedAtMs;
         if (it.layers.empty() && ordered) {
-            const Duration load = service.engine->loadTime * order->second.layers.size()
-                / service.engine->layers;
+            const Duration load =
+                service.engine->loadTime * order->second.layers.size() / service.engine->layers;
             const Duration since = now - order->second.sentAt;
             if (since < std::max<Duration>(OrderRepeat, load * OrderRepeatLoads))
                 it.layers = order->second.layers;
@@ -148,8 +148,9 @@
         [this, id = server.id, alive = std::weak_ptr(m_alive)](OrderOutcome outcome) {
             if (alive.expired())
                 return;
-            LogEvent("layers_order_answered").field("server", id).field("outcome",
-                                                                        toString(outcome));
+            LogEvent("layers_order_answered")
+                .field("server", id)
+                .field("outcome", toString(outcome));
             m_node.metrics().countOrder(toString(outcome));
             if (outcome == OrderOutcome::Fenced)
                 m_lease.held = false;
@@ -164,8 +165,9 @@
     order.asking = true;
     order.askedAt = m_node.now();
     m_node.platform().engines->readReport(
-        server, [this, id = server.id, startedAtMs = server.startedAtMs,
-                 alive = std::weak_ptr(m_alive)](const Result<EngineReport> &report) {
+        server,
+        [this, id = server.id, startedAtMs = server.startedAtMs,
+         alive = std::weak_ptr(m_alive)](const Result<EngineReport> &report) {
             if (alive.expired())
                 return;
             if (const auto it = m_orders.find(id); it != m_orders.end())
--- a/src/gateway/placement_controller.h
+++ b/src/gateway/placement_controller.h
@@ -7,10 +7,10 @@
 
 namespace dogwoodvalve {
 
-/// Sees to it that every engine holds layers. One host at a time holds the lease and orders engines that
-/// hold nothing to load what the planner assigns; the engines themselves are the record of the plan, so a
-/// new holder goes on from their reports. Orders carry the lease's number, so that engines refuse those of
-/// a former holder.
+/// Sees to it that every engine holds layers. One host at a time holds the lease and orders engines
+/// that hold nothing to load what the planner assigns; the engines themselves are the record of the
+/// plan, so a new holder goes on from their reports. Orders carry the lease's number, so that
+/// engines refuse those of a former holder.
 class PlacementController
 {
 public:
--- a/src/gateway/plain_session.cpp
+++ b/src/gateway/plain_session.cpp
@@ -31,10 +31,10 @@
     });
     std::vector<PlainServer> candidates;
     for (const ServerRegistration *server : servers)
-        candidates.push_back({server->slots,
-                              view.load(server->id)->inFlight
-                                  + view.hosts().inFlightElsewhere(server->id, now),
-                              m_tried.count(server->id) > 0});
+        candidates.push_back(
+            {server->slots,
+             view.load(server->id)->inFlight + view.hosts().inFlightElsewhere(server->id, now),
+             m_tried.count(server->id) > 0});
     const auto picked = pickLeastOutstanding(candidates, m_node.random().next() % 64);
     if (!picked)
         return false;
@@ -60,6 +60,11 @@
         static_cast<double>(m_request.route->firstByteTarget.count()) * WaitShare));
 }
 
+Duration PlainSession::longestRepairWait() const
+{
+    return longestUsefulWait();
+}
+
 void PlainSession::releaseAttempt()
 {
     if (const auto load = std::exchange(m_load, nullptr)) {
@@ -87,8 +92,8 @@
         return takeFailure(ServerEvidence::Refused, "the server refused the request", false);
     if (!m_answer.idMatches || m_answer.encoded || (success && !m_answer.stamped))
         return takeFailure(ServerEvidence::Failed, "the answer is not the server's own", true);
-    if (m_answer.status >= FirstServerError
-        && m_request.route->repetition == Repetition::Idempotent && takeAnotherAttempt(true)) {
+    if (m_answer.status >= FirstServerError && m_request.route->repetition == Repetition::Idempotent
+        && takeAnotherAttempt(true)) {
         m_lastFailure = "the server answered " + std::to_string(m_answer.status);
         closeAttempt();
         return startOrWait(true);
--- a/src/gateway/plain_session.h
+++ b/src/gateway/plain_session.h
@@ -6,8 +6,8 @@
 
 namespace dogwoodvalve {
 
-/// A request to a plain service: any server can take it, and its answer is delivered when it is whole,
-/// so that a broken one can still be replaced where the request may be repeated.
+/// A request to a plain service: any server can take it, and its answer is delivered when it is
+/// whole, so that a broken one can still be replaced where the request may be repeated.
 class PlainSession : public RequestSession
 {
 public:
@@ -23,6 +23,7 @@
 
 protected:
     Duration longestUsefulWait() const override;
+    Duration longestRepairWait() const override;
     void releaseAttempt() override;
 
 private:
--- a/src/gateway/request_session.cpp
+++ b/src/gateway/request_session.cpp
@@ -16,6 +16,9 @@
 constexpr Duration ConnectTimeout = 150ms;
 /// Servers that may turn one request away, besides those that may run it.
 constexpr int MostRefusals = 2;
+/// A predicted wait may prove too short by this factor before the request is given up.
+constexpr int WrongPrediction = 2;
+constexpr int StatusBadGateway = 502;
 constexpr int StatusUnavailable = 503;
 constexpr int StatusTimeout = 504;
 
@@ -56,8 +59,10 @@
     if (m_ended)
         return;
     m_waits = true;
-    if (goesFirst)
+    if (goesFirst) {
+        waitAtMost(longestRepairWait());
         return queue.pushFront(shared_from_this());
+    }
     const TimePoint now = m_node.now();
     const Duration wait = queue.predictor().timeFor(queue.waitingWork() + work(), now);
     const WaitDecision decision =
@@ -69,18 +74,43 @@
         .field("useful_ms", longestUsefulWait().count() / 1000)
         .field("waiting", queue.size())
         .field("servers_age_ms", m_node.view().serversAge().count() / 1000);
-    if (decision.wait)
+    if (decision.wait) {
+        waitAtMost(longestUsefulWait() * WrongPrediction);
         return queue.push(shared_from_this());
+    }
     refuse(StatusUnavailable,
            {ErrorKind::Overloaded, "no server has room in time", "come back later"},
            decision.retryAfter);
 }
 
+void RequestSession::waitAtMost(Duration time)
+{
+    m_waitTimer = m_node.timers().subscribe(m_node.now() + time, [weak = weak_from_this()] {
+        if (const auto session = weak.lock())
+            session->giveUpWaiting();
+    });
+}
+
+void RequestSession::giveUpWaiting()
+{
+    m_waitTimer = 0;
+    if (!stillWaits())
+        return;
+    const Error error {ErrorKind::Overloaded, "no server had room in time", "come back later"};
+    if (m_mayHaveRun || m_responded)
+        return fail(StatusBadGateway, error);
+    const WaitQueue &queue = m_node.queue(m_request.service->name);
+    const Duration wait = queue.predictor().timeFor(queue.waitingWork(), m_node.now());
+    refuse(StatusUnavailable, error,
+           decideWait(wait, Duration::zero(), timeLeft(), m_node.random().fraction()).retryAfter);
+}
+
 void RequestSession::dispatch(const ServerRegistration &server, const DispatchRequest &request,
                               std::string_view reason)
 {
     const auto endpoint = parseEndpoint(server.address);
     m_waits = false;
+    m_node.timers().cancel(std::exchange(m_waitTimer, 0));
     ++m_attempts;
     m_dispatchedAt = m_node.now();
     m_mayHaveRun = true;
@@ -125,9 +155,9 @@
 {
     if (m_ended)
         return;
-    m_request.exchange->respond(
-        status, m_node.dialect().refusalFields(m_request.caller.id, retryAfter),
-        errorBody(error, m_mayHaveRun ? "unknown" : "not_run"));
+    m_request.exchange->respond(status,
+                                m_node.dialect().refusalFields(m_request.caller.id, retryAfter),
+                                errorBody(error, m_mayHaveRun ? "unknown" : "not_run"));
     finish("refused", error.message);
 }
 
@@ -153,6 +183,7 @@
     const auto self = shared_from_this();
     m_request.exchange->onClosed(nullptr);
     m_node.timers().cancel(m_deadlineTimer);
+    m_node.timers().cancel(m_waitTimer);
     closeAttempt();
     m_node.metrics().countRequest(outcome);
     LogEvent event = LogEvent::decision("request");
@@ -168,7 +199,8 @@
     m_node.sessionEnded(self);
 }
 
-void RequestSession::describeEnd(LogEvent &) const { }
+void RequestSession::describeEnd(LogEvent &) const
+{ }
 
 void RequestSession::expire()
 {
--- a/src/gateway/request_session.h
+++ b/src/gateway/request_session.h
@@ -24,8 +24,8 @@
     TimePoint arrivedAt {};
 };
 
-/// One request of a caller from its arrival to its final answer. It is sent to one server at a time;
-/// what happens when that fails is up to the kind of request.
+/// One request of a caller from its arrival to its final answer. It is sent to one server at a
+/// time; what happens when that fails is up to the kind of request.
 class RequestSession : public HttpClientEvents,
                        public WaitingRequest,
                        public std::enable_shared_from_this<RequestSession>
@@ -52,7 +52,10 @@
     /// Gives up what the attempt in hand has taken on servers.
     virtual void releaseAttempt() = 0;
 
-    /// Looks for room now or later. Goes before others if the request is under way already.
+    /// How long a request that has lost its server may look for another one.
+    virtual Duration longestRepairWait() const = 0;
+    /// Looks for room now or later. Goes before others if the request is under way already. A
+    /// request that finds none in useful time gets its final answer then.
     void startOrWait(bool goesFirst);
     void dispatch(const ServerRegistration &server, const DispatchRequest &request,
                   std::string_view reason);
@@ -85,8 +88,11 @@
 private:
     void expire();
     void callerLeft();
+    void waitAtMost(Duration time);
+    void giveUpWaiting();
 
     TimerId m_deadlineTimer = 0;
+    TimerId m_waitTimer = 0;
 };
 
 /// Makes the session that suits the service.
--- a/src/gateway/support_api.cpp
+++ b/src/gateway/support_api.cpp
@@ -32,13 +32,12 @@
 void SupportApi::answerLookup(HttpExchange &exchange)
 {
     const std::string zone = m_node.dialect().lookupZone(exchange.target());
-    const std::vector<std::string> addresses = chooseCallerAddresses(
-        m_node.view().digest(), m_node.view().hosts(), zone, m_node.now());
+    const std::vector<std::string> addresses =
+        chooseCallerAddresses(m_node.view().digest(), m_node.view().hosts(), zone, m_node.now());
     if (addresses.empty())
         return exchange.respond(503, Json, "{}");
     exchange.respond(200, Json,
-                     m_node.dialect().lookupAnswer(addresses,
-                                                   m_node.settings().lookupTimeToLive));
+                     m_node.dialect().lookupAnswer(addresses, m_node.settings().lookupTimeToLive));
 }
 
 } // namespace dogwoodvalve
--- a/src/gateway/support_api.h
+++ b/src/gateway/support_api.h
@@ -5,8 +5,8 @@
 
 namespace dogwoodvalve {
 
-/// Answers everything that is not a caller's request: look-ups of addresses, readiness checks, metrics,
-/// and other hosts that want the configuration which this one has.
+/// Answers everything that is not a caller's request: look-ups of addresses, readiness checks,
+/// metrics, and other hosts that want the configuration which this one has.
 class SupportApi : public HttpHandler
 {
 public:
--- a/src/gateway/wait_queue.h
+++ b/src/gateway/wait_queue.h
@@ -36,6 +36,7 @@
     double waitingWork() const;
 
     WaitPredictor &predictor() { return m_predictor; }
+    const WaitPredictor &predictor() const { return m_predictor; }
 
 private:
     std::deque<std::weak_ptr<WaitingRequest>> m_waiting;
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -391,20 +391,20 @@
     if (m_watching)
         return;
     m_watching = true;
-    m_socket.async_wait(tcp::socket::wait_read, [self = shared_from_this(),
-                                                 exchange = m_exchangeNumber](error_code ec) {
-        self->m_watching = false;
-        if (self->m_closed || self->m_ended || ec)
-            return;
-        if (exchange != self->m_exchangeNumber) {
-            if (self->m_bodyRead)
-                self->watchPeer();
-            return;
-        }
-        error_code availableError;
-        if (self->m_socket.available(availableError) == 0 || availableError)
-            self->close();
-    });
+    m_socket.async_wait(tcp::socket::wait_read,
+                        [self = shared_from_this(), exchange = m_exchangeNumber](error_code ec) {
+                            self->m_watching = false;
+                            if (self->m_closed || self->m_ended || ec)
+                                return;
+                            if (exchange != self->m_exchangeNumber) {
+                                if (self->m_bodyRead)
+                                    self->watchPeer();
+                                return;
+                            }
+                            error_code availableError;
+                            if (self->m_socket.available(availableError) == 0 || availableError)
+                                self->close();
+                        });
 }
 
 void HttpConnection::watchDeadline()
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -60,8 +60,8 @@
     virtual void beginStream(int status, std::span<const HttpField> fields) = 0;
     virtual void write(std::string_view part) = 0;
     virtual void endStream() = 0;
-    /// Closes the connection behind the answer, which says so. For a host that is leaving; to be called
-    /// before the answer begins.
+    /// Closes the connection behind the answer, which says so. For a host that is leaving; to be
+    /// called before the answer begins.
     virtual void closeAfterAnswer() { }
     /// Closes the connection without ending the body, so that the peer sees that it is cut.
     virtual void abort() = 0;
--- a/tests/unit/engine_profile.h
+++ b/tests/unit/engine_profile.h
@@ -14,8 +14,8 @@
     profile.stepMs = 1;
     profile.readTokensPerMs = 100;
     profile.stepsPerPass = 3;
-    profile.kinds = {{"large", 72'000, 2.4, 3.2}, {"medium", 43'200, 5.6, 2.7},
-                     {"small", 21'600, 16, 8.2}};
+    profile.kinds = {
+        {"large", 72'000, 2.4, 3.2}, {"medium", 43'200, 5.6, 2.7}, {"small", 21'600, 16, 8.2}};
     return profile;
 }
 
--- a/tests/unit/event_stream_test.cpp
+++ b/tests/unit/event_stream_test.cpp
@@ -27,7 +27,8 @@
             std::string out;
             std::uint64_t next = 1;
             for (std::size_t at = 0; at < stream.size();) {
-                const std::size_t n = std::min<std::size_t>(1 + random.below(300), stream.size() - at);
+                const std::size_t n =
+                    std::min<std::size_t>(1 + random.below(300), stream.size() - at);
                 splitter.append(std::string_view(stream).substr(at, n));
                 at += n;
                 while (const auto event = splitter.next()) {
--- a/tests/unit/gateway_decisions_test.cpp
+++ b/tests/unit/gateway_decisions_test.cpp
@@ -185,8 +185,9 @@
         CPPUNIT_ASSERT(!pickLeastOutstanding({}, 5).has_value());
     }
 
-    /// Twice the load that a pool serves, for ten seconds, with callers that come back once when they are
-    /// told to: whoever is let wait starts in time, the pool never idles, and others know at once.
+    /// Twice the load that a pool serves, for ten seconds, with callers that come back once when
+    /// they are told to: whoever is let wait starts in time, the pool never idles, and others know
+    /// at once.
     void overloadRefusesAtOnceWithATimeToReturn()
     {
         constexpr double ServedPerSecond = 50;
--- a/tests/unit/http_server_test.cpp
+++ b/tests/unit/http_server_test.cpp
@@ -211,11 +211,9 @@
             client.send(pipelined ? request + request : request);
             for (int answers = pipelined ? 2 : 1; answers > 0; --answers) {
                 const std::string body = client.readAnswer();
-                CPPUNIT_ASSERT_EQUAL_MESSAGE("request " + std::to_string(i),
-                                             std::string(streamed ? "part 9" : "3"),
-                                             streamed && body.size() > 7
-                                                 ? body.substr(body.size() - 7, 6)
-                                                 : body);
+                CPPUNIT_ASSERT_EQUAL_MESSAGE(
+                    "request " + std::to_string(i), std::string(streamed ? "part 9" : "3"),
+                    streamed && body.size() > 7 ? body.substr(body.size() - 7, 6) : body);
             }
             if (i % 50 == 0)
                 std::this_thread::sleep_for(std::chrono::milliseconds(20));
--- a/tests/unit/layer_planner_test.cpp
+++ b/tests/unit/layer_planner_test.cpp
@@ -27,9 +27,10 @@
 void carryOut(std::vector<PlannedServer> &servers, const std::vector<LayerAssignment> &assignments)
 {
     for (const LayerAssignment &assignment : assignments) {
-        const auto it = std::find_if(
-            servers.begin(), servers.end(),
-            [&](const PlannedServer &server) { return server.id == assignment.server; });
+        const auto it =
+            std::find_if(servers.begin(), servers.end(), [&](const PlannedServer &server) {
+                return server.id == assignment.server;
+            });
         it->layers = assignment.layers;
     }
 }
@@ -58,19 +59,20 @@
                 zoneOf("a", static_cast<int>(random.below(4)), static_cast<int>(random.below(8)),
                        static_cast<int>(random.below(20)));
             for (const LayerAssignment &assignment : m_planner.assign(servers)) {
-                const auto server = std::find_if(
-                    servers.begin(), servers.end(),
-                    [&](const PlannedServer &it) { return it.id == assignment.server; });
+                const auto server =
+                    std::find_if(servers.begin(), servers.end(), [&](const PlannedServer &it) {
+                        return it.id == assignment.server;
+                    });
                 const AcceleratorKind &kind = *m_profile.kind(server->kind);
                 const int layers = assignment.layers.size();
                 CPPUNIT_ASSERT(layers > 0);
-                CPPUNIT_ASSERT(layers * m_profile.layerMb
-                               < kind.memoryMb * 0.9);
+                CPPUNIT_ASSERT(layers * m_profile.layerMb < kind.memoryMb * 0.9);
             }
         }
     }
 
-    /// A lost holder of a layer must leave others within one crossing, and each zone a path of its own.
+    /// A lost holder of a layer must leave others within one crossing, and each zone a path of its
+    /// own.
     void eachZoneHoldsTheModelAndEachLayerHasThreeHolders()
     {
         std::vector<PlannedServer> servers = zoneOf("a", 1, 3, 8);
@@ -128,7 +130,8 @@
                 CPPUNIT_ASSERT(server.layers.first >= 0 && server.layers.end <= 80);
                 held += server.layers.size();
             }
-            // Blocks are filled one after the other, so the model is whole once there is room for it.
+            // Blocks are filled one after the other, so the model is whole once there is room for
+            // it.
             if (held >= 80 + 30)
                 CPPUNIT_ASSERT_MESSAGE("run " + std::to_string(run),
                                        m_planner.zoneCapacity(servers, "a") > 0);
--- a/tests/unit/path_selector_test.cpp
+++ b/tests/unit/path_selector_test.cpp
@@ -79,9 +79,9 @@
 
     void aPathStaysInItsZoneWhereItCan()
     {
-        const std::vector<PathServer> servers {server("a1", "a", 0, 40, 5), server("a2", "a", 40, 80, 5),
-                                               server("b1", "b", 0, 40, 5),
-                                               server("b2", "b", 40, 80, 4.9)};
+        const std::vector<PathServer> servers {
+            server("a1", "a", 0, 40, 5), server("a2", "a", 40, 80, 5), server("b1", "b", 0, 40, 5),
+            server("b2", "b", 40, 80, 4.9)};
         const auto ids = idsOf(servers, *m_selector.select(servers, Usual));
         CPPUNIT_ASSERT_EQUAL(std::string("b1"), ids[0]);
         CPPUNIT_ASSERT_EQUAL(std::string("b2"), ids[1]);
@@ -89,7 +89,8 @@
 
     void fasterServersGoFirstUntilTheyAreBusy()
     {
-        std::vector<PathServer> servers {server("fast", "a", 0, 80, 5), server("slow", "a", 0, 80, 9)};
+        std::vector<PathServer> servers {server("fast", "a", 0, 80, 5),
+                                         server("slow", "a", 0, 80, 9)};
         CPPUNIT_ASSERT_EQUAL(std::string("fast"),
                              idsOf(servers, *m_selector.select(servers, Usual))[0]);
         servers[0].committed = 0.8 * servers[0].capacity;
@@ -99,7 +100,8 @@
 
     void memoryIsNeverPromisedTwice()
     {
-        std::vector<PathServer> servers {server("one", "a", 0, 40, 5), server("two", "a", 40, 80, 5)};
+        std::vector<PathServer> servers {server("one", "a", 0, 40, 5),
+                                         server("two", "a", 40, 80, 5)};
         int admitted = 0;
         while (const auto path = m_selector.select(servers, Usual)) {
             for (const PathPart &part : path->parts)
--- /dev/null
+++ b/tools/testtool/forwarding_engine.cpp
@@ -0,0 +1,188 @@
+#include "forwarding_engine.h"
+
+#include "net/http_text.h"
+#include "standin_http.h"
+
+#include <nlohmann/json.hpp>
+
+#include <cstdio>
+#include <sstream>
+
+namespace dogwoodvalve::testtool {
+
+using nlohmann::json;
+
+namespace {
+
+constexpr Duration EventInterval = 20ms;
+constexpr int SkippedEvent = 7;
+constexpr int BrokenEvent = 5;
+constexpr std::size_t MaxBody = 1U << 20;
+
+struct Part
+{
+    std::string address;
+    LayerSpan layers;
+};
+
+std::vector<Part> parsePath(const std::string &text)
+{
+    std::vector<Part> parts;
+    std::istringstream list(text);
+    for (std::string item; std::getline(list, item, ',');) {
+        Part part;
+        const std::size_t equals = item.find('=');
+        part.address = item.substr(0, equals);
+        std::sscanf(item.c_str() + equals + 1, "%d-%d", &part.layers.first, &part.layers.end);
+        parts.push_back(part);
+    }
+    return parts;
+}
+
+} // namespace
+
+struct ForwardingEngine::Stream
+{
+    std::shared_ptr<HttpExchange> exchange;
+    std::string request;
+    std::string path;
+    int next = 1;
+    bool closed = false;
+};
+
+ForwardingEngine::ForwardingEngine(TimerService &timers, EngineMap &engines, std::string address,
+                                   std::string id)
+    : m_timers(timers)
+    , m_engines(engines)
+    , m_address(std::move(address))
+    , m_id(std::move(id))
+{
+    m_engines[m_address] = this;
+}
+
+ForwardingEngine::~ForwardingEngine()
+{
+    m_engines.erase(m_address);
+}
+
+std::string ForwardingEngine::eventOf(const std::string &request, int number)
+{
+    return "id: " + std::to_string(number) + "\ndata: " + request + '/' + std::to_string(number)
+        + "\n\n";
+}
+
+void ForwardingEngine::handle(const std::shared_ptr<HttpExchange> &exchange)
+{
+    if (dark())
+        return;
+    const std::string_view expected = exchange->header("X-Expect-Instance");
+    if (!expected.empty() && expected != m_id)
+        return exchange->respond(421, {}, "");
+    const std::string_view path = pathOf(exchange->target());
+    if (path == "/v1/report")
+        return respondJson(exchange, 200,
+                           {{"Layers", {{"From", m_layers.first}, {"Target", m_layers.end}}},
+                            {"Busy", false},
+                            {"Seq", m_orders}});
+    if (path == "/v1/order")
+        return takeOrder(exchange);
+    exchange->readBody(MaxBody, [this, exchange](const Result<std::string> &body) {
+        if (body)
+            run(exchange);
+    });
+}
+
+void ForwardingEngine::takeOrder(const std::shared_ptr<HttpExchange> &exchange)
+{
+    withJsonBody(exchange, [this, exchange](const json &order) {
+        const std::uint64_t fence = order.value("Fence", std::uint64_t {0});
+        if (fence < m_fence)
+            return exchange->respond(412, {}, "");
+        m_fence = fence;
+        const LayerSpan layers {order.at("From").get<int>(), order.at("Target").get<int>()};
+        if (layers == m_layers)
+            return exchange->respond(200, {}, "");
+        m_layers = layers;
+        ++m_orders;
+        exchange->respond(202, {}, "");
+    });
+}
+
+std::string ForwardingEngine::brokenPart(const std::string &path, int &status) const
+{
+    for (const Part &part : parsePath(path)) {
+        const auto it = m_engines.find(part.address);
+        const LayerSpan held = it == m_engines.end() ? LayerSpan {} : it->second->layers();
+        status = 421;
+        if (part.layers.first < held.first || part.layers.end > held.end)
+            return part.address;
+    }
+    return {};
+}
+
+void ForwardingEngine::run(const std::shared_ptr<HttpExchange> &exchange)
+{
+    const std::string request(exchange->header("X-Request-Id"));
+    std::vector<HttpField> fields {{"X-Request-Id", request}};
+    int status = 0;
+    const std::string path(exchange->header("X-Hop-Count"));
+    const std::string broken = brokenPart(path, status);
+    if (m_fault == EngineFault::Refuses || !broken.empty()) {
+        fields.push_back({"X-Not-Run", "1"});
+        fields.push_back({"At-Server", broken.empty() ? m_address : broken});
+        return exchange->respond(broken.empty() ? 503 : status, fields, "");
+    }
+    ++m_runs[request];
+    if (m_fault != EngineFault::Unstamped)
+        fields.push_back({"X-Server-Stamp", m_id});
+    if (m_fault == EngineFault::Fails)
+        return exchange->respond(500, fields, "failed");
+    const auto stream = std::make_shared<Stream>();
+    stream->exchange = exchange;
+    stream->request = request;
+    stream->path = path;
+    stream->next = std::atoi(std::string(exchange->header("Last-Event-Id")).c_str()) + 1;
+    exchange->onClosed([weak = std::weak_ptr(stream)] {
+        if (const auto closed = weak.lock())
+            closed->closed = true;
+    });
+    fields.push_back({"Content-Type", "text/event-stream"});
+    exchange->beginStream(200, fields);
+    emit(stream);
+}
+
+/// A path stands still while one of its engines is dark.
+bool ForwardingEngine::pathMoves(const Stream &stream) const
+{
+    for (const Part &part : parsePath(stream.path)) {
+        const auto it = m_engines.find(part.address);
+        if (it == m_engines.end() || it->second->dark())
+            return false;
+    }
+    return true;
+}
+
+void ForwardingEngine::emit(const std::shared_ptr<Stream> &stream)
+{
+    if (stream->closed)
+        return;
+    m_timers.subscribe(m_timers.now() + EventInterval, [this, stream] { emit(stream); });
+    if (!pathMoves(*stream))
+        return;
+    if (stream->next > Events) {
+        stream->closed = true;
+        return stream->exchange->endStream();
+    }
+    const int number = stream->next++;
+    const std::string event = eventOf(stream->request, number);
+    if (m_fault == EngineFault::SkipsAnEvent && number == SkippedEvent)
+        return;
+    if (m_fault == EngineFault::BreaksOff && number == BrokenEvent) {
+        stream->exchange->write(event.substr(0, event.size() / 2));
+        stream->closed = true;
+        return stream->exchange->abort();
+    }
+    stream->exchange->write(event);
+}
+
+} // namespace dogwoodvalve::testtool
--- /dev/null
+++ b/tools/testtool/forwarding_engine.h
@@ -0,0 +1,85 @@
+#pragma once
+
+#include "net/http_server.h"
+
+#include <dogwoodvalve/layer_span.h>
+#include <dogwoodvalve/timer_service.h>
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace dogwoodvalve::testtool {
+
+/// What goes wrong at an engine.
+enum class EngineFault {
+    None,
+    /// Does nothing any more and says nothing.
+    Dark,
+    /// Ends each stream within an event.
+    BreaksOff,
+    /// Leaves out an event of each stream.
+    SkipsAnEvent,
+    /// Answers without its stamp.
+    Unstamped,
+    /// Refuses each request, which has not run.
+    Refuses,
+    /// Fails each request with its own error.
+    Fails,
+};
+
+class ForwardingEngine;
+
+/// The engines of a run by address, so that the first of a path can look at the others.
+using EngineMap = std::map<std::string, ForwardingEngine *>;
+
+/// A pretended engine that holds a span of layers and forwards along the path that a request names.
+/// The first engine of a path streams the events; what an event says is computed from the request's
+/// id and the event's number, so that a test can tell a wrong, missing or doubled one.
+class ForwardingEngine : public HttpHandler
+{
+public:
+    ForwardingEngine(TimerService &timers, EngineMap &engines, std::string address, std::string id);
+    ~ForwardingEngine() override;
+
+    ForwardingEngine(const ForwardingEngine &) = delete;
+    ForwardingEngine &operator=(const ForwardingEngine &) = delete;
+
+    void handle(const std::shared_ptr<HttpExchange> &exchange) override;
+
+    void setFault(EngineFault fault) { m_fault = fault; }
+    void setLayers(LayerSpan layers) { m_layers = layers; }
+    LayerSpan layers() const { return m_layers; }
+    bool dark() const { return m_fault == EngineFault::Dark; }
+    /// Runs begun, by the caller's request id.
+    const std::map<std::string, int> &runs() const { return m_runs; }
+    int orders() const { return m_orders; }
+    std::uint64_t fence() const { return m_fence; }
+
+    static std::string eventOf(const std::string &request, int number);
+    static constexpr int Events = 20;
+
+private:
+    struct Stream;
+
+    void takeOrder(const std::shared_ptr<HttpExchange> &exchange);
+    void run(const std::shared_ptr<HttpExchange> &exchange);
+    /// The address of a part that can't be run, or nothing.
+    std::string brokenPart(const std::string &path, int &status) const;
+    void emit(const std::shared_ptr<Stream> &stream);
+    bool pathMoves(const Stream &stream) const;
+
+    TimerService &m_timers;
+    EngineMap &m_engines;
+    std::string m_address;
+    std::string m_id;
+    LayerSpan m_layers;
+    EngineFault m_fault = EngineFault::None;
+    std::map<std::string, int> m_runs;
+    std::uint64_t m_fence = 0;
+    int m_orders = 0;
+};
+
+} // namespace dogwoodvalve::testtool
--- /dev/null
+++ b/tools/testtool/log_store.cpp
@@ -0,0 +1,203 @@
+#include "log_store.h"
+
+#include "net/http_text.h"
+#include "standin_http.h"
+
+#include <nlohmann/json.hpp>
+#include <openssl/evp.h>
+
+#include <algorithm>
+
+namespace dogwoodvalve::testtool {
+
+using nlohmann::json;
+
+namespace {
+
+constexpr std::size_t MaxBody = 4U << 20;
+constexpr int LengthBytes = 4;
+constexpr int OffsetBytes = 8;
+constexpr int StatusGone = 410;
+
+void appendNumber(std::string &out, std::uint64_t value, int bytes)
+{
+    for (int shift = 8 * (bytes - 1); shift >= 0; shift -= 8)
+        out += static_cast<char>(value >> shift & 0xff);
+}
+
+std::string base64(const std::string &bytes)
+{
+    std::string text(4 * ((bytes.size() + 2) / 3) + 1, '\0');
+    const int n = EVP_EncodeBlock(reinterpret_cast<unsigned char *>(text.data()),
+                                  reinterpret_cast<const unsigned char *>(bytes.data()),
+                                  static_cast<int>(bytes.size()));
+    text.resize(static_cast<std::size_t>(n));
+    return text;
+}
+
+std::uint64_t numberIn(const HttpExchange &exchange, std::string_view name)
+{
+    const std::string text(queryParameter(exchange.target(), name));
+    return std::strtoull(text.c_str(), nullptr, 10);
+}
+
+std::string topicOf(const HttpExchange &exchange)
+{
+    return std::string(queryParameter(exchange.target(), "Topic"));
+}
+
+} // namespace
+
+void LogStore::handle(const std::shared_ptr<HttpExchange> &exchange)
+{
+    ++m_calls;
+    if (m_faults.refuseWith != 0)
+        return exchange->respond(m_faults.refuseWith, {}, "");
+    const std::string_view path = pathOf(exchange->target());
+    if (path == "/v1/log-read")
+        return read(exchange);
+    if (path == "/v1/log-newest")
+        return readNewest(exchange);
+    if (path == "/v1/log-append")
+        return append(exchange);
+    if (path == "/v1/log-join")
+        return join(exchange);
+    if (path == "/v1/log-leave")
+        return leave(exchange);
+    exchange->respond(404, {}, "");
+}
+
+void LogStore::answer(const std::shared_ptr<HttpExchange> &exchange, int status,
+                      const std::string &body)
+{
+    if (m_faults.refuseWith != 0)
+        return exchange->respond(m_faults.refuseWith, {}, "");
+    if (m_faults.loseAnswers)
+        return exchange->abort();
+    if (m_faults.slowness == Duration::zero())
+        return exchange->respond(status, {}, body);
+    m_timers.subscribe(m_timers.now() + m_faults.slowness,
+                       [exchange, status, body] { exchange->respond(status, {}, body); });
+}
+
+void LogStore::put(const std::string &topic, const std::string &key,
+                   const std::optional<std::string> &value)
+{
+    Topic &it = m_topics[topic];
+    if (value)
+        it.newest[key] = {it.end(), *value};
+    else
+        it.newest.erase(key);
+    it.records.push_back({key, value});
+    std::vector<std::function<void()>> waiting;
+    const auto range = m_waiting.equal_range(topic);
+    for (auto reader = range.first; reader != range.second; ++reader)
+        waiting.push_back(reader->second);
+    m_waiting.erase(range.first, range.second);
+    for (const auto &wake : waiting)
+        wake();
+}
+
+void LogStore::forgetHistory()
+{
+    for (auto &[name, topic] : m_topics) {
+        topic.first = topic.end();
+        topic.records.clear();
+    }
+}
+
+std::string LogStore::encode(const Topic &topic, std::uint64_t from) const
+{
+    std::string body;
+    appendNumber(body, topic.end(), OffsetBytes);
+    appendNumber(body, topic.first, OffsetBytes);
+    for (std::uint64_t offset = std::max(from, topic.first); offset < topic.end(); ++offset) {
+        const Record &record = topic.records[offset - topic.first];
+        appendNumber(body, 1 + record.key.size() + record.value.value_or("").size(), LengthBytes);
+        body += static_cast<char>(record.key.size());
+        body += record.key + record.value.value_or("");
+    }
+    return body;
+}
+
+void LogStore::read(const std::shared_ptr<HttpExchange> &exchange)
+{
+    const std::string name = topicOf(*exchange);
+    const std::uint64_t from = numberIn(*exchange, "From");
+    const Topic &topic = m_topics[name];
+    if (from < topic.first)
+        return answer(exchange, StatusGone, json {{"First", topic.first}}.dump());
+    const auto wait = std::chrono::milliseconds(numberIn(*exchange, "WaitMs"));
+    if (topic.end() > from || wait == Duration::zero())
+        return answer(exchange, 200, encode(topic, from));
+    const auto finish = [this, exchange, name, from] {
+        if (!exchange->responded())
+            answer(exchange, 200, encode(m_topics[name], from));
+    };
+    m_waiting.emplace(name, finish);
+    m_timers.subscribe(m_timers.now() + wait, finish);
+}
+
+void LogStore::readNewest(const std::shared_ptr<HttpExchange> &exchange)
+{
+    const Topic &topic = m_topics[topicOf(*exchange)];
+    json items = json::array();
+    for (const auto &[key, entry] : topic.newest)
+        items.push_back({{"Key", key}, {"Value", base64(entry.second)}, {"Offset", entry.first}});
+    answer(exchange, 200,
+           json {{"Items", items}, {"HasMore", false}, {"EndOffset", topic.end()}}.dump());
+}
+
+void LogStore::append(const std::shared_ptr<HttpExchange> &exchange)
+{
+    exchange->readBody(MaxBody, [this, exchange](const Result<std::string> &body) {
+        if (!body || body.value().size() <= LengthBytes)
+            return answer(exchange, 400, "");
+        const std::string_view record = std::string_view(body.value()).substr(LengthBytes);
+        const std::size_t keyBytes = static_cast<unsigned char>(record.front());
+        const std::string key(record.substr(1, keyBytes));
+        const std::string value(record.substr(1 + keyBytes));
+        put(topicOf(*exchange), key,
+            value.empty() ? std::nullopt : std::optional<std::string>(value));
+        answer(exchange, 200, json {{"Offset", 0}}.dump());
+    });
+}
+
+void LogStore::join(const std::shared_ptr<HttpExchange> &exchange)
+{
+    withJsonBody(exchange, [this, exchange](const json &request) {
+        Group &group = m_groups[request.at("group").get<std::string>()];
+        const std::string member = request.at("Member");
+        const TimePoint now = m_timers.now();
+        auto &members = group.members;
+        const auto before = members.size();
+        std::erase_if(members, [now](const auto &it) { return it.second < now; });
+        const auto known = std::find_if(members.begin(), members.end(),
+                                        [&](const auto &it) { return it.first == member; });
+        const TimePoint until =
+            now + std::chrono::milliseconds(request.at("TtlMs").get<std::int64_t>());
+        if (known == members.end())
+            members.emplace_back(member, until);
+        else
+            known->second = until;
+        if (known == members.end() || members.size() != before)
+            ++group.generation;
+        json parts = json::array();
+        if (members.front().first == member)
+            parts.push_back({request.at("Topics").at(0), 0, 0});
+        answer(exchange, 200, json {{"Generation", group.generation}, {"parts", parts}}.dump());
+    });
+}
+
+void LogStore::leave(const std::shared_ptr<HttpExchange> &exchange)
+{
+    withJsonBody(exchange, [this, exchange](const json &request) {
+        Group &group = m_groups[request.at("group").get<std::string>()];
+        const std::string member = request.at("Member");
+        std::erase_if(group.members, [&](const auto &it) { return it.first == member; });
+        ++group.generation;
+        answer(exchange, 200, "{}");
+    });
+}
+
+} // namespace dogwoodvalve::testtool
--- /dev/null
+++ b/tools/testtool/log_store.h
@@ -0,0 +1,85 @@
+#pragma once
+
+#include "net/http_server.h"
+
+#include <dogwoodvalve/timer_service.h>
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace dogwoodvalve::testtool {
+
+/// What goes wrong at the store, for all callers.
+struct LogStoreFaults
+{
+    /// Answers with this status instead of doing anything, if not 0.
+    int refuseWith = 0;
+    /// Does what is asked and answers nothing.
+    bool loseAnswers = false;
+    Duration slowness {};
+};
+
+/// A pretended log service of the platform: keyed topics with one partition, reads that wait, the
+/// newest record of each key, and groups whose first member owns all partitions.
+class LogStore : public HttpHandler
+{
+public:
+    explicit LogStore(TimerService &timers)
+        : m_timers(timers)
+    { }
+
+    void handle(const std::shared_ptr<HttpExchange> &exchange) override;
+
+    /// Writes as the operator and the servers do. Without a value, the key is dropped.
+    void put(const std::string &topic, const std::string &key,
+             const std::optional<std::string> &value);
+    /// Drops all records but the newest of each key.
+    void forgetHistory();
+    void setFaults(const LogStoreFaults &faults) { m_faults = faults; }
+    int calls() const { return m_calls; }
+
+private:
+    struct Record
+    {
+        std::string key;
+        std::optional<std::string> value;
+    };
+    struct Topic
+    {
+        std::uint64_t first = 0;
+        std::deque<Record> records;
+        std::map<std::string, std::pair<std::uint64_t, std::string>> newest;
+
+        std::uint64_t end() const { return first + records.size(); }
+    };
+    struct Group
+    {
+        std::uint64_t generation = 0;
+        /// Members in the order in which they joined, with the end of their membership.
+        std::vector<std::pair<std::string, TimePoint>> members;
+    };
+
+    void answer(const std::shared_ptr<HttpExchange> &exchange, int status, const std::string &body);
+    void read(const std::shared_ptr<HttpExchange> &exchange);
+    void readNewest(const std::shared_ptr<HttpExchange> &exchange);
+    void append(const std::shared_ptr<HttpExchange> &exchange);
+    void join(const std::shared_ptr<HttpExchange> &exchange);
+    void leave(const std::shared_ptr<HttpExchange> &exchange);
+    std::string encode(const Topic &topic, std::uint64_t from) const;
+
+    TimerService &m_timers;
+    std::map<std::string, Topic> m_topics;
+    std::map<std::string, Group> m_groups;
+    LogStoreFaults m_faults;
+    /// Reads that wait, by topic and offset.
+    std::multimap<std::string, std::function<void()>> m_waiting;
+    int m_calls = 0;
+};
+
+} // namespace dogwoodvalve::testtool
