Let hosts send digests more seldom the more hosts there are

Change: the interval grows with the number of hosts, so that a host sends some 100 digests a second at most. A unit test holds that bound from 7 to 340 hosts.

--- a/include/dogwoodvalve/host_table.h
+++ b/include/dogwoodvalve/host_table.h
@@ -51,19 +51,27 @@
     };
 
     const std::map<std::string, Peer, std::less<>> &peers() const { return m_peers; }
+    /// Time between digests of a host. What a host sends and takes in a second stays the same
+    /// however many hosts there are; their knowledge of one another ages instead.
+    Duration digestInterval() const;
     /// Whether a host was heard lately.
-    static bool isLive(const Peer &peer, TimePoint now);
+    bool isLive(const Peer &peer, TimePoint now) const;
     /// Live hosts, this one included.
     int liveHosts(TimePoint now) const;
     double committedElsewhere(std::string_view server, TimePoint now) const;
     int inFlightElsewhere(std::string_view server, TimePoint now) const;
 
-    /// Digests come every 100 ms; a host that misses this long is taken for gone.
-    static constexpr Duration LiveTimeout = 700ms;
     /// Hosts that have been silent this long are forgotten.
     static constexpr Duration ForgetTimeout = 30s;
 
 private:
+    static constexpr Duration LeastInterval = 100ms;
+    /// Peers that a digest goes to in one least interval.
+    static constexpr int PeersPerInterval = 10;
+    /// Intervals without a digest after which a host is taken for gone: some are lost, and hosts
+    /// pause.
+    static constexpr int MissedDigests = 7;
+
     std::map<std::string, Peer, std::less<>> m_peers;
 };
 
--- a/src/core/host_table.cpp
+++ b/src/core/host_table.cpp
@@ -34,9 +34,15 @@
                   [now](const auto &entry) { return now - entry.second.heardAt > ForgetTimeout; });
 }
 
-bool HostTable::isLive(const Peer &peer, TimePoint now)
+Duration HostTable::digestInterval() const
 {
-    return now - peer.heardAt <= LiveTimeout;
+    const int rounds = 1 + static_cast<int>(m_peers.size()) / PeersPerInterval;
+    return LeastInterval * rounds;
+}
+
+bool HostTable::isLive(const Peer &peer, TimePoint now) const
+{
+    return now - peer.heardAt <= digestInterval() * MissedDigests;
 }
 
 int HostTable::liveHosts(TimePoint now) const
@@ -80,7 +86,7 @@
     };
     add(self);
     for (const auto &[name, peer] : table.peers()) {
-        if (HostTable::isLive(peer, now) && name != self.name)
+        if (table.isLive(peer, now) && name != self.name)
             add(peer.digest);
     }
     if (near.size() < LeastAddresses)
--- a/src/gateway/peer_exchange.cpp
+++ b/src/gateway/peer_exchange.cpp
@@ -105,7 +105,7 @@
 {
     sendNow();
     m_node.view().hosts().expire(m_node.now());
-    subscribe(DigestInterval, &PeerExchange::sendPeriodically);
+    subscribe(m_node.view().hosts().digestInterval(), &PeerExchange::sendPeriodically);
 }
 
 void PeerExchange::sendNow()
--- a/tests/unit/gateway_decisions_test.cpp
+++ b/tests/unit/gateway_decisions_test.cpp
@@ -40,6 +40,7 @@
     CPPUNIT_TEST(anOldLifeDoesNotBlameANewOne);
     CPPUNIT_TEST(anUnreachableServerStaysOutUntilItRegistersAgain);
     CPPUNIT_TEST(olderDigestsAreDropped);
+    CPPUNIT_TEST(manyHostsSendDigestsMoreSeldom);
     CPPUNIT_TEST(commitmentsOfSilentHostsLapse);
     CPPUNIT_TEST(lookupsNameReadyHostsOfTheZone);
     CPPUNIT_TEST(lookupsNameOtherZonesWhenAZoneIsPoor);
@@ -137,6 +138,20 @@
         CPPUNIT_ASSERT(!table.take(host("h", "a", 6), at(3s)));
     }
 
+    /// At 340 hosts a host sends and takes about as many digests a second as at ten.
+    void manyHostsSendDigestsMoreSeldom()
+    {
+        for (const int hosts : {7, 30, 77, 340}) {
+            HostTable table;
+            for (int i = 1; i < hosts; ++i)
+                table.take(host("h" + std::to_string(i), "a", 1), at(0s));
+            const double perSecond = (hosts - 1) * 1e6 / table.digestInterval().count();
+            CPPUNIT_ASSERT_MESSAGE(std::to_string(hosts), perSecond <= 100);
+            CPPUNIT_ASSERT(table.liveHosts(at(table.digestInterval() * 5)) == hosts);
+            CPPUNIT_ASSERT(table.liveHosts(at(table.digestInterval() * 9)) == 1);
+        }
+    }
+
     void commitmentsOfSilentHostsLapse()
     {
         HostTable table;
