--- a/src/cli/change_commands.cpp
+++ b/src/cli/change_commands.cpp
@@ -293,9 +293,12 @@
     Change change;
     change.id = FLAGS_change_id.empty() ? newChangeId() : FLAGS_change_id;
     change.author = authorName();
-    change.operations.push_back({{ObjectKind::Server, FLAGS_server},
-                                 objects.front().value("version", std::uint64_t(0)),
-                                 read.value()});
+    Operation operation;
+    operation.id.kind = ObjectKind::Server;
+    operation.id.name = FLAGS_server;
+    operation.baseVersion = objects.front().value("version", std::uint64_t(0));
+    operation.spec = read.value();
+    change.operations.push_back(std::move(operation));
     return submit(change);
 }
 
--- a/src/net/endpoint.cpp
+++ b/src/net/endpoint.cpp
@@ -7,7 +7,9 @@
 Result<boost::asio::ip::tcp::endpoint> parseEndpoint(std::string_view text)
 {
     const auto malformed = [text] {
-        return Error {ErrorKind::InvalidArgument, "'" + std::string(text) + "' is not IP:PORT",
+        std::string message(text);
+        message += " is not IP:PORT";
+        return Error {ErrorKind::InvalidArgument, std::move(message),
                       "write an IP number and a port, such as 10.0.0.7:8080"};
     };
     const std::size_t colon = text.rfind(':');
