--- a/src/cli/query_commands.cpp
+++ b/src/cli/query_commands.cpp
@@ -143,7 +143,7 @@
     if (!settings)
         return reportError(settings.error());
     const GatewayPlatformFactory platform = [&settings](LoopServices &loop) {
-        return platform::makePlatform(loop, settings.value().store);
+        return platform::makePlatform(loop, settings.value().store, settings.value().serverDrain);
     };
     return static_cast<ExitCode>(runGatewayProcess(settings.value(), platform));
 }
--- a/src/gateway/gateway_settings.cpp
+++ b/src/gateway/gateway_settings.cpp
@@ -71,6 +71,7 @@
     settings.store = readAddress(reader, "store");
     settings.grace = readSeconds(reader, "graceS", settings.grace);
     settings.keyRevocation = readMillis(reader, "keyRevocationMs", settings.keyRevocation);
+    settings.serverDrain = readMillis(reader, "serverDrainMs", settings.serverDrain);
     settings.lookupTimeToLive = readMillis(reader, "lookupTimeToLiveMs", settings.lookupTimeToLive);
     readRetries(reader, settings.retries);
     const Result<LogLevel> level = logLevelFromString(reader.text("logLevel", "info"));
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -29,6 +29,8 @@
     Duration grace = 8s;
     /// A key that was taken away must not be accepted any more after this time.
     Duration keyRevocation = 5s;
+    /// A server that says it is leaving must get nothing new after this time.
+    Duration serverDrain = 2s;
     /// How long callers may keep the answer to a look-up.
     Duration lookupTimeToLive = 2s;
     RetryAllowance retries;
--- a/src/gateway/plain_session.cpp
+++ b/src/gateway/plain_session.cpp
@@ -42,6 +42,7 @@
     m_load = view.load(server.id);
     ++m_load->inFlight;
     m_server = server.id;
+    m_pathText = server.id;
     m_serverStartedAtMs = server.startedAtMs;
     m_tried.insert(server.id);
     m_answerFields.clear();
--- a/tests/simulation/gateway_test.cpp
+++ b/tests/simulation/gateway_test.cpp
@@ -110,7 +110,8 @@
                const GatewaySettings &settings)
         : process(std::move(process))
         , m_services(network, this->process)
-        , node(m_services, settings, platform::makePlatform(m_services, settings.store), 1)
+        , node(m_services, settings,
+               platform::makePlatform(m_services, settings.store, settings.serverDrain), 1)
         , m_front(node)
         , m_support(node)
         , m_placement(node)
