--- a/include/dogwoodvalve/host_table.h
+++ b/include/dogwoodvalve/host_table.h
@@ -58,6 +58,9 @@
     bool isLive(const Peer &peer, TimePoint now) const;
     /// Live hosts, this one included.
     int liveHosts(TimePoint now) const;
+    /// Whether a host is among the given number of live hosts that rank first for a task, by
+    /// rendezvous hashing.
+    bool ranksFirst(std::string_view self, std::string_view task, int count, TimePoint now) const;
     double committedElsewhere(std::string_view server, TimePoint now) const;
     int inFlightElsewhere(std::string_view server, TimePoint now) const;
 
--- a/src/core/host_table.cpp
+++ b/src/core/host_table.cpp
@@ -1,3 +1,4 @@
+#include <dogwoodvalve/hash.h>
 #include <dogwoodvalve/host_table.h>
 
 namespace dogwoodvalve {
@@ -53,6 +54,18 @@
     return n;
 }
 
+bool HostTable::ranksFirst(std::string_view self, std::string_view task, int count,
+                           TimePoint now) const
+{
+    const std::uint64_t own = rendezvousWeight(task, self);
+    int before = 0;
+    for (const auto &[name, peer] : m_peers) {
+        if (isLive(peer, now) && !peer.digest.leaving && rendezvousWeight(task, name) > own)
+            ++before;
+    }
+    return before < count;
+}
+
 double HostTable::committedElsewhere(std::string_view server, TimePoint now) const
 {
     double sum = 0;
--- a/src/gateway/peer_exchange.cpp
+++ b/src/gateway/peer_exchange.cpp
@@ -105,6 +105,7 @@
 {
     sendNow();
     m_node.view().hosts().expire(m_node.now());
+    m_node.platform().feed->setLiveHosts(m_node.view().hosts().liveHosts(m_node.now()));
     subscribe(m_node.view().hosts().digestInterval(), &PeerExchange::sendPeriodically);
 }
 
--- a/src/gateway/placement_controller.cpp
+++ b/src/gateway/placement_controller.cpp
@@ -14,6 +14,10 @@
 /// The lease lasts 2 s from its renewal; the holder stops earlier, by what an order may take to
 /// arrive.
 constexpr Duration LeaseUse = 1300ms;
+/// Hosts that stand ready to hold the lease; renewals by all of many hosts would cost calls for
+/// nothing.
+constexpr int LeaseCandidates = 5;
+constexpr const char *LeaseTask = "placement-lease";
 constexpr Duration StepInterval = 200ms;
 /// When all engines are new, they register within seconds of one another; a plan made over a part
 /// of them would be worse. Registrations are read every second.
@@ -62,6 +66,10 @@
 
 void PlacementController::renew()
 {
+    if (!m_lease.held
+        && !m_node.view().hosts().ranksFirst(m_node.settings().name, LeaseTask, LeaseCandidates,
+                                             m_node.now()))
+        return subscribe(RenewInterval, &PlacementController::renew);
     const TimePoint askedAt = m_node.now();
     m_node.platform().coordination->renewLease(
         m_node.settings().name,
--- a/src/gateway/platform_interfaces.h
+++ b/src/gateway/platform_interfaces.h
@@ -48,6 +48,8 @@
     virtual ~PlatformFeed() = default;
     virtual void start(FeedEvents &events) = 0;
     virtual void stop() = 0;
+    /// How many hosts confirm the configuration to one another; with many, each may ask less often.
+    virtual void setLiveHosts(int hosts) = 0;
     /// Decodes a configuration that another host has passed on. Errors: Malformed.
     virtual Result<FleetConfigurationPointer> decodeConfiguration(std::string_view document) = 0;
 };
--- a/tests/unit/gateway_decisions_test.cpp
+++ b/tests/unit/gateway_decisions_test.cpp
@@ -41,6 +41,7 @@
     CPPUNIT_TEST(anUnreachableServerStaysOutUntilItRegistersAgain);
     CPPUNIT_TEST(olderDigestsAreDropped);
     CPPUNIT_TEST(manyHostsSendDigestsMoreSeldom);
+    CPPUNIT_TEST(fiveLiveHostsStandReadyForTheLease);
     CPPUNIT_TEST(commitmentsOfSilentHostsLapse);
     CPPUNIT_TEST(lookupsNameReadyHostsOfTheZone);
     CPPUNIT_TEST(lookupsNameOtherZonesWhenAZoneIsPoor);
@@ -152,6 +153,26 @@
         }
     }
 
+    void fiveLiveHostsStandReadyForTheLease()
+    {
+        const auto candidates = [](int hosts, Duration later) {
+            int n = 0;
+            for (int self = 0; self < hosts; ++self) {
+                HostTable table;
+                for (int i = 0; i < hosts; ++i) {
+                    if (i != self)
+                        table.take(host("h" + std::to_string(i), "a", 1), at(0s));
+                }
+                n += table.ranksFirst("h" + std::to_string(self), "t", 5, at(later)) ? 1 : 0;
+            }
+            return n;
+        };
+        CPPUNIT_ASSERT_EQUAL(3, candidates(3, 0s));
+        CPPUNIT_ASSERT_EQUAL(5, candidates(77, 0s));
+        // A host that hears nobody stands ready by itself.
+        CPPUNIT_ASSERT_EQUAL(77, candidates(77, 60s));
+    }
+
     void commitmentsOfSilentHostsLapse()
     {
         HostTable table;
