--- a/tools/testtool/main.cpp
+++ b/tools/testtool/main.cpp
@@ -3,6 +3,7 @@
 #include "load_report.h"
 #include "net/asio_loop_services.h"
 #include "net/endpoint.h"
+#include "path_fleet.h"
 #include "platform_server.h"
 #include "relay.h"
 #include "service_server.h"
@@ -95,6 +96,15 @@
     return runUntilSignal(loop);
 }
 
+int runPathFleet()
+{
+    boost::asio::io_context loop(1);
+    AsioTimerService timers(loop);
+    PathFleet fleet(loop, timers, FLAGS_count);
+    fleet.listen(endpointOf(FLAGS_listen)).value();
+    return runUntilSignal(loop);
+}
+
 int runService()
 {
     boost::asio::io_context loop(1);
@@ -174,14 +184,17 @@
         return runPlatform();
     if (name == "engines")
         return runEngines();
+    if (name == "path-fleet")
+        return runPathFleet();
     if (name == "service")
         return runService();
     if (name == "relay")
         return runRelay();
     if (name == "load")
         return runLoad();
-    std::fprintf(stderr,
-                 "usage: dogwoodvalve-testtool platform|engines|service|relay|load [--FLAGS]\n");
+    std::fprintf(
+        stderr,
+        "usage: dogwoodvalve-testtool platform|engines|path-fleet|service|relay|load [--FLAGS]\n");
     return 1;
 }
 
