Put changed settings in force without a restart

SIGHUP, or a file that changed without a signal (looked at every 5 s), reads the settings again; times, retries and logging take effect, and a file that can't be read changes nothing. One log line a reload. The process test changedSettingsAreInForceAfterASignalAndWithout covers both and a broken file.

--- a/include/dogwoodvalve/shared_retry_budget.h
+++ b/include/dogwoodvalve/shared_retry_budget.h
@@ -14,6 +14,8 @@
     double ratio = 0.2;
     /// Attempts that are allowed besides the share.
     double slack = 10;
+
+    bool operator==(const RetryAllowance &other) const = default;
 };
 
 /// Bounds the repeated attempts of one host so that all hosts together stay within an allowance,
@@ -26,6 +28,8 @@
         : m_allowance(allowance)
     { }
 
+    /// What was spent so far still counts.
+    void setAllowance(RetryAllowance allowance) { m_allowance = allowance; }
     void noteRequest(TimePoint now);
     /// Takes one repeated attempt if the budget has it. Hosts is the number that share the slack.
     bool take(TimePoint now, int hosts);
--- a/src/cli/query_commands.cpp
+++ b/src/cli/query_commands.cpp
@@ -136,16 +136,19 @@
 
 ExitCode runGateway(const Words &)
 {
-    const Result<std::string> text = readFile(FLAGS_settings);
-    if (!text)
-        return reportError(text.error());
-    const auto settings = readGatewaySettings(text.value(), FLAGS_settings);
+    const GatewaySettingsReader reader = []() -> Result<GatewaySettings> {
+        const Result<std::string> text = readFile(FLAGS_settings);
+        if (!text)
+            return text.error();
+        return readGatewaySettings(text.value(), FLAGS_settings);
+    };
+    const Result<GatewaySettings> settings = reader();
     if (!settings)
         return reportError(settings.error());
     const GatewayPlatformFactory platform = [&settings](LoopServices &loop) {
         return platform::makePlatform(loop, settings.value().store, settings.value().serverDrain);
     };
-    return static_cast<ExitCode>(runGatewayProcess(settings.value(), platform));
+    return static_cast<ExitCode>(runGatewayProcess(settings.value(), reader, platform));
 }
 
 } // namespace dogwoodvalve
--- a/src/gateway/fleet_view.h
+++ b/src/gateway/fleet_view.h
@@ -53,6 +53,7 @@
     /// This host's digest as of now.
     HostDigest digest();
     void setLeaving();
+    void setKeyRevocation(Duration keyRevocation) { m_keyRevocation = keyRevocation; }
     bool leaving() const { return m_self.leaving; }
     /// Whether the host has been leaving for this long.
     bool leavingFor(Duration time) const
--- a/src/gateway/gateway_node.cpp
+++ b/src/gateway/gateway_node.cpp
@@ -49,6 +49,21 @@
     , m_random(stableHash(settings.name, static_cast<std::uint64_t>(startedAtMs)))
 { }
 
+void GatewayNode::changeSettings(const GatewaySettings &settings)
+{
+    m_settings.grace = settings.grace;
+    m_settings.keyRevocation = settings.keyRevocation;
+    m_settings.lookupTimeToLive = settings.lookupTimeToLive;
+    m_settings.retries = settings.retries;
+    m_settings.logLevel = settings.logLevel;
+    m_settings.decisionLogRate = settings.decisionLogRate;
+    m_view.setKeyRevocation(settings.keyRevocation);
+    for (auto &[service, budget] : m_budgets)
+        budget.setAllowance(settings.retries);
+    setLogLevel(settings.logLevel);
+    setDecisionLogRate(static_cast<std::uint32_t>(settings.decisionLogRate));
+}
+
 WaitQueue &GatewayNode::queue(const std::string &service)
 {
     return m_queues[service];
--- a/src/gateway/gateway_node.h
+++ b/src/gateway/gateway_node.h
@@ -28,6 +28,9 @@
     TimerService &timers() { return m_loop.timers(); }
     TimePoint now() const { return m_loop.timers().now(); }
     const GatewaySettings &settings() const { return m_settings; }
+    /// Puts in force what can change in a running process: times, retries and logging. Name and
+    /// addresses stay.
+    void changeSettings(const GatewaySettings &settings);
     FleetView &view() { return m_view; }
     GatewayPlatform &platform() { return m_platform; }
     const CallerDialect &dialect() const { return *m_platform.dialect; }
--- a/src/gateway/gateway_process.cpp
+++ b/src/gateway/gateway_process.cpp
@@ -22,6 +22,8 @@
 
 constexpr Duration PumpInterval = 25ms;
 constexpr Duration DrainPoll = 50ms;
+/// The settings file is small, and a change of it is not urgent.
+constexpr Duration SettingsInterval = 5s;
 /// Callers may keep the answer to a look-up for this long after a host began to leave.
 constexpr Duration LeastDrain = 2500ms;
 /// Ends before the platform kills the process.
@@ -50,8 +52,10 @@
 class GatewayProcess : public FleetViewObserver
 {
 public:
-    GatewayProcess(const GatewaySettings &settings, const GatewayPlatformFactory &platform)
+    GatewayProcess(const GatewaySettings &settings, GatewaySettingsReader reader,
+                   const GatewayPlatformFactory &platform)
         : m_services(m_loop)
+        , m_reader(std::move(reader))
         , m_signals(m_loop, SIGTERM, SIGINT, SIGHUP)
         , m_node(m_services, settings, platform(m_services), unixMillis())
         , m_peers(m_loop, m_node)
@@ -108,6 +112,7 @@
             return started;
         m_placement.start();
         pump();
+        watchSettings();
         awaitSignal();
         return BOOST_OUTCOME_V2_NAMESPACE::success();
     }
@@ -131,12 +136,36 @@
             if (ec)
                 return;
             LogEvent("signal").field("number", signal);
-            if (signal != SIGHUP)
+            if (signal == SIGHUP)
+                reload("signal");
+            else
                 drain();
             awaitSignal();
         });
     }
 
+    void reload(std::string_view cause)
+    {
+        const Result<GatewaySettings> settings = m_reader();
+        LogEvent event("reload", settings ? LogLevel::Info : LogLevel::Error);
+        event.field("cause", cause);
+        if (!settings) {
+            event.field("outcome", "kept").field("reason", settings.error().describe());
+            return;
+        }
+        event.field("outcome", "applied");
+        m_node.changeSettings(settings.value());
+    }
+
+    /// The platform may change the file without a signal.
+    void watchSettings()
+    {
+        const Result<GatewaySettings> settings = m_reader();
+        if (settings && !(settings.value() == m_node.settings()))
+            reload("file");
+        m_services.timers().subscribe(m_node.now() + SettingsInterval, [this] { watchSettings(); });
+    }
+
     void drain()
     {
         if (m_node.view().leaving())
@@ -162,6 +191,7 @@
 
     boost::asio::io_context m_loop {1};
     AsioLoopServices m_services;
+    GatewaySettingsReader m_reader;
     boost::asio::signal_set m_signals;
     GatewayNode m_node;
     PeerExchange m_peers;
@@ -178,11 +208,12 @@
 
 } // namespace
 
-int runGatewayProcess(const GatewaySettings &settings, const GatewayPlatformFactory &platform)
+int runGatewayProcess(const GatewaySettings &settings, const GatewaySettingsReader &reader,
+                      const GatewayPlatformFactory &platform)
 {
     startLogOnStandardOutput(settings.logLevel);
     setDecisionLogRate(static_cast<std::uint32_t>(settings.decisionLogRate));
-    return GatewayProcess(settings, platform).run();
+    return GatewayProcess(settings, reader, platform).run();
 }
 
 } // namespace dogwoodvalve
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -36,6 +36,8 @@
     RetryAllowance retries;
     LogLevel logLevel = LogLevel::Info;
     int decisionLogRate = 200;
+
+    bool operator==(const GatewaySettings &other) const = default;
 };
 
 /// Reads settings from YAML. Errors name the file, the line, the key and the remedy.
--- a/src/gateway/peer_exchange.cpp
+++ b/src/gateway/peer_exchange.cpp
@@ -10,9 +10,6 @@
 
 namespace {
 
-/// Commitments of other hosts are this old at most; 8 requests a second may come to a host
-/// meanwhile.
-constexpr Duration DigestInterval = 100ms;
 /// Hosts that the store names are looked up again this often, for those that no digest reached.
 constexpr Duration FindInterval = 8s;
 constexpr Duration FindRetry = 700ms;
--- a/src/gateway/plain_session.cpp
+++ b/src/gateway/plain_session.cpp
@@ -30,6 +30,7 @@
         return !view.health().usable(server->id, server->startedAtMs, now);
     });
     std::vector<PlainServer> candidates;
+    candidates.reserve(servers.size());
     for (const ServerRegistration *server : servers)
         candidates.push_back(
             {server->slots,
--- a/tests/process/gateway_process_test.cpp
+++ b/tests/process/gateway_process_test.cpp
@@ -47,7 +47,7 @@
     std::string at(int offset) const { return "127.0.0.1:" + std::to_string(m_basePort + offset); }
     std::string front(int host) const { return at(20 + 10 * host); }
 
-    void start(int i)
+    std::string writeSettings(int i, const std::string &more = "")
     {
         const std::string file = m_folder + "/host-" + std::to_string(i) + ".yaml";
         std::ofstream(file) << "name: host-" << i << "\nzone: a\nlisten: " << front(i)
@@ -55,7 +55,14 @@
                             << "\nreadinessListen: " << at(22 + 10 * i)
                             << "\npeerListen: " << at(23 + 10 * i)
                             << "\nmetricsListen: " << at(24 + 10 * i) << "\nstore: " << at(0)
-                            << "\n";
+                            << "\n"
+                            << more;
+        return file;
+    }
+
+    void start(int i)
+    {
+        const std::string file = writeSettings(i);
         auto child = std::make_unique<ChildProcess>(
             std::vector<std::string> {programs().valve, "gateway", "--settings", file},
             m_folder + "/host-" + std::to_string(i) + ".log");
@@ -122,6 +129,7 @@
     CPPUNIT_TEST(thePlatformPathIsServed);
     CPPUNIT_TEST(aKilledHostIsNoLongerNamedAndComesBack);
     CPPUNIT_TEST(aStoppedHostEndsByItselfInTime);
+    CPPUNIT_TEST(changedSettingsAreInForceAfterASignalAndWithout);
     CPPUNIT_TEST_SUITE_END();
 
     void thePlatformPathIsServed()
@@ -160,6 +168,27 @@
         Fleet::eventually("the host is named again", [&] { return named(2); });
     }
 
+    void changedSettingsAreInForceAfterASignalAndWithout()
+    {
+        GatewayFleet fleet(4, 1);
+        fleet.waitUntilReady();
+        const auto timeToLive = [&fleet](const std::string &seconds) {
+            return fleet.ask(fleet.at(21), "/v1/resolve?Name=demo&Zone=a")
+                       .body.find("\"TtlS\":" + seconds)
+                != std::string::npos;
+        };
+        CPPUNIT_ASSERT(timeToLive("2.0"));
+        fleet.writeSettings(0, "lookupTimeToLiveMs: 1500\n");
+        fleet.hosts[0]->signal(SIGHUP);
+        Fleet::eventually("the signal is heeded", [&] { return timeToLive("1.5"); });
+        fleet.writeSettings(0, "lookupTimeToLiveMs: soon\n");
+        fleet.hosts[0]->signal(SIGHUP);
+        CPPUNIT_ASSERT_EQUAL(200, fleet.ask(fleet.front(0), "/read/y").status);
+        CPPUNIT_ASSERT(timeToLive("1.5"));
+        fleet.writeSettings(0, "lookupTimeToLiveMs: 3500\n");
+        Fleet::eventually("the file is read again", [&] { return timeToLive("3.5"); });
+    }
+
     void aStoppedHostEndsByItselfInTime()
     {
         GatewayFleet fleet(3, 2);
