--- a/include/dogwoodvalve/server_health.h
+++ b/include/dogwoodvalve/server_health.h
@@ -20,6 +20,8 @@
     Unreachable,
 };
 
+std::string_view toString(ServerEvidence evidence);
+
 /// Ejects servers by what requests show, for a time that doubles with each further failure, and
 /// lets single requests through afterwards to find out whether they have recovered.
 class ServerHealth
--- a/src/core/server_health.cpp
+++ b/src/core/server_health.cpp
@@ -25,6 +25,21 @@
 
 } // namespace
 
+std::string_view toString(ServerEvidence evidence)
+{
+    switch (evidence) {
+    case ServerEvidence::Served:
+        return "served";
+    case ServerEvidence::Refused:
+        return "refused";
+    case ServerEvidence::Failed:
+        return "failed";
+    case ServerEvidence::Unreachable:
+        return "unreachable";
+    }
+    return "unreachable";
+}
+
 void ServerHealth::note(std::string_view id, std::int64_t startedAtMs, ServerEvidence evidence,
                         TimePoint now)
 {
--- a/src/daemon/settings.cpp
+++ b/src/daemon/settings.cpp
@@ -1,7 +1,6 @@
 #include "daemon/settings.h"
 
-#include "codec/object_reader.h"
-#include "codec/yaml_reader.h"
+#include "daemon/settings_fields.h"
 #include "net/endpoint.h"
 
 #include <dogwoodvalve/routing.h>
@@ -12,24 +11,8 @@
 
 namespace {
 
-constexpr std::int64_t LongestMillis = 24LL * 3600 * 1000;
 constexpr std::size_t ShortestSecret = 16;
 
-Duration readMillis(ObjectReader &reader, std::string_view key, Duration fallback)
-{
-    const std::int64_t millis = reader.integer(key, fallback.count() / 1000, 1, LongestMillis);
-    return std::chrono::milliseconds(millis);
-}
-
-std::string readAddress(ObjectReader &reader, std::string_view key)
-{
-    std::string address = reader.requiredText(key);
-    const auto endpoint = parseEndpoint(address);
-    if (!address.empty() && !endpoint)
-        reader.fail(key, endpoint.error().message, endpoint.error().remedy);
-    return address;
-}
-
 const json &partOf(ObjectReader &reader, std::string_view key)
 {
     static const json Empty = json::object();
@@ -130,14 +113,10 @@
 
 Result<EntrySettings> readSettings(std::string_view yaml, std::string_view file)
 {
-    const auto documents = readYaml(yaml);
-    if (!documents)
-        return Error {documents.error().kind, std::string(file) + ": " + documents.error().message,
-                      documents.error().remedy};
-    if (documents.value().size() != 1)
-        return Error {ErrorKind::Malformed, std::string(file) + ": settings are one YAML document",
-                      "start from docs/entry.sample.yaml"};
-    const YamlDocument &document = documents.value().front();
+    const auto read = readSettingsDocument(yaml, file, "docs/entry.sample.yaml");
+    if (!read)
+        return read.error();
+    const YamlDocument &document = read.value();
     EntrySettings settings;
     ObjectReader reader(document.value, "");
     readIdentity(reader, settings);
--- a/src/gateway/gateway_settings.cpp
+++ b/src/gateway/gateway_settings.cpp
@@ -1,22 +1,12 @@
 #include "gateway/gateway_settings.h"
 
-#include "codec/object_reader.h"
-#include "codec/yaml_reader.h"
 #include "daemon/settings.h"
-#include "net/endpoint.h"
+#include "daemon/settings_fields.h"
 
 namespace dogwoodvalve {
 
 namespace {
 
-constexpr std::int64_t LongestMillis = 24LL * 3600 * 1000;
-
-Duration readMillis(ObjectReader &reader, std::string_view key, Duration fallback)
-{
-    return std::chrono::milliseconds(
-        reader.integer(key, fallback.count() / 1000, 1, LongestMillis));
-}
-
 Duration readSeconds(ObjectReader &reader, std::string_view key, Duration fallback)
 {
     constexpr double Micros = 1e6;
@@ -25,15 +15,6 @@
         static_cast<Duration::rep>(reader.number(key, seconds, 0.001, 86'400) * Micros));
 }
 
-std::string readAddress(ObjectReader &reader, std::string_view key)
-{
-    std::string address = reader.requiredText(key);
-    const auto endpoint = parseEndpoint(address);
-    if (!address.empty() && !endpoint)
-        reader.fail(key, endpoint.error().message, endpoint.error().remedy);
-    return address;
-}
-
 void readRetries(ObjectReader &reader, RetryAllowance &retries)
 {
     static const nlohmann::json Empty = nlohmann::json::object();
@@ -50,14 +31,10 @@
 
 Result<GatewaySettings> readGatewaySettings(std::string_view yaml, std::string_view file)
 {
-    const auto documents = readYaml(yaml);
-    if (!documents)
-        return Error {documents.error().kind, std::string(file) + ": " + documents.error().message,
-                      documents.error().remedy};
-    if (documents.value().size() != 1)
-        return Error {ErrorKind::Malformed, std::string(file) + ": settings are one YAML document",
-                      "start from docs/gateway.sample.yaml"};
-    const YamlDocument &document = documents.value().front();
+    const auto read = readSettingsDocument(yaml, file, "docs/gateway.sample.yaml");
+    if (!read)
+        return read.error();
+    const YamlDocument &document = read.value();
     GatewaySettings settings;
     ObjectReader reader(document.value, "");
     settings.name = reader.requiredText("name");
--- a/src/gateway/generation_session.cpp
+++ b/src/gateway/generation_session.cpp
@@ -109,7 +109,7 @@
     m_eventsOfAttempt = 0;
     m_progressAt = m_node.now();
     dispatch(*first, request, m_attempts == 0 ? "least_time" : "continue");
-    watchForStall();
+    watchForStall(m_progressAt + stallLimit());
     return true;
 }
 
@@ -217,14 +217,13 @@
     return std::max<Duration>(LeastStall, m_path.stepTime * steps * StallPauses);
 }
 
-void GenerationSession::watchForStall()
+void GenerationSession::watchForStall(TimePoint at)
 {
-    m_stallTimer =
-        m_node.timers().subscribe(m_progressAt + stallLimit(), [weak = weak_from_this()] {
-            const auto self = std::static_pointer_cast<GenerationSession>(weak.lock());
-            if (self && !self->m_ended && !self->m_parts.empty())
-                self->checkStall();
-        });
+    m_stallTimer = m_node.timers().subscribe(at, [weak = weak_from_this()] {
+        const auto self = std::static_pointer_cast<GenerationSession>(weak.lock());
+        if (self && !self->m_ended && !self->m_parts.empty())
+            self->checkStall();
+    });
 }
 
 /// Looks for parts over which no stream at all has brought an event since this one fell silent.
@@ -232,21 +231,16 @@
 {
     const TimePoint now = m_node.now();
     const Duration silence = now - m_progressAt;
+    // A caller that does not read holds its own stream up.
     if (silence < stallLimit() || m_request.exchange->pendingBytes() > 0)
-        return watchForStall();
+        return watchForStall(std::max(m_progressAt + stallLimit(), now + LeastStall));
     std::vector<const Part *> silent;
     for (const Part &part : m_parts) {
         if (now - part.load->progressAt >= LeastStall)
             silent.push_back(&part);
     }
-    if (silent.empty() && silence < LongestStall) {
-        m_stallTimer = m_node.timers().subscribe(now + LeastStall, [weak = weak_from_this()] {
-            const auto self = std::static_pointer_cast<GenerationSession>(weak.lock());
-            if (self && !self->m_ended && !self->m_parts.empty())
-                self->checkStall();
-        });
-        return;
-    }
+    if (silent.empty() && silence < LongestStall)
+        return watchForStall(now + LeastStall);
     // With several silent parts any of them may be the dead one; single ones are blamed.
     if (silent.size() == 1)
         blame(*silent.front(), ServerEvidence::Unreachable);
@@ -264,7 +258,7 @@
         .field("server", part.server)
         .field("streams", part.load->streams)
         .field("silent_ms", (m_node.now() - part.load->progressAt).count() / 1000)
-        .field("evidence", static_cast<int>(evidence));
+        .field("evidence", toString(evidence));
 }
 
 void GenerationSession::onEnd()
@@ -283,25 +277,30 @@
     finish("complete", std::to_string(m_answer.status));
 }
 
+/// The engine has run the request and failed it, or the answer is not its own. Its own failure
+/// reaches the caller if the request may not be tried elsewhere.
+void GenerationSession::takeFailure()
+{
+    if (!m_parts.empty())
+        blame(m_parts.front(), ServerEvidence::Failed);
+    const bool own = m_answer.stamped && m_answer.idMatches && !m_answer.encoded;
+    if (!own || m_answer.status == 200 || m_responded)
+        return continueElsewhere("the answer is not the engine's own", true);
+    if (takeAnotherAttempt(true)) {
+        closeAttempt();
+        return startOrWait(true);
+    }
+    m_responded = true;
+    m_request.exchange->respond(m_answer.status, m_answerFields, m_answerBody);
+    finish("complete", std::to_string(m_answer.status));
+}
+
 /// An answer that is no stream: the engine, or another one of the path, did not take the request,
 /// or failed it.
 void GenerationSession::takeRefusal()
 {
-    if (!m_answer.notRun) {
-        const bool own = m_answer.stamped && m_answer.idMatches && !m_answer.encoded;
-        if (!m_parts.empty())
-            blame(m_parts.front(), ServerEvidence::Failed);
-        if (own && m_answer.status != 200 && !m_responded && !takeAnotherAttempt(true)) {
-            m_responded = true;
-            m_request.exchange->respond(m_answer.status, m_answerFields, m_answerBody);
-            return finish("complete", std::to_string(m_answer.status));
-        }
-        if (own && m_answer.status != 200 && !m_responded) {
-            closeAttempt();
-            return startOrWait(true);
-        }
-        return continueElsewhere("the answer is not the engine's own", true);
-    }
+    if (!m_answer.notRun)
+        return takeFailure();
     const auto at = std::find_if(m_parts.begin(), m_parts.end(), [this](const Part &part) {
         return part.address == m_answer.faultyAddress;
     });
--- a/src/gateway/generation_session.h
+++ b/src/gateway/generation_session.h
@@ -44,10 +44,11 @@
 
     void deliverEvents();
     void noteProgress();
-    void watchForStall();
+    void watchForStall(TimePoint at);
     void checkStall();
     Duration stallLimit() const;
     void takeRefusal();
+    void takeFailure();
     void continueElsewhere(std::string_view reason, bool ran);
     void blame(const Part &part, ServerEvidence evidence);
 
--- a/tests/simulation/gateway_test.cpp
+++ b/tests/simulation/gateway_test.cpp
@@ -370,6 +370,7 @@
     CPPUNIT_TEST(aStreamThatBreaksOffGoesOnElsewhere);
     CPPUNIT_TEST(aMissingEventNeverReachesTheCaller);
     CPPUNIT_TEST(anUnstampedStreamIsNotDelivered);
+    CPPUNIT_TEST(anEnginesOwnFailureReachesTheCaller);
     CPPUNIT_TEST(aRefusalThatSaysNotRunIsTrue);
     CPPUNIT_TEST(nonIdempotentRequestsRunOnce);
     CPPUNIT_TEST(idempotentRequestsAreRepeatedWithinTheirAttempts);
@@ -481,6 +482,20 @@
         CPPUNIT_ASSERT(call->answer.status != 503);
     }
 
+    void anEnginesOwnFailureReachesTheCaller()
+    {
+        World world;
+        world.settle();
+        for (const auto &engine : world.engines)
+            engine->setFault(EngineFault::Fails);
+        const auto call = world.generate();
+        const std::string id = world.lastId();
+        world.run(5s);
+        CPPUNIT_ASSERT_EQUAL(500, call->answer.status);
+        CPPUNIT_ASSERT_EQUAL(std::string("failed"), call->answer.body);
+        CPPUNIT_ASSERT_EQUAL(2, world.runsOf(id));
+    }
+
     void aRefusalThatSaysNotRunIsTrue()
     {
         World world;
