--- a/tests/process/gateway_process_test.cpp
+++ b/tests/process/gateway_process_test.cpp
@@ -49,7 +49,7 @@
 
     std::string writeSettings(int i, const std::string &more = "")
     {
-        const std::string file = m_folder + "/host-" + std::to_string(i) + ".yaml";
+        std::string file = m_folder + "/host-" + std::to_string(i) + ".yaml";
         std::ofstream(file) << "name: host-" << i << "\nzone: a\nlisten: " << front(i)
                             << "\nlookupListen: " << at(21 + 10 * i)
                             << "\nreadinessListen: " << at(22 + 10 * i)
--- a/tests/simulation/gateway_test.cpp
+++ b/tests/simulation/gateway_test.cpp
@@ -166,12 +166,12 @@
         for (int i = 0; i < engines; ++i)
             addEngine(i);
         serveHttp(m_network, "10.0.2.1:80", process("plain"), plain);
-        register_("p-1",
-                  {{"Service", "web"},
-                   {"Addr", "10.0.2.1:80"},
-                   {"Zone", "a"},
-                   {"Slots", 6},
-                   {"State", "ready"}});
+        registerServer("p-1",
+                       {{"Service", "web"},
+                        {"Addr", "10.0.2.1:80"},
+                        {"Zone", "a"},
+                        {"Slots", 6},
+                        {"State", "ready"}});
         configure(1, {"good-key"});
         for (int i = 0; i < hosts; ++i)
             addHost(i);
@@ -193,7 +193,7 @@
         return m_processes.back();
     }
 
-    void register_(const std::string &id, const json &entry)
+    void registerServer(const std::string &id, const json &entry)
     {
         store.put("keyed.servers", id, entry.dump());
     }
@@ -207,7 +207,7 @@
                       {"Layers", nullptr}};
         if (!layers.empty())
             entry["Layers"] = {{"From", layers.first}, {"Target", layers.end}};
-        register_("e-" + std::to_string(i + 1), entry);
+        registerServer("e-" + std::to_string(i + 1), entry);
     }
 
     void addEngine(int i)
@@ -532,12 +532,12 @@
         World world;
         PlainStandIn other;
         serveHttp(world.network(), "10.0.2.2:80", world.process("plain-2"), other);
-        world.register_("p-2",
-                        {{"Service", "web"},
-                         {"Addr", "10.0.2.2:80"},
-                         {"Zone", "a"},
-                         {"Slots", 6},
-                         {"State", "ready"}});
+        world.registerServer("p-2",
+                             {{"Service", "web"},
+                              {"Addr", "10.0.2.2:80"},
+                              {"Zone", "a"},
+                              {"Slots", 6},
+                              {"State", "ready"}});
         world.settle();
         world.plain.aborts = other.aborts = true;
         const auto call = world.call("GET", "/read/x");
@@ -669,10 +669,11 @@
         world.settle();
         const std::size_t before = world.hosts[0]->node.view().registry().servers().size();
         world.store.put("keyed.servers", "x-1", "\xff\xfe");
-        world.register_("x-2", {{"Service", 5}, {"Addr", "10.0.9.1:80"}, {"State", "ready"}});
-        world.register_("x-3", {{"Service", "web"}, {"Addr", "nowhere"}, {"State", "ready"}});
-        world.register_("x-4", {{"Service", "web"}, {"Addr", "10.0.9.1:80"}, {"State", "odd"}});
-        world.register_("p-1", {{"Service", "web"}});
+        world.registerServer("x-2", {{"Service", 5}, {"Addr", "10.0.9.1:80"}, {"State", "ready"}});
+        world.registerServer("x-3", {{"Service", "web"}, {"Addr", "nowhere"}, {"State", "ready"}});
+        world.registerServer("x-4",
+                             {{"Service", "web"}, {"Addr", "10.0.9.1:80"}, {"State", "odd"}});
+        world.registerServer("p-1", {{"Service", "web"}});
         world.run(2s);
         // The four name no server, the entry of p-1 does not any more, and the others hold.
         CPPUNIT_ASSERT_EQUAL(before - 1, world.hosts[0]->node.view().registry().servers().size());
@@ -682,12 +683,12 @@
     {
         World world;
         world.settle();
-        world.register_("p-1",
-                        {{"Service", "web"},
-                         {"Addr", "10.0.2.1:80"},
-                         {"Zone", "a"},
-                         {"Slots", 6},
-                         {"State", "draining"}});
+        world.registerServer("p-1",
+                             {{"Service", "web"},
+                              {"Addr", "10.0.2.1:80"},
+                              {"Zone", "a"},
+                              {"Slots", 6},
+                              {"State", "draining"}});
         world.run(1500ms);
         const int before = world.plain.runs;
         for (int i = 0; i < 5; ++i)
