--- a/tests/unit/path_selector_test.cpp
+++ b/tests/unit/path_selector_test.cpp
@@ -47,6 +47,7 @@
         int found = 0;
         for (int run = 0; run < 500; ++run) {
             std::vector<std::string> ids;
+            ids.reserve(20);
             for (int i = 0; i < 20; ++i)
                 ids.push_back("s" + std::to_string(i));
             std::vector<PathServer> servers;
