Drop what nothing calls; one useful wait for both kinds of session

Cause: reading the whole change again. longestUsefulWait and its share of 0.6 stood in both sessions with the same value; FleetView::serverAt, RequestSession::pathText, LayerPlanner::blockSize and PeerExchange::m_announced had no use. Change: the wait is computed once, in RequestSession; the others are gone. Behaviour is the same.

--- a/include/dogwoodvalve/layer_planner.h
+++ b/include/dogwoodvalve/layer_planner.h
@@ -42,7 +42,6 @@
     /// Assignments for all servers without layers, fastest kinds first.
     std::vector<LayerAssignment> assign(std::span<const PlannedServer> servers) const;
 
-    int blockSize() const { return m_blockSize; }
     /// Layers that a kind of accelerator should hold; 0 if it can't hold one block.
     int layersFor(const AcceleratorKind &kind) const;
     /// Tokens of context that a zone has room for at its poorest block.
--- a/src/gateway/fleet_view.cpp
+++ b/src/gateway/fleet_view.cpp
@@ -101,15 +101,6 @@
     m_reported[server.id] = {server.startedAtMs, layers, m_timers.now()};
 }
 
-const ServerRegistration *FleetView::serverAt(std::string_view address) const
-{
-    for (const auto &[id, server] : m_registry.servers()) {
-        if (server.address == address)
-            return &server;
-    }
-    return nullptr;
-}
-
 std::vector<PathServer> FleetView::pathServers(const ServiceRule &service) const
 {
     std::vector<PathServer> servers;
--- a/src/gateway/fleet_view.h
+++ b/src/gateway/fleet_view.h
@@ -86,7 +86,6 @@
 
     /// Servers that can be parts of a path, with all hosts' commitments.
     std::vector<PathServer> pathServers(const ServiceRule &service) const;
-    const ServerRegistration *serverAt(std::string_view address) const;
 
     void onConfiguration(FleetConfigurationPointer configuration,
                          std::string_view document) override;
--- a/src/gateway/generation_session.cpp
+++ b/src/gateway/generation_session.cpp
@@ -21,8 +21,6 @@
 constexpr Duration LongestStall = 1300ms;
 /// Callers abandon a stream that has been silent this long.
 constexpr Duration CallerPatience = 2s;
-/// Part of the target for the first event that may be spent waiting for room here.
-constexpr double WaitShare = 0.6;
 constexpr Duration RetryAfterRefusal = 500ms;
 constexpr int StatusBadGateway = 502;
 constexpr int StatusUnavailable = 503;
@@ -58,12 +56,6 @@
     m_node.timers().cancel(m_stallTimer);
 }
 
-Duration GenerationSession::longestUsefulWait() const
-{
-    return Duration(static_cast<Duration::rep>(
-        static_cast<double>(m_request.route->firstByteTarget.count()) * WaitShare));
-}
-
 Duration GenerationSession::longestRepairWait() const
 {
     return m_responded ? CallerPatience - (m_node.now() - m_progressAt) : longestUsefulWait();
--- a/src/gateway/generation_session.h
+++ b/src/gateway/generation_session.h
@@ -26,7 +26,6 @@
     void onError(const Error &error) override;
 
 protected:
-    Duration longestUsefulWait() const override;
     Duration longestRepairWait() const override;
     void releaseAttempt() override;
     void describeEnd(LogEvent &event) const override;
--- a/src/gateway/peer_exchange.cpp
+++ b/src/gateway/peer_exchange.cpp
@@ -69,9 +69,7 @@
     const HostRecord record {m_node.settings().name, m_node.settings().peerListen};
     m_node.platform().coordination->announce(
         record, [this, alive = std::weak_ptr(m_alive)](const Result<void> &result) {
-            if (alive.expired() || std::exchange(m_announced, result.has_value()))
-                return;
-            if (!result)
+            if (!alive.expired() && !result)
                 subscribe(FindRetry, &PeerExchange::announce);
         });
 }
--- a/src/gateway/peer_exchange.h
+++ b/src/gateway/peer_exchange.h
@@ -45,7 +45,6 @@
     /// Peer addresses, from the store and from digests.
     std::set<std::string> m_addresses;
     bool m_pulling = false;
-    bool m_announced = false;
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
 
--- a/src/gateway/plain_session.cpp
+++ b/src/gateway/plain_session.cpp
@@ -13,8 +13,6 @@
 constexpr int FirstServerError = 500;
 constexpr int StatusNotRun = 503;
 constexpr int StatusBadGateway = 502;
-/// Share of the caller's target that a request may wait here and still be answered on time.
-constexpr double WaitShare = 0.6;
 /// When a caller should come back if all servers turned its request away.
 constexpr Duration RetryAfterRefusal = 300ms;
 
@@ -56,12 +54,6 @@
     return true;
 }
 
-Duration PlainSession::longestUsefulWait() const
-{
-    return Duration(static_cast<Duration::rep>(
-        static_cast<double>(m_request.route->firstByteTarget.count()) * WaitShare));
-}
-
 Duration PlainSession::longestRepairWait() const
 {
     return longestUsefulWait();
--- a/src/gateway/request_session.cpp
+++ b/src/gateway/request_session.cpp
@@ -16,6 +16,8 @@
 constexpr Duration ConnectTimeout = 150ms;
 /// Servers that may turn one request away, besides those that may run it.
 constexpr int MostRefusals = 2;
+/// Share of the caller's target that a request may wait here and still be answered on time.
+constexpr double WaitShare = 0.6;
 /// A predicted wait may prove too short by this factor before the request is given up.
 constexpr int WrongPrediction = 2;
 constexpr int StatusBadGateway = 502;
@@ -50,6 +52,12 @@
     startOrWait(false);
 }
 
+Duration RequestSession::longestUsefulWait() const
+{
+    return Duration(static_cast<Duration::rep>(
+        static_cast<double>(m_request.route->firstByteTarget.count()) * WaitShare));
+}
+
 void RequestSession::startOrWait(bool goesFirst)
 {
     WaitQueue &queue = m_node.queue(m_request.service->name);
--- a/src/gateway/request_session.h
+++ b/src/gateway/request_session.h
@@ -46,7 +46,7 @@
     /// What the deadline leaves.
     Duration timeLeft() const { return m_deadline - m_node.now(); }
     /// The longest wait for room after which the answer is still on time.
-    virtual Duration longestUsefulWait() const = 0;
+    Duration longestUsefulWait() const;
     /// Adds what only this kind of request knows to the line of its end.
     virtual void describeEnd(LogEvent &event) const;
     /// Gives up what the attempt in hand has taken on servers.
@@ -68,7 +68,6 @@
     void refuse(int status, const Error &error, std::optional<Duration> retryAfter);
     void fail(int status, const Error &error);
     void finish(std::string_view outcome, std::string_view reason);
-    std::string pathText() const { return m_pathText; }
 
     GatewayNode &m_node;
     AcceptedRequest m_request;
