--- a/tests/simulation/sim_network.cpp
+++ b/tests/simulation/sim_network.cpp
@@ -95,6 +95,8 @@
             end.received = nullptr;
             end.closed = nullptr;
             end.inbox.clear();
+            // A frozen process still holds work that refers to its connections.
+            end.process->end();
         }
     }
 }
