Relay digests between the hosts of a large fleet

All hosts also fetched each configuration there, 295 copies of some 300 KB through one store.

Change: from 100 hosts on, two hosts of each zone sum the digests of their zone and send the load of the fleet back; relays exchange the sums of zones. The first relay of a zone reads the store for it; members take a new configuration from a random host of their zone that has it.

--- a/include/dogwoodvalve/host_table.h
+++ b/include/dogwoodvalve/host_table.h
@@ -1,50 +1,19 @@
 #pragma once
 
+#include <dogwoodvalve/host_digest.h>
+#include <dogwoodvalve/relayed_loads.h>
 #include <dogwoodvalve/timer_service.h>
 
 #include <cstdint>
 #include <map>
+#include <span>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace dogwoodvalve {
 
-/// The state that an entry host broadcasts to the others several times a second. Each digest is
-/// complete and replaces the previous one, so a lost datagram needs no retransmission.
-struct HostDigest
-{
-    std::string name;
-    std::string zone;
-    /// IP:PORT on which the host accepts callers, and other hosts.
-    std::string callerAddress;
-    std::string peerAddress;
-    /// Start of the host process, Unix time in ms. Digests of an earlier start are outdated.
-    std::int64_t startedAtMs = 0;
-    /// Increases with each digest since the start.
-    std::uint64_t sequence = 0;
-    bool ready = false;
-    bool leaving = false;
-    std::uint64_t configurationVersion = 0;
-    /// How long ago the configuration was last confirmed to be the newest.
-    Duration configurationAge {};
-    /// Log offset up to which the host has read the registrations, and how long ago it did.
-    std::uint64_t registrationsEnd = 0;
-    Duration registrationsAge {};
-    /// KV cache that this host has reserved on servers, in tokens x layers, by server id.
-    std::map<std::string, double> commitments;
-    /// Time that servers need for the prefill of prompts that this host has sent them and that are
-    /// still unprocessed, in ms, by server id.
-    std::map<std::string, double> backlogMs;
-    /// Requests in flight at servers of plain services, by server id.
-    std::map<std::string, int> inFlight;
-    /// Ids of servers that did not answer a recent probe by this host.
-    std::vector<std::string> failedProbes;
-    /// Engines that recent probes by this host found slow: factor on their normal times, by server
-    /// id.
-    std::map<std::string, double> slowness;
-};
-
 /// The part of the tasks that one host is responsible for, by its rank among the live hosts.
 struct TaskPartition
 {
@@ -57,18 +26,57 @@
 };
 
 /// The newest digest of each other entry host and when it arrived, with totals over all live hosts.
+/// In a large fleet, where hosts hear of most others through relays, it holds the state of each
+/// host, and the totals as the relays report them.
 class HostTable
 {
 public:
+    explicit HostTable(std::string ownZone = {})
+        : m_ownZone(std::move(ownZone))
+        , m_relayedLoads(m_ownZone)
+    { }
+
     /// Stores a digest. Returns false, and changes nothing, if a newer one is known.
     bool applyDigest(const HostDigest &digest, TimePoint now);
+    /// Stores what a relay sent, except about this host itself. Returns false, and changes nothing,
+    /// if a newer digest of the relay is known.
+    bool applyRelayDigest(const RelayDigest &digest, std::string_view self, TimePoint now);
+    /// Adds a host that is known by its record in the store only. It counts as live until it should
+    /// have been heard of.
+    void addRecordedHost(const HostDigest &identity, TimePoint now);
+    /// How this host learns the load of the others.
+    void setExchangeMode(ExchangeMode mode) { m_relayedLoads.setMode(mode); }
+    ExchangeMode exchangeMode() const { return m_relayedLoads.mode(); }
+    /// Sets the digest that this host has sent last.
+    void setOwnDigest(const HostDigest &digest) { m_relayedLoads.setOwnLoad(digest); }
+    /// What this host sends as a relay: to the hosts of its zone the load of the fleet, otherwise
+    /// the load of its zone. `self` is this host's digest. The digest lists the hosts of the given
+    /// zones.
+    RelayDigest makeRelayDigest(const HostDigest &self, bool toOwnZone,
+                                std::span<const std::string> rosterZones, TimePoint now);
+    /// Zones of the known hosts, sorted.
+    std::vector<std::string> zones() const;
+    /// Whether hosts or reports of hosts have changed in a way that others should learn at once,
+    /// since this was asked last.
+    bool takeChanges() { return std::exchange(m_changed, false); }
+    /// Makes the next takeChanges() return true.
+    void noteChange() { m_changed = true; }
+    /// The hosts of a zone that should relay digests, best first: hosts with fast links before
+    /// others, and rendezvous hashing among equal ones. Includes this host if it is one of them.
+    std::vector<HostDigest> relaysOf(std::string_view zone, const HostDigest &self, int count,
+                                     TimePoint now) const;
+    /// Excludes a host that does not answer from relaying until the given time.
+    void suspendRelay(const std::string &name, TimePoint until) { m_suspendedRelays[name] = until; }
     /// Drops expired peers and reports. To be called regularly.
     void expire(TimePoint now);
 
     struct Peer
     {
         HostDigest digest;
+        /// When the host was last heard, here or at the relay that told of it.
         TimePoint lastSeenAt {};
+        /// When its own digest last arrived here.
+        TimePoint heardDirectlyAt {};
         /// The values of its digest are included in the totals.
         bool inTotals = false;
     };
@@ -98,6 +106,9 @@
     /// Number of other hosts that recently reported a failed probe of the server.
     int hostsReportingFailedProbe(std::string_view server, TimePoint now) const;
 
+    /// A relay reports hosts that it has heard within this time, which allows for some lost digests
+    /// of each.
+    static constexpr Duration RelayedHostMaxAge = 1500ms;
     /// Peers without a digest for this long are removed.
     static constexpr Duration PeerExpiryTimeout = 30s;
 
@@ -108,13 +119,11 @@
     /// A host counts as dead after this many intervals without a digest. Fewer would be exceeded by
     /// lost datagrams and by pauses of a live host.
     static constexpr int MaxMissedDigests = 7;
+    /// In a large fleet, a host counts as dead after this time. Relays report the hosts of the own
+    /// zone about each second, and those of each other zone in turn.
+    static constexpr Duration OwnZoneTimeout = 2500ms;
+    static constexpr Duration OtherZoneTimeout = 8s;
 
-    struct ServerTotals
-    {
-        double committed = 0;
-        double backlogMs = 0;
-        int inFlight = 0;
-    };
     /// The last slowness factor that any host reported for a server, and when it arrived.
     struct SlownessReport
     {
@@ -122,6 +131,14 @@
         TimePoint reportedAt {};
     };
 
+    Duration timeoutOf(const Peer &peer) const;
+    void applyState(const HostDigest &state, TimePoint seenAt);
+    void addTotals(RelayDigest &digest, const HostDigest &self, bool ofFleet) const;
+    void addReports(RelayDigest &digest, const HostDigest &self, TimePoint now) const;
+    /// Hosts of a zone that were heard recently.
+    void addRoster(RelayDigest &digest, std::string_view zone, TimePoint now) const;
+    /// Load of the other hosts on a server.
+    LoadTotals loadByPeers(std::string_view server, TimePoint now);
     /// Live hosts that are not leaving share the tasks.
     bool isEligibleForTasks(const Peer &peer, TimePoint now) const;
     /// Adds the values of a peer's digest to the totals, or subtracts them.
@@ -129,12 +146,17 @@
     /// Subtracts peers that are not live any more.
     void removeStaleFromTotals(TimePoint now);
 
+    std::string m_ownZone;
     std::map<std::string, Peer, std::less<>> m_peers;
-    std::map<std::string, ServerTotals, std::less<>> m_totals;
+    /// Totals over the digests that have arrived here.
+    std::map<std::string, LoadTotals, std::less<>> m_totals;
+    RelayedLoads m_relayedLoads;
+    std::map<std::string, TimePoint, std::less<>> m_suspendedRelays;
     std::map<std::string, SlownessReport, std::less<>> m_slownessReports;
     /// When a failed probe was last reported, by server and reporting host.
     std::map<std::string, std::map<std::string, TimePoint>, std::less<>> m_failedProbes;
     TimePoint m_staleCheckAt {};
+    bool m_changed = false;
 };
 
 /// Returns the addresses of entry hosts that callers from a zone should use, best first. Hosts that
--- a/src/core/host_table.cpp
+++ b/src/core/host_table.cpp
@@ -4,6 +4,8 @@
 
 #include <algorithm>
 #include <cmath>
+#include <set>
+#include <tuple>
 
 namespace dogwoodvalve {
 
@@ -20,9 +22,32 @@
 /// A host that reports more servers than this is probably disconnected itself, and is not believed.
 constexpr std::size_t MaxCredibleFailedProbes = 8;
 
+/// Links at least this fast count as equal when relays are chosen. A relay needs some 10 Mbit/s in
+/// a zone of 60 hosts.
+constexpr double FastLinkMbps = 100;
+
 /// Totals below this are rounding errors of sums that have become zero, in token-layers or ms.
 constexpr double NegligibleTotal = 0.5;
 
+/// A digest without the host's load and its reports about servers.
+HostDigest stateOf(const HostDigest &digest)
+{
+    HostDigest state = digest;
+    state.commitments.clear();
+    state.backlogMs.clear();
+    state.inFlight.clear();
+    state.failedProbes.clear();
+    state.slowness.clear();
+    return state;
+}
+
+/// Whether two digests of a host agree on what other hosts must learn soon.
+bool sameStanding(const HostDigest &l, const HostDigest &r)
+{
+    return l.startedAtMs == r.startedAtMs && l.ready == r.ready && l.leaving == r.leaving
+        && l.configurationVersion == r.configurationVersion;
+}
+
 bool acceptsCallers(const HostDigest &digest)
 {
     return digest.ready && !digest.leaving && !digest.callerAddress.empty();
@@ -38,9 +63,12 @@
         || (digest.startedAtMs == known.startedAtMs && digest.sequence <= known.sequence);
     if (!known.name.empty() && older)
         return false;
+    m_changed = m_changed || !sameStanding(known, digest) || known.failedProbes != digest.failedProbes
+        || known.slowness.size() != digest.slowness.size();
     setInTotals(peer, false);
     peer.digest = digest;
     peer.lastSeenAt = now;
+    peer.heardDirectlyAt = now;
     setInTotals(peer, true);
     for (const auto &[server, factor] : digest.slowness)
         m_slownessReports[server] = {factor, now};
@@ -51,6 +79,169 @@
     return true;
 }
 
+bool HostTable::applyRelayDigest(const RelayDigest &digest, std::string_view self, TimePoint now)
+{
+    if (digest.relay.name == self || !m_relayedLoads.apply(digest, now))
+        return false;
+    applyState(digest.relay, now);
+    for (const auto &[server, report] : digest.slowness) {
+        const TimePoint reportedAt = now - report.age;
+        SlownessReport &known = m_slownessReports[server];
+        if (reportedAt > known.reportedAt)
+            known = {report.factor, reportedAt};
+    }
+    for (const auto &[server, hosts] : digest.failedProbes) {
+        for (const auto &[host, age] : hosts) {
+            TimePoint &reportedAt = m_failedProbes[server][host];
+            reportedAt = std::max(reportedAt, now - age);
+        }
+    }
+    for (const RelayedHost &host : digest.roster) {
+        if (host.state.name != self)
+            applyState(host.state, now - host.age);
+    }
+    return true;
+}
+
+/// Updates what is known of a host, but for its load and reports, which its own digests contain.
+void HostTable::applyState(const HostDigest &state, TimePoint seenAt)
+{
+    Peer &peer = m_peers[state.name];
+    HostDigest &known = peer.digest;
+    if (state.startedAtMs < known.startedAtMs
+        || (state.startedAtMs == known.startedAtMs && state.sequence < known.sequence))
+        return;
+    m_changed = m_changed || !sameStanding(known, state);
+    if (state.startedAtMs != known.startedAtMs) {
+        setInTotals(peer, false);
+        known = {};
+    }
+    HostDigest updated = state;
+    updated.commitments = std::move(known.commitments);
+    updated.backlogMs = std::move(known.backlogMs);
+    updated.inFlight = std::move(known.inFlight);
+    known = std::move(updated);
+    peer.lastSeenAt = std::max(peer.lastSeenAt, seenAt);
+}
+
+void HostTable::addRecordedHost(const HostDigest &identity, TimePoint now)
+{
+    const auto [it, added] = m_peers.try_emplace(identity.name);
+    if (!added)
+        return;
+    it->second.digest = identity;
+    it->second.lastSeenAt = now;
+}
+
+RelayDigest HostTable::makeRelayDigest(const HostDigest &self, bool toOwnZone,
+                                       std::span<const std::string> rosterZones, TimePoint now)
+{
+    removeStaleFromTotals(now);
+    RelayDigest digest;
+    digest.relay = stateOf(self);
+    addTotals(digest, self, toOwnZone);
+    addReports(digest, self, now);
+    for (const std::string &zone : rosterZones)
+        addRoster(digest, zone, now);
+    return digest;
+}
+
+void HostTable::addTotals(RelayDigest &digest, const HostDigest &self, bool ofFleet) const
+{
+    // A member passes on what it has from a relay, to hosts that reach no relay.
+    if (exchangeMode() != ExchangeMode::Relay) {
+        digest.hosts = m_relayedLoads.hosts();
+        digest.totals.insert(m_relayedLoads.totals().begin(), m_relayedLoads.totals().end());
+        return;
+    }
+    digest.hosts = 1;
+    for (const auto &[name, peer] : m_peers)
+        digest.hosts += peer.inTotals ? 1 : 0;
+    for (const auto &[server, load] : m_totals)
+        digest.totals[server].add(load);
+    for (const auto &[server, amount] : self.commitments)
+        digest.totals[server].committed += amount;
+    for (const auto &[server, ms] : self.backlogMs)
+        digest.totals[server].backlogMs += ms;
+    for (const auto &[server, n] : self.inFlight)
+        digest.totals[server].inFlight += n;
+    if (!ofFleet)
+        return;
+    digest.hosts += m_relayedLoads.hosts();
+    for (const auto &[server, load] : m_relayedLoads.totals())
+        digest.totals[server].add(load);
+}
+
+void HostTable::addReports(RelayDigest &digest, const HostDigest &self, TimePoint now) const
+{
+    for (const auto &[server, report] : m_slownessReports) {
+        if (now - report.reportedAt <= SlownessReportMaxAge)
+            digest.slowness[server] = {report.slowness, now - report.reportedAt};
+    }
+    for (const auto &[server, factor] : self.slowness)
+        digest.slowness[server] = {factor, Duration::zero()};
+    for (const auto &[server, hosts] : m_failedProbes) {
+        for (const auto &[host, reportedAt] : hosts) {
+            if (now - reportedAt <= ServerHealth::FailedProbeMaxAge)
+                digest.failedProbes[server][host] = now - reportedAt;
+        }
+    }
+    if (self.failedProbes.size() <= MaxCredibleFailedProbes) {
+        for (const std::string &server : self.failedProbes)
+            digest.failedProbes[server][self.name] = Duration::zero();
+    }
+}
+
+void HostTable::addRoster(RelayDigest &digest, std::string_view zone, TimePoint now) const
+{
+    const Duration maxAge = zone == m_ownZone ? RelayedHostMaxAge : OtherZoneTimeout;
+    for (const auto &[name, peer] : m_peers) {
+        if (peer.digest.zone == zone && now - peer.lastSeenAt <= maxAge)
+            digest.roster.push_back({stateOf(peer.digest), now - peer.lastSeenAt});
+    }
+}
+
+std::vector<std::string> HostTable::zones() const
+{
+    std::set<std::string> zones;
+    for (const auto &[name, peer] : m_peers)
+        zones.insert(peer.digest.zone);
+    return {zones.begin(), zones.end()};
+}
+
+std::vector<HostDigest> HostTable::relaysOf(std::string_view zone, const HostDigest &self,
+                                            int count, TimePoint now) const
+{
+    struct Candidate
+    {
+        const HostDigest *host = nullptr;
+        // A host that hears none of the others, as it is cut off from its relays, tries them all.
+        bool live = true;
+    };
+    std::vector<Candidate> candidates;
+    if (self.zone == zone && !self.leaving)
+        candidates.push_back({&self});
+    for (const auto &[name, peer] : m_peers) {
+        const auto suspended = m_suspendedRelays.find(name);
+        if (peer.digest.zone == zone && !peer.digest.leaving && name != self.name
+            && (suspended == m_suspendedRelays.end() || suspended->second <= now))
+            candidates.push_back({&peer.digest, isLive(peer, now)});
+    }
+    const auto rank = [zone](const Candidate &it) {
+        return std::tuple(it.live, it.host->linkMbps >= FastLinkMbps,
+                          rendezvousWeight(zone, it.host->name));
+    };
+    const std::size_t n = std::min(candidates.size(), static_cast<std::size_t>(count));
+    std::partial_sort(candidates.begin(), candidates.begin() + static_cast<std::ptrdiff_t>(n),
+                      candidates.end(),
+                      [&rank](const auto &l, const auto &r) { return rank(l) > rank(r); });
+    std::vector<HostDigest> relays;
+    relays.reserve(n);
+    for (std::size_t i = 0; i < n; ++i)
+        relays.push_back(*candidates[i].host);
+    return relays;
+}
+
 void HostTable::setInTotals(Peer &peer, bool in)
 {
     if (peer.inTotals == in)
@@ -70,8 +261,9 @@
     if (now - m_staleCheckAt < StaleCheckInterval)
         return;
     m_staleCheckAt = now;
+    const bool direct = exchangeMode() == ExchangeMode::Direct;
     for (auto &[name, peer] : m_peers) {
-        if (!isLive(peer, now))
+        if (direct ? !isLive(peer, now) : now - peer.heardDirectlyAt > RelayedHostMaxAge)
             setInTotals(peer, false);
     }
 }
@@ -79,6 +271,8 @@
 void HostTable::expire(TimePoint now)
 {
     removeStaleFromTotals(now);
+    m_relayedLoads.expire(now);
+    std::erase_if(m_suspendedRelays, [now](const auto &entry) { return entry.second <= now; });
     std::erase_if(m_peers, [now](const auto &entry) {
         return !entry.second.inTotals && now - entry.second.lastSeenAt > PeerExpiryTimeout;
     });
@@ -105,7 +299,14 @@
 
 bool HostTable::isLive(const Peer &peer, TimePoint now) const
 {
-    return now - peer.lastSeenAt <= digestInterval() * MaxMissedDigests;
+    return now - peer.lastSeenAt <= timeoutOf(peer);
+}
+
+Duration HostTable::timeoutOf(const Peer &peer) const
+{
+    if (exchangeMode() == ExchangeMode::Direct)
+        return digestInterval() * MaxMissedDigests;
+    return peer.digest.zone == m_ownZone ? OwnZoneTimeout : OtherZoneTimeout;
 }
 
 bool HostTable::isEligibleForTasks(const Peer &peer, TimePoint now) const
@@ -174,25 +375,31 @@
     return stableHash(task) % count == index;
 }
 
-double HostTable::committedByPeers(std::string_view server, TimePoint now)
+LoadTotals HostTable::loadByPeers(std::string_view server, TimePoint now)
 {
     removeStaleFromTotals(now);
+    LoadTotals load = m_relayedLoads.load(server);
+    // The load that a relay reports to a member contains all hosts.
+    const bool complete = exchangeMode() == ExchangeMode::Member && m_relayedLoads.hosts() > 0;
     const auto it = m_totals.find(server);
-    return it == m_totals.end() ? 0 : it->second.committed;
+    if (!complete && it != m_totals.end())
+        load.add(it->second);
+    return load;
+}
+
+double HostTable::committedByPeers(std::string_view server, TimePoint now)
+{
+    return loadByPeers(server, now).committed;
 }
 
 double HostTable::backlogMsByPeers(std::string_view server, TimePoint now)
 {
-    removeStaleFromTotals(now);
-    const auto it = m_totals.find(server);
-    return it == m_totals.end() ? 0 : std::max(0.0, it->second.backlogMs);
+    return std::max(0.0, loadByPeers(server, now).backlogMs);
 }
 
 int HostTable::inFlightByPeers(std::string_view server, TimePoint now)
 {
-    removeStaleFromTotals(now);
-    const auto it = m_totals.find(server);
-    return it == m_totals.end() ? 0 : it->second.inFlight;
+    return loadByPeers(server, now).inFlight;
 }
 
 double HostTable::reportedSlowness(std::string_view server, TimePoint now) const
--- a/src/gateway/fleet_view.cpp
+++ b/src/gateway/fleet_view.cpp
@@ -38,6 +38,7 @@
     : m_timers(timers)
     , m_self(std::move(self))
     , m_keyRevocation(keyRevocation)
+    , m_hosts(m_self.zone)
 { }
 
 void FleetView::setLeaving()
@@ -109,38 +110,60 @@
         return;
     if (!known)
         LogEvent("host_discovered").field("host", digest.name).field("zone", digest.zone);
-    applySuspicions(digest);
+    for (const std::string &server : digest.failedProbes)
+        applySuspicion(server);
+    applyConfirmation(digest, now);
+}
+
+void FleetView::applyRelayDigest(const RelayDigest &digest)
+{
+    const TimePoint now = m_timers.now();
+    const std::size_t known = m_hosts.peers().size();
+    if (!m_hosts.applyRelayDigest(digest, m_self.name, now))
+        return;
+    if (m_hosts.peers().size() > known)
+        LogEvent("hosts_discovered")
+            .field("relay", digest.relay.name)
+            .field("new", m_hosts.peers().size() - known)
+            .field("known", m_hosts.peers().size());
+    for (const auto &[server, hosts] : digest.failedProbes)
+        applySuspicion(server);
+    applyConfirmation(digest.relay, now);
+    for (const RelayedHost &host : digest.roster)
+        applyConfirmation(host.state, now - host.age);
+}
+
+void FleetView::applyConfirmation(const HostDigest &digest, TimePoint sentAt)
+{
     const bool sameVersion =
         m_configuration && digest.configurationVersion == m_configuration->version();
     if (sameVersion && digest.configurationAge < m_keyRevocation)
-        onConfigurationConfirmed(now - digest.configurationAge);
+        onConfigurationConfirmed(sentAt - digest.configurationAge);
 }
 
-void FleetView::applySuspicions(const HostDigest &digest)
+void FleetView::applySuspicion(const std::string &id)
 {
     const TimePoint now = m_timers.now();
-    for (const std::string &id : digest.failedProbes) {
-        const ServerRegistration *server = m_registry.find(id);
-        if (!server || m_hosts.hostsReportingFailedProbe(id, now) < SuspicionQuorum
-            || mutated("gateway-ignore-hearsay"))
-            continue;
-        const auto it = m_loads.find(id);
-        if (it != m_loads.end() && now - it->second->lastProgressAt < RecentEventWindow)
-            continue;
-        const auto answered = m_answeredAt.find(id);
-        if (answered != m_answeredAt.end() && now - answered->second < RecentAnswerWindow)
-            continue;
-        const bool usableBefore = m_health.usable(id, server->startedAtMs, now);
-        m_health.recordPeerSuspicion(id, server->startedAtMs, now);
-        if (!usableBefore)
-            continue;
-        LogEvent::decision("server_suspected")
-            .field("server", id)
-            .field("reason", "probes by other hosts failed")
-            .field("hosts", m_hosts.hostsReportingFailedProbe(id, now));
-        if (m_suspicionHandler)
-            m_suspicionHandler(id);
-    }
+    const ServerRegistration *server = m_registry.find(id);
+    if (!server || m_hosts.hostsReportingFailedProbe(id, now) < SuspicionQuorum
+        || mutated("gateway-ignore-hearsay"))
+        return;
+    const auto it = m_loads.find(id);
+    if (it != m_loads.end() && now - it->second->lastProgressAt < RecentEventWindow)
+        return;
+    const auto answered = m_answeredAt.find(id);
+    if (answered != m_answeredAt.end() && now - answered->second < RecentAnswerWindow)
+        return;
+    const bool usableBefore = m_health.usable(id, server->startedAtMs, now);
+    m_health.recordPeerSuspicion(id, server->startedAtMs, now);
+    if (!usableBefore)
+        return;
+    LogEvent::decision("server_suspected")
+        .field("server", id)
+        .field("reason", "probes by other hosts failed")
+        .field("hosts", m_hosts.hostsReportingFailedProbe(id, now));
+    if (m_suspicionHandler)
+        m_suspicionHandler(id);
 }
 
 void FleetView::recordProbeAnswer(const ServerRegistration &server, double slowness)
--- a/src/gateway/fleet_view.h
+++ b/src/gateway/fleet_view.h
@@ -89,6 +89,8 @@
     /// Merges another host's digest. If it has the same configuration version, its confirmation
     /// counts for this host too.
     void applyDigest(const HostDigest &digest);
+    /// Merges what a relay knows of the other hosts.
+    void applyRelayDigest(const RelayDigest &digest);
 
     /// This host's load on a server. The entry is created if there is none.
     std::shared_ptr<ServerLoad> load(std::string_view server);
@@ -143,7 +145,9 @@
     bool advanceRecordOffset(std::string_view id, std::uint64_t endOffset);
     /// Ejects servers that enough hosts report as unanswered, unless this host has had a sign of
     /// life from them.
-    void applySuspicions(const HostDigest &digest);
+    void applySuspicion(const std::string &server);
+    /// Another host's confirmation of the same configuration version counts here too.
+    void applyConfirmation(const HostDigest &digest, TimePoint sentAt);
 
     TimerService &m_timers;
     HostDigest m_self;
--- a/src/gateway/gateway_node.cpp
+++ b/src/gateway/gateway_node.cpp
@@ -16,6 +16,7 @@
     digest.callerAddress = settings.listen;
     digest.peerAddress = settings.peerListen;
     digest.startedAtMs = startedAtMs;
+    digest.linkMbps = settings.linkMbps;
     return digest;
 }
 
--- a/src/gateway/gateway_process.cpp
+++ b/src/gateway/gateway_process.cpp
@@ -59,7 +59,8 @@
         , m_signals(m_loop, SIGTERM, SIGINT, SIGHUP)
         , m_node(m_services, settings, platform(m_services), unixMillis())
         , m_peerReader(m_node)
-        , m_peers(m_loop, m_node, m_peerReader)
+        , m_router(m_node)
+        , m_peers(m_loop, m_node, m_router, m_peerReader)
         , m_placement(m_node)
         , m_frontApi(m_node)
         , m_supportApi(m_node)
@@ -200,6 +201,7 @@
     boost::asio::signal_set m_signals;
     GatewayNode m_node;
     PeerReader m_peerReader;
+    DigestRouter m_router;
     PeerExchange m_peers;
     PlacementController m_placement;
     FrontApi m_frontApi;
--- a/src/gateway/gateway_settings.cpp
+++ b/src/gateway/gateway_settings.cpp
@@ -8,6 +8,8 @@
 
 namespace {
 
+constexpr double MaxLinkMbps = 1e6;
+
 Duration readSeconds(ObjectReader &reader, std::string_view key, Duration fallback)
 {
     return fromSeconds(reader.number(key, inSeconds(fallback), 0.001, 86'400));
@@ -48,6 +50,7 @@
     settings.keyRevocation = readMillis(reader, "keyRevocationMs", settings.keyRevocation);
     settings.serverDrain = readMillis(reader, "serverDrainMs", settings.serverDrain);
     settings.lookupTimeToLive = readMillis(reader, "lookupTimeToLiveMs", settings.lookupTimeToLive);
+    settings.linkMbps = reader.number("linkMbps", settings.linkMbps, 0, MaxLinkMbps);
     readRetries(reader, settings.retries);
     const Result<LogLevel> level = logLevelFromString(reader.text("logLevel", "info"));
     if (level)
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -33,6 +33,8 @@
     Duration serverDrain = 2s;
     /// How long callers may cache the answer to a look-up.
     Duration lookupTimeToLive = 2s;
+    /// Bandwidth of the host's link in Mbit/s; 0 if unknown. Hosts with fast links relay digests.
+    double linkMbps = 0;
     RetryAllowance retries;
     LogLevel logLevel = LogLevel::Info;
     /// Most lines a second of the decision log; 0 for no limit.
--- a/src/gateway/host_digest_codec.cpp
+++ b/src/gateway/host_digest_codec.cpp
@@ -11,6 +11,9 @@
 
 namespace {
 
+/// A digest of a relay has this member, which no host's digest has.
+constexpr const char *RelayKey = "relay";
+
 /// Ages are capped at this, which exceeds every bound that they are compared with.
 constexpr Duration MaxAge = 1h;
 
@@ -20,6 +23,80 @@
     return std::clamp<Duration>(age, Duration::zero(), MaxAge).count() / 1000;
 }
 
+Duration durationOf(const json &millis)
+{
+    return std::chrono::milliseconds(millis.get<std::int64_t>());
+}
+
+/// The state of a host without its load and its reports.
+json encodeState(const HostDigest &digest)
+{
+    return json::array({digest.name, digest.zone, digest.callerAddress, digest.peerAddress,
+                        std::llround(digest.linkMbps), digest.startedAtMs, digest.sequence,
+                        digest.ready, digest.leaving, digest.configurationVersion,
+                        ageMillis(digest.configurationAge), digest.registrationsEnd,
+                        ageMillis(digest.registrationsAge)});
+}
+
+/// Reads the values in the order in which encodeState writes them.
+HostDigest decodeState(const json &value)
+{
+    HostDigest digest;
+    digest.name = value.at(0);
+    digest.zone = value.at(1);
+    digest.callerAddress = value.at(2);
+    digest.peerAddress = value.at(3);
+    digest.linkMbps = value.at(4);
+    digest.startedAtMs = value.at(5);
+    digest.sequence = value.at(6);
+    digest.ready = value.at(7);
+    digest.leaving = value.at(8);
+    digest.configurationVersion = value.at(9);
+    digest.configurationAge = durationOf(value.at(10));
+    digest.registrationsEnd = value.at(11);
+    digest.registrationsAge = durationOf(value.at(12));
+    return digest;
+}
+
+Error unreadable(const json::exception &e)
+{
+    return {ErrorKind::Malformed, std::string("unreadable digest: ") + e.what(),
+            "run the same version on all hosts"};
+}
+
+HostDigest decodeHostDigest(const json &value)
+{
+    HostDigest digest = decodeState(value.at("n"));
+    for (const auto &[server, amount] : value.at("k").items())
+        digest.commitments.emplace(server, amount.get<double>());
+    for (const auto &[server, ms] : value.at("q").items())
+        digest.backlogMs.emplace(server, ms.get<double>());
+    for (const auto &[server, n] : value.at("i").items())
+        digest.inFlight.emplace(server, n.get<int>());
+    digest.failedProbes = value.at("u").get<std::vector<std::string>>();
+    for (const auto &[server, factor] : value.at("w").items())
+        digest.slowness.emplace(server, factor.get<double>());
+    return digest;
+}
+
+RelayDigest decodeRelayDigest(const json &value)
+{
+    RelayDigest digest;
+    digest.relay = decodeState(value.at(RelayKey));
+    digest.hosts = value.at("hosts");
+    for (const auto &[server, load] : value.at("t").items())
+        digest.totals[server] = {load.at(0), load.at(1), load.at(2)};
+    for (const auto &[server, report] : value.at("w").items())
+        digest.slowness[server] = {report.at(0), durationOf(report.at(1))};
+    for (const auto &[server, hosts] : value.at("u").items()) {
+        for (const auto &[host, age] : hosts.items())
+            digest.failedProbes[server][host] = durationOf(age);
+    }
+    for (const json &host : value.at("o"))
+        digest.roster.push_back({decodeState(host.at(0)), durationOf(host.at(1))});
+    return digest;
+}
+
 } // namespace
 
 std::vector<std::uint8_t> encodeDigest(const HostDigest &digest)
@@ -30,56 +107,45 @@
     json backlog = json::object();
     for (const auto &[server, ms] : digest.backlogMs)
         backlog[server] = std::llround(ms);
-    const json value = {{"n", digest.name},
-                        {"z", digest.zone},
-                        {"c", digest.callerAddress},
-                        {"p", digest.peerAddress},
-                        {"b", digest.startedAtMs},
-                        {"s", digest.sequence},
-                        {"r", digest.ready},
-                        {"l", digest.leaving},
-                        {"v", digest.configurationVersion},
-                        {"va", ageMillis(digest.configurationAge)},
-                        {"e", digest.registrationsEnd},
-                        {"ea", ageMillis(digest.registrationsAge)},
-                        {"k", std::move(commitments)},
-                        {"q", std::move(backlog)},
-                        {"i", digest.inFlight},
-                        {"u", digest.failedProbes},
-                        {"w", digest.slowness}};
+    const json value = {{"n", encodeState(digest)},   {"k", std::move(commitments)},
+                        {"q", std::move(backlog)},    {"i", digest.inFlight},
+                        {"u", digest.failedProbes}, {"w", digest.slowness}};
+    return json::to_cbor(value);
+}
+
+std::vector<std::uint8_t> encodeRelayDigest(const RelayDigest &digest)
+{
+    json totals = json::object();
+    for (const auto &[server, load] : digest.totals)
+        totals[server] = {std::llround(load.committed), std::llround(load.backlogMs),
+                          load.inFlight};
+    json slowness = json::object();
+    for (const auto &[server, report] : digest.slowness)
+        slowness[server] = {report.factor, ageMillis(report.age)};
+    json failedProbes = json::object();
+    for (const auto &[server, hosts] : digest.failedProbes) {
+        json &ages = failedProbes[server] = json::object();
+        for (const auto &[host, age] : hosts)
+            ages[host] = ageMillis(age);
+    }
+    json roster = json::array();
+    for (const RelayedHost &host : digest.roster)
+        roster.push_back(json::array({encodeState(host.state), ageMillis(host.age)}));
+    const json value = {{RelayKey, encodeState(digest.relay)}, {"hosts", digest.hosts},
+                        {"t", std::move(totals)},              {"w", std::move(slowness)},
+                        {"u", std::move(failedProbes)},        {"o", std::move(roster)}};
     return json::to_cbor(value);
 }
 
-Result<HostDigest> decodeDigest(std::span<const std::uint8_t> bytes)
+Result<PeerDigest> decodeDigest(std::span<const std::uint8_t> bytes)
 {
     const json value = json::from_cbor(bytes.begin(), bytes.end(), true, false);
     try {
-        HostDigest digest;
-        digest.name = value.at("n");
-        digest.zone = value.at("z");
-        digest.callerAddress = value.at("c");
-        digest.peerAddress = value.at("p");
-        digest.startedAtMs = value.at("b");
-        digest.sequence = value.at("s");
-        digest.ready = value.at("r");
-        digest.leaving = value.at("l");
-        digest.configurationVersion = value.at("v");
-        digest.configurationAge = std::chrono::milliseconds(value.at("va").get<std::int64_t>());
-        digest.registrationsEnd = value.at("e");
-        digest.registrationsAge = std::chrono::milliseconds(value.at("ea").get<std::int64_t>());
-        for (const auto &[server, amount] : value.at("k").items())
-            digest.commitments.emplace(server, amount.get<double>());
-        for (const auto &[server, ms] : value.at("q").items())
-            digest.backlogMs.emplace(server, ms.get<double>());
-        for (const auto &[server, n] : value.at("i").items())
-            digest.inFlight.emplace(server, n.get<int>());
-        digest.failedProbes = value.at("u").get<std::vector<std::string>>();
-        for (const auto &[server, factor] : value.at("w").items())
-            digest.slowness.emplace(server, factor.get<double>());
-        return digest;
+        if (value.is_object() && value.contains(RelayKey))
+            return PeerDigest {decodeRelayDigest(value)};
+        return PeerDigest {decodeHostDigest(value)};
     } catch (const json::exception &e) {
-        return Error {ErrorKind::Malformed, std::string("unreadable digest: ") + e.what(),
-                      "run the same version on all hosts"};
+        return unreadable(e);
     }
 }
 
--- a/src/gateway/host_digest_codec.h
+++ b/src/gateway/host_digest_codec.h
@@ -5,13 +5,18 @@
 
 #include <cstdint>
 #include <span>
+#include <variant>
 #include <vector>
 
 namespace dogwoodvalve {
 
+/// What a host receives from another one.
+using PeerDigest = std::variant<HostDigest, RelayDigest>;
+
 /// Encodes a digest as CBOR, small enough for one datagram.
 std::vector<std::uint8_t> encodeDigest(const HostDigest &digest);
+std::vector<std::uint8_t> encodeRelayDigest(const RelayDigest &digest);
 /// Errors: Malformed if the bytes are no CBOR, or a member is missing or of another type.
-Result<HostDigest> decodeDigest(std::span<const std::uint8_t> bytes);
+Result<PeerDigest> decodeDigest(std::span<const std::uint8_t> bytes);
 
 } // namespace dogwoodvalve
--- a/src/gateway/peer_exchange.cpp
+++ b/src/gateway/peer_exchange.cpp
@@ -16,14 +16,17 @@
 constexpr int FrequentDiscoverers = 4;
 constexpr const char *DiscoveryTask = "find-hosts";
 constexpr Duration InfrequentDiscoveryInterval = 30s;
-/// Urgent updates are delayed by this long at most. The digest interval is a multiple of it.
-constexpr Duration SendPollInterval = 100ms;
 constexpr Duration DiscoveryRetryInterval = 700ms;
+/// Hosts that start together write their records within this time, so relays read them once more
+/// then.
+constexpr Duration StartUpSpread = 1200ms;
 
 } // namespace
 
-PeerExchange::PeerExchange(boost::asio::io_context &loop, GatewayNode &node, PeerReader &reader)
+PeerExchange::PeerExchange(boost::asio::io_context &loop, GatewayNode &node, DigestRouter &router,
+                           PeerReader &reader)
     : m_node(node)
+    , m_router(router)
     , m_reader(reader)
     , m_socket(loop)
 { }
@@ -48,6 +51,7 @@
                       "cannot bind " + m_node.settings().peerListen + ": " + ec.message(),
                       "give a free address of this host"};
     m_socket.non_blocking(true, ec);
+    m_startedAt = m_node.now();
     receive();
     announce();
     discoverHosts();
@@ -72,7 +76,8 @@
 
 void PeerExchange::announce()
 {
-    const HostRecord record {m_node.settings().name, m_node.settings().peerListen};
+    const HostRecord record {m_node.settings().name, m_node.settings().peerListen,
+                             m_node.settings().zone, m_node.settings().linkMbps};
     m_node.platform().coordination->announce(
         record, [this, alive = std::weak_ptr(m_alive)](const Result<void> &result) {
             if (!alive.expired() && !result)
@@ -82,55 +87,59 @@
 
 void PeerExchange::discoverHosts()
 {
+    // A member that hears its relays learns of all hosts from them.
+    const bool toldByRelays =
+        m_router.mode() == ExchangeMode::Member && m_router.anyHeard() && m_router.relayHeard();
+    if (toldByRelays)
+        return schedule(DiscoveryRetryInterval, &PeerExchange::discoverHosts);
     m_node.platform().coordination->readHosts(
         [this, alive = std::weak_ptr(m_alive)](Result<std::vector<HostRecord>> hosts) {
             if (alive.expired())
                 return;
             if (!hosts)
                 return schedule(DiscoveryRetryInterval, &PeerExchange::discoverHosts);
-            m_addresses.clear();
-            for (const HostRecord &host : hosts.value()) {
-                if (host.name != m_node.settings().name)
-                    m_addresses.insert(host.peerAddress);
-            }
-            for (const auto &[name, peer] : m_node.view().hosts().peers())
-                m_addresses.insert(peer.digest.peerAddress);
-            m_addresses.erase(m_node.settings().peerListen);
-            // Hosts that start together may miss one another's records, so a host that has heard
-            // no other retries soon.
-            const bool noPeerHeard = m_node.view().hosts().liveHosts(m_node.now()) <= 1;
-            const bool frequent = m_node.view().hosts().isTopRanked(
-                m_node.settings().name, DiscoveryTask, FrequentDiscoverers, m_node.now());
-            const Duration interval = frequent ? DiscoveryInterval : InfrequentDiscoveryInterval;
-            schedule(noPeerHeard ? DiscoveryRetryInterval : interval, &PeerExchange::discoverHosts);
+            m_router.setRecords(hosts.value());
+            schedule(nextDiscoveryPause(), &PeerExchange::discoverHosts);
         });
 }
 
+Duration PeerExchange::nextDiscoveryPause() const
+{
+    // Hosts that start together may miss one another's records, so a host that has heard no other
+    // retries soon.
+    if (!m_router.anyHeard())
+        return DiscoveryRetryInterval;
+    if (m_router.mode() == ExchangeMode::Relay)
+        return m_node.now() - m_startedAt < StartUpSpread ? StartUpSpread : DiscoveryInterval;
+    const bool frequent = !m_router.relays()
+        && m_node.view().hosts().isTopRanked(m_node.settings().name, DiscoveryTask,
+                                             FrequentDiscoverers, m_node.now());
+    return frequent ? DiscoveryInterval : InfrequentDiscoveryInterval;
+}
+
 void PeerExchange::sendPeriodically()
 {
-    const TimePoint now = m_node.now();
-    const Duration due = m_sentAt + m_node.view().hosts().digestInterval() - now;
-    if (due <= SendPollInterval / 2 || m_node.view().hasUrgentUpdate()) {
-        sendNow();
-        m_node.view().hosts().expire(now);
-    }
-    schedule(SendPollInterval, &PeerExchange::sendPeriodically);
+    send(m_router.messagesDue());
+    schedule(DigestRouter::PollInterval, &PeerExchange::sendPeriodically);
 }
 
 void PeerExchange::sendNow()
 {
-    if (m_addresses.empty())
-        return;
-    m_sentAt = m_node.now();
-    const std::vector<std::uint8_t> bytes = encodeDigest(m_node.view().nextDigest());
-    for (const std::string &address : m_addresses) {
-        const auto endpoint = parseEndpoint(address);
-        if (!endpoint)
-            continue;
-        // A datagram that can't be sent now counts as lost: the next digest replaces it.
-        boost::system::error_code ignored;
-        m_socket.send_to(boost::asio::buffer(bytes),
-                         {endpoint.value().address(), endpoint.value().port()}, 0, ignored);
+    send(m_router.messagesNow());
+}
+
+void PeerExchange::send(const std::vector<DigestMessage> &messages)
+{
+    for (const DigestMessage &message : messages) {
+        for (const std::string &address : message.receivers) {
+            const auto endpoint = parseEndpoint(address);
+            if (!endpoint)
+                continue;
+            // A datagram that can't be sent now counts as lost: the next digest replaces it.
+            boost::system::error_code ignored;
+            m_socket.send_to(boost::asio::buffer(message.bytes),
+                             {endpoint.value().address(), endpoint.value().port()}, 0, ignored);
+        }
     }
 }
 
@@ -153,13 +162,10 @@
         });
 }
 
-void PeerExchange::onDigest(const HostDigest &digest)
+void PeerExchange::onDigest(const PeerDigest &digest)
 {
-    if (digest.name == m_node.settings().name)
-        return;
-    m_addresses.insert(digest.peerAddress);
-    m_node.view().applyDigest(digest);
-    m_reader.onDigest(digest);
+    if (const auto sender = m_router.receive(digest))
+        m_reader.onDigest(*sender);
 }
 
 } // namespace dogwoodvalve
--- a/src/gateway/peer_exchange.h
+++ b/src/gateway/peer_exchange.h
@@ -1,23 +1,24 @@
 #pragma once
 
+#include "gateway/digest_router.h"
 #include "gateway/peer_reader.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/udp.hpp>
 
 #include <array>
-#include <set>
 #include <string>
 
 namespace dogwoodvalve {
 
-/// Sends this host's digest to the other hosts and receives theirs, as UDP datagrams. Each digest
+/// Sends and receives the digests that a DigestRouter decides on, as UDP datagrams. Each digest
 /// replaces the previous one, so a lost datagram needs no retransmission. Hosts discover one
 /// another by their records in the platform's store and by the digests that they receive.
 class PeerExchange
 {
 public:
-    PeerExchange(boost::asio::io_context &loop, GatewayNode &node, PeerReader &reader);
+    PeerExchange(boost::asio::io_context &loop, GatewayNode &node, DigestRouter &router,
+                 PeerReader &reader);
     ~PeerExchange();
 
     PeerExchange(const PeerExchange &) = delete;
@@ -36,20 +37,21 @@
     void discoverHosts();
     /// Writes this host's record to the store, and retries until that succeeds.
     void announce();
-    void onDigest(const HostDigest &digest);
+    void onDigest(const PeerDigest &digest);
+    void send(const std::vector<DigestMessage> &messages);
+    Duration nextDiscoveryPause() const;
     /// Calls a member function once after a pause.
     void schedule(Duration pause, void (PeerExchange::*action)());
 
     static constexpr std::size_t MaxDatagramBytes = 64 * 1024;
 
     GatewayNode &m_node;
+    DigestRouter &m_router;
     PeerReader &m_reader;
     boost::asio::ip::udp::socket m_socket;
     boost::asio::ip::udp::endpoint m_sender;
     std::array<std::uint8_t, MaxDatagramBytes> m_buffer {};
-    /// Addresses (IP:PORT) of the other hosts, from the store and from digests.
-    std::set<std::string> m_addresses;
-    TimePoint m_sentAt {};
+    TimePoint m_startedAt {};
     /// Pending callbacks hold a weak pointer to this, and do nothing once it is replaced.
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
--- a/src/gateway/peer_reader.cpp
+++ b/src/gateway/peer_reader.cpp
@@ -3,6 +3,7 @@
 #include "core/duration_math.h"
 #include "core/mutation.h"
 #include "daemon/log.h"
+#include "gateway/digest_router.h"
 #include "gateway/support_api.h"
 #include "net/buffered_request.h"
 #include "net/endpoint.h"
@@ -25,6 +26,8 @@
 /// this.
 constexpr Duration MinFreshnessGain = 200ms;
 constexpr Duration PullTimeout = 700ms;
+/// Configurations have hundreds of KB, and a host may send them to several others at a time.
+constexpr Duration ConfigurationPullTimeout = 1500ms;
 
 } // namespace
 
@@ -42,12 +45,11 @@
 void PeerReader::pullPeriodically()
 {
     const TimePoint now = m_node.now();
-    const bool reads =
-        m_node.view().hosts().isTopRanked(m_node.settings().name, ReaderTask, ReaderCount, now);
-    const FeedRole role = reads ? FeedRole::Reader : FeedRole::Follower;
+    const FeedRole role = chooseRole();
     if (role != m_role)
         LogEvent("feed_role")
-            .field("reader", reads)
+            .field("reader", role == FeedRole::Reader)
+            .field("awaits_changes", role != FeedRole::Dependent)
             .field("hosts", m_node.view().hosts().liveHosts(now));
     m_role = role;
     m_node.platform().feed->setRole(role);
@@ -62,6 +64,36 @@
     });
 }
 
+FeedRole PeerReader::chooseRole() const
+{
+    const HostTable &hosts = m_node.view().hosts();
+    const std::string &self = m_node.settings().name;
+    const TimePoint now = m_node.now();
+    if (hosts.exchangeMode() == ExchangeMode::Member)
+        return FeedRole::Dependent;
+    if (hosts.exchangeMode() == ExchangeMode::Direct)
+        return hosts.isTopRanked(self, ReaderTask, ReaderCount, now) ? FeedRole::Reader
+                                                                     : FeedRole::Follower;
+    const auto first = hosts.relaysOf(m_node.settings().zone, m_node.view().identity(), 1, now);
+    return !first.empty() && first.front().name == self ? FeedRole::Reader : FeedRole::Follower;
+}
+
+std::vector<const HostTable::Peer *> PeerReader::readers() const
+{
+    const HostTable &hosts = m_node.view().hosts();
+    const TimePoint now = m_node.now();
+    if (hosts.exchangeMode() == ExchangeMode::Direct)
+        return hosts.topRankedPeers(m_node.settings().name, ReaderTask, ReaderCount, now);
+    std::vector<const HostTable::Peer *> relays;
+    for (const HostDigest &relay :
+         hosts.relaysOf(m_node.settings().zone, m_node.view().identity(),
+                        DigestRouter::RelaysPerZone, now)) {
+        if (const auto it = hosts.peers().find(relay.name); it != hosts.peers().end())
+            relays.push_back(&it->second);
+    }
+    return relays;
+}
+
 /// Pulls from a reader that is up to date; if there is none, from any host with newer
 /// registrations.
 void PeerReader::pullFromUpToDatePeer()
@@ -71,8 +103,7 @@
     const auto ageAt = [now](const HostTable::Peer &peer) {
         return peer.digest.registrationsAge + (now - peer.lastSeenAt);
     };
-    std::vector<const HostTable::Peer *> from =
-        hosts.topRankedPeers(m_node.settings().name, ReaderTask, ReaderCount, now);
+    std::vector<const HostTable::Peer *> from = readers();
     std::erase_if(from, [&](const auto *peer) { return ageAt(*peer) >= StaleReaderAge; });
     for (auto it = hosts.peers().begin(); from.empty() && it != hosts.peers().end(); ++it) {
         if (hosts.isLive(it->second, now)
@@ -85,8 +116,8 @@
 
 /// Sends a GET request to a host's peer address. Errors are logged. The flag is set while the
 /// request is in flight, and prevents a second one.
-void PeerReader::fetch(const HostDigest &peer, const std::string &target, bool &inFlight,
-                       std::function<Result<void>(const std::string &body)> apply)
+void PeerReader::fetch(const HostDigest &peer, const std::string &target, Duration timeout,
+                       bool &inFlight, std::function<Result<void>(const std::string &body)> apply)
 {
     const auto endpoint = parseEndpoint(peer.peerAddress);
     if (!endpoint || std::exchange(inFlight, true))
@@ -94,7 +125,7 @@
     HttpRequestHead head;
     head.method = "GET";
     head.target = target;
-    sendBufferedRequest(m_node.loop(), endpoint.value(), head, "", PullTimeout,
+    sendBufferedRequest(m_node.loop(), endpoint.value(), head, "", timeout,
                         [&inFlight, target, name = peer.name, apply = std::move(apply),
                          alive = std::weak_ptr(m_alive)](Result<HttpResponse> reply) {
                             if (alive.expired())
@@ -116,7 +147,8 @@
     fetch(peer,
           std::string(SupportApi::RegistrationsPath)
               + "?after=" + std::to_string(m_node.view().serversEndOffset()),
-          m_registrationsPullInFlight, [this, askedAt](const std::string &body) -> Result<void> {
+          PullTimeout, m_registrationsPullInFlight,
+          [this, askedAt](const std::string &body) -> Result<void> {
               const auto page = decodeRegistrations(body);
               if (!page)
                   return page.error();
@@ -131,13 +163,30 @@
 {
     const auto &configuration = m_node.view().configuration();
     if (digest.configurationVersion > (configuration ? configuration->version() : 0))
-        pullConfiguration(digest);
+        pullConfiguration(configurationHolder(digest));
+}
+
+/// A random host of this zone that is known to have the configuration of the given digest, so that
+/// the hosts of a large zone do not all fetch a large configuration from its relays.
+HostDigest PeerReader::configurationHolder(const HostDigest &digest)
+{
+    const HostTable &hosts = m_node.view().hosts();
+    std::vector<const HostDigest *> holders {&digest};
+    for (const auto &[name, peer] : hosts.peers()) {
+        if (hosts.exchangeMode() != ExchangeMode::Direct && name != digest.name
+            && peer.digest.zone == m_node.settings().zone
+            && peer.digest.configurationVersion >= digest.configurationVersion
+            && hosts.isLive(peer, m_node.now()))
+            holders.push_back(&peer.digest);
+    }
+    return *holders[m_node.random().next() % holders.size()];
 }
 
 void PeerReader::pullConfiguration(const HostDigest &peer)
 {
     const TimePoint asOf = m_node.now() - peer.configurationAge;
-    fetch(peer, SupportApi::ConfigurationPath, m_configurationPullInFlight,
+    fetch(peer, SupportApi::ConfigurationPath, ConfigurationPullTimeout,
+          m_configurationPullInFlight,
           [this, asOf, name = peer.name](const std::string &body) -> Result<void> {
               const auto decoded = m_node.platform().feed->decodeConfiguration(body);
               if (!decoded)
--- a/src/gateway/peer_reader.h
+++ b/src/gateway/peer_reader.h
@@ -6,7 +6,8 @@
 
 /// Fetches from other hosts what they have read from the platform's store. Rendezvous hashing
 /// chooses a few hosts, the same ones at every host, as readers of the store; the others fetch the
-/// registrations from one of them about every second. A host that is cut off from the store keeps
+/// registrations from one of them about every second. In a fleet that uses relays, the first relay
+/// of each zone reads, and the hosts of its zone fetch from their relays. A host that is cut off from the store keeps
 /// up to date through the other hosts, and hosts that can't reach a reader read the store
 /// themselves.
 class PeerReader
@@ -29,10 +30,14 @@
     static constexpr const char *ReaderTask = "store-readers";
 
 private:
+    FeedRole chooseRole() const;
+    /// Hosts to pull registrations from.
+    std::vector<const HostTable::Peer *> readers() const;
     /// Updates this host's role, and pulls registrations if its own are out of date.
     void pullPeriodically();
     void pullFromUpToDatePeer();
-    void fetch(const HostDigest &peer, const std::string &target, bool &inFlight,
+    HostDigest configurationHolder(const HostDigest &digest);
+    void fetch(const HostDigest &peer, const std::string &target, Duration timeout, bool &inFlight,
                std::function<Result<void>(const std::string &body)> apply);
     void pullConfiguration(const HostDigest &peer);
     void pullRegistrations(const HostDigest &peer);
--- a/src/gateway/platform_interfaces.h
+++ b/src/gateway/platform_interfaces.h
@@ -60,6 +60,8 @@
     /// Long-polls for changes of the configuration. Reads anything else only if the other hosts
     /// have not delivered it for a while.
     Follower,
+    /// As a follower, but learns of changes of the configuration from other hosts too.
+    Dependent,
 };
 
 /// Reads the operator's configuration and the servers' registrations, and delivers each change.
@@ -80,6 +82,9 @@
     std::string name;
     /// IP:PORT for other hosts.
     std::string peerAddress;
+    std::string zone;
+    /// Bandwidth of the host's link; 0 if unknown.
+    double linkMbps = 0;
 };
 
 /// The lease whose holder alone may order servers to load layers. The fencing token rises with
--- a/tests/unit/gateway_settings_test.cpp
+++ b/tests/unit/gateway_settings_test.cpp
@@ -23,13 +23,14 @@
             m_minimalSettings
                 + "region: r\ngraceS: 7.5\nkeyRevocationMs: 4000\nserverDrainMs: 3000\n"
                   "lookupTimeToLiveMs: 1500\nretries: {windowS: 5, ratio: 0.1, slack: 12}\n"
-                  "logLevel: warning\ndecisionLogRate: 9\n",
+                  "linkMbps: 200\nlogLevel: warning\ndecisionLogRate: 9\n",
             "file");
         CPPUNIT_ASSERT_MESSAGE(settings ? "" : settings.error().describe(), settings.has_value());
         const GatewaySettings &it = settings.value();
         CPPUNIT_ASSERT(it.grace == 7500ms && it.keyRevocation == 4s && it.serverDrain == 3s);
         CPPUNIT_ASSERT(it.retries.window == 5s && it.retries.ratio == 0.1);
         CPPUNIT_ASSERT(it.lookupTimeToLive == 1500ms && it.decisionLogRate == 9);
+        CPPUNIT_ASSERT_EQUAL(200.0, it.linkMbps);
         CPPUNIT_ASSERT_EQUAL(std::string("127.0.0.1:6"), it.store);
     }
 
