Pass on only what has changed of the registrations

Cause: servers renew their registrations every 1.2 s, and each host fetched all that were renewed, 190 records of some 150 bytes a second, mostly from readers in other zones. Change: an update lists each server with the offset of its newest record, which counts as its heartbeat, and holds only registrations in which something that routing depends on has changed.

--- a/src/gateway/fleet_view.cpp
+++ b/src/gateway/fleet_view.cpp
@@ -295,21 +295,27 @@
     return true;
 }
 
+void FleetView::recordRenewal(const ServerRegistration &registration)
+{
+    m_health.recordHeartbeat(registration.id, registration.startedAtMs, m_timers.now());
+    if (const auto it = m_reportedLayers.find(registration.id);
+        it != m_reportedLayers.end() && m_timers.now() - it->second.at > MaxRegistrationLag)
+        m_reportedLayers.erase(it);
+}
+
 void FleetView::onServer(const ServerRegistration &registration, std::uint64_t endOffset)
 {
     std::erase(m_unconfirmedServers, registration.id);
     if (!advanceRecordOffset(registration.id, endOffset))
         return;
-    m_health.recordHeartbeat(registration.id, registration.startedAtMs, m_timers.now());
+    recordRenewal(registration);
     const ServerRegistration *known = m_registry.find(registration.id);
     if (!known)
         m_lastArrivalAt = m_timers.now();
-    if (const auto it = m_reportedLayers.find(registration.id);
-        it != m_reportedLayers.end() && m_timers.now() - it->second.at > MaxRegistrationLag)
-        m_reportedLayers.erase(it);
     const bool restarted = known && known->startedAtMs != registration.startedAtMs;
     if (!m_registry.put(registration))
         return;
+    m_changeEndOffsets[registration.id] = endOffset;
     if (restarted)
         m_reportedLayers.erase(registration.id);
     LogEvent::decision("server_changed")
@@ -330,6 +336,7 @@
     if (!advanceRecordOffset(id, endOffset) || !m_registry.remove(id))
         return;
     m_reportedLayers.erase(std::string(id));
+    m_changeEndOffsets.erase(std::string(id));
     LogEvent::decision("server_gone").field("server", id);
     if (m_observer)
         m_observer->serversChanged();
@@ -366,10 +373,12 @@
     update.endOffset = m_serversEndOffset;
     update.age = serversAge();
     for (const auto &[id, server] : m_registry.servers()) {
-        update.ids.push_back(id);
-        const auto it = m_recordEndOffsets.find(id);
-        if (it != m_recordEndOffsets.end() && it->second > endOffset)
-            update.changed.push_back({server, it->second});
+        const auto newest = m_recordEndOffsets.find(id);
+        const std::uint64_t newestEnd = newest == m_recordEndOffsets.end() ? 0 : newest->second;
+        update.servers.emplace(id, newestEnd);
+        const auto change = m_changeEndOffsets.find(id);
+        if (change != m_changeEndOffsets.end() && change->second > endOffset)
+            update.changed.push_back({server, newestEnd});
     }
     return update;
 }
@@ -382,8 +391,11 @@
         onServer(entry.registration, entry.endOffset);
     std::vector<std::string> gone;
     for (const auto &[id, server] : m_registry.servers()) {
-        if (!std::binary_search(update.ids.begin(), update.ids.end(), id))
+        const auto it = update.servers.find(id);
+        if (it == update.servers.end())
             gone.push_back(id);
+        else if (advanceRecordOffset(id, it->second))
+            recordRenewal(server);
     }
     for (const std::string &id : gone)
         onServerGone(id, update.endOffset);
--- a/src/gateway/fleet_view.h
+++ b/src/gateway/fleet_view.h
@@ -143,6 +143,8 @@
     /// Returns whether a server's record is newer than the last known one, and remembers its offset
     /// if so.
     bool advanceRecordOffset(std::string_view id, std::uint64_t endOffset);
+    /// A registered server has renewed its registration.
+    void recordRenewal(const ServerRegistration &registration);
     /// Ejects servers that enough hosts report as unanswered, unless this host has had a sign of
     /// life from them.
     void applySuspicion(const std::string &server);
@@ -168,6 +170,9 @@
     /// Offset just past the newest known record of each server. Removed servers keep theirs, so
     /// that an older record does not bring them back.
     std::map<std::string, std::uint64_t, std::less<>> m_recordEndOffsets;
+    /// Offset just past the record by which each registered server's registration last changed, or
+    /// past a later one of the server.
+    std::map<std::string, std::uint64_t, std::less<>> m_changeEndOffsets;
     ServerHealth m_health;
     HostTable m_hosts;
     std::map<std::string, std::shared_ptr<ServerLoad>, std::less<>> m_loads;
--- a/src/gateway/registrations_update.cpp
+++ b/src/gateway/registrations_update.cpp
@@ -2,8 +2,6 @@
 
 #include <nlohmann/json.hpp>
 
-#include <algorithm>
-
 namespace dogwoodvalve {
 
 using nlohmann::json;
@@ -46,7 +44,7 @@
         changed.push_back(encodeEntry(entry));
     const json value = {{"e", update.endOffset},
                         {"a", update.age.count()},
-                        {"i", update.ids},
+                        {"i", update.servers},
                         {"c", std::move(changed)}};
     std::string bytes;
     json::to_cbor(value, bytes);
@@ -60,8 +58,8 @@
         RegistrationsUpdate update;
         update.endOffset = value.at("e");
         update.age = Duration(value.at("a").get<Duration::rep>());
-        update.ids = value.at("i").get<std::vector<std::string>>();
-        std::sort(update.ids.begin(), update.ids.end());
+        for (const auto &[id, endOffset] : value.at("i").items())
+            update.servers.emplace(id, endOffset.get<std::uint64_t>());
         for (const json &entry : value.at("c"))
             update.changed.push_back(decodeEntry(entry));
         return update;
--- a/src/gateway/registrations_update.h
+++ b/src/gateway/registrations_update.h
@@ -5,6 +5,7 @@
 #include <dogwoodvalve/timer_service.h>
 
 #include <cstdint>
+#include <map>
 #include <span>
 #include <string>
 #include <vector>
@@ -12,7 +13,8 @@
 namespace dogwoodvalve {
 
 /// The registrations in force, as one host sends them to another: all ids, and the registrations
-/// that have changed since the offset that the other host had read up to.
+/// that have changed since the offset that the other host had read up to. Servers renew their
+/// registrations about every second; a renewal without a change is only a new offset.
 struct RegistrationsUpdate
 {
     struct Entry
@@ -26,9 +28,10 @@
     std::uint64_t endOffset = 0;
     /// Time since the log was known to have no later records.
     Duration age {};
-    /// Ids of all registered servers, sorted. Servers that are not listed are gone.
-    std::vector<std::string> ids;
-    /// Servers with a record that the other host has not read.
+    /// All registered servers, with the log offset just past the newest record of each. Servers
+    /// that are not listed are gone.
+    std::map<std::string, std::uint64_t, std::less<>> servers;
+    /// Servers with a change that the other host has not read.
     std::vector<Entry> changed;
 };
 
