Let a host that is cut off keep its view, and members depend on their relays

During the store's outage all members called it by themselves (7,848 calls).

Change: a host that uses relays and hears nobody counts the hosts that it knew, for 30 s; the last load reported for a zone is used for 20 s without a newer one, that of a silent host for 10 s; members read the store only by turns, while their relays do not deliver; a suspected server is probed by hosts with streams on it and eight others, not by all.

--- a/include/dogwoodvalve/host_table.h
+++ b/include/dogwoodvalve/host_table.h
@@ -87,8 +87,15 @@
     Duration digestInterval() const;
     /// Whether a digest of the host arrived recently enough.
     bool isLive(const Peer &peer, TimePoint now) const;
-    /// Number of live hosts, including this one.
+    /// Number of live hosts, including this one. A host that uses relays and hears nobody is cut off
+    /// itself: it can't tell who lives, and for a while counts those that lived before. Otherwise
+    /// each of many cut-off hosts would take all tasks and the whole retry budget for itself.
     int liveHosts(TimePoint now) const;
+    /// Whether this host uses relays and hears nobody.
+    bool isolated(TimePoint now) const
+    {
+        return exchangeMode() != ExchangeMode::Direct && now - m_heardAt > IsolationTimeout;
+    }
     /// Whether this host is among the `count` live hosts with the highest rendezvous hash for a
     /// task. Leaving hosts are not ranked.
     bool isTopRanked(std::string_view self, std::string_view task, int count, TimePoint now) const;
@@ -123,6 +130,12 @@
     /// zone about each second, and those of each other zone in turn.
     static constexpr Duration OwnZoneTimeout = 2500ms;
     static constexpr Duration OtherZoneTimeout = 8s;
+    /// A host that hears nobody for this long is cut off; after MaxIsolation, it is alone.
+    static constexpr Duration IsolationTimeout = 1500ms;
+    static constexpr Duration MaxIsolation = 30s;
+    /// The load of a host that is not heard any more counts for this long. If it is only cut off,
+    /// its streams go on.
+    static constexpr Duration SilentHostLoadAge = 10s;
 
     /// The last slowness factor that any host reported for a server, and when it arrived.
     struct SlownessReport
@@ -132,6 +145,10 @@
     };
 
     Duration timeoutOf(const Peer &peer) const;
+    /// The time as of which hosts are counted: now, or while this host is cut off, when it was not.
+    TimePoint countingTime(TimePoint now) const;
+    /// A digest has arrived.
+    void noteHeard(TimePoint now);
     void applyState(const HostDigest &state, TimePoint seenAt);
     void addTotals(RelayDigest &digest, const HostDigest &self, bool ofFleet) const;
     void addReports(RelayDigest &digest, const HostDigest &self, TimePoint now) const;
@@ -156,6 +173,7 @@
     /// When a failed probe was last reported, by server and reporting host.
     std::map<std::string, std::map<std::string, TimePoint>, std::less<>> m_failedProbes;
     TimePoint m_staleCheckAt {};
+    TimePoint m_heardAt {};
     bool m_changed = false;
 };
 
--- a/include/dogwoodvalve/relayed_loads.h
+++ b/include/dogwoodvalve/relayed_loads.h
@@ -48,8 +48,11 @@
     /// Number of hosts in the totals.
     int hosts() const { return m_hosts; }
 
-    /// A relay that sends nothing for this long does not count any more.
-    static constexpr Duration MaxReportAge = std::chrono::seconds(2);
+    /// Without a newer report of a zone, the last one is used for this long: while a host is cut
+    /// off, the other hosts' load is better estimated by what it was than by none.
+    static constexpr Duration MaxReportAge = std::chrono::seconds(20);
+    /// A report counts beside a newer one only if it is not older than this.
+    static constexpr Duration FreshReportAge = std::chrono::seconds(2);
 
 private:
     struct Report
--- a/src/core/host_table.cpp
+++ b/src/core/host_table.cpp
@@ -63,6 +63,7 @@
         || (digest.startedAtMs == known.startedAtMs && digest.sequence <= known.sequence);
     if (!known.name.empty() && older)
         return false;
+    noteHeard(now);
     m_changed = m_changed || !sameStanding(known, digest) || known.failedProbes != digest.failedProbes
         || known.slowness.size() != digest.slowness.size();
     setInTotals(peer, false);
@@ -83,6 +84,7 @@
 {
     if (digest.relay.name == self || !m_relayedLoads.apply(digest, now))
         return false;
+    noteHeard(now);
     applyState(digest.relay, now);
     for (const auto &[server, report] : digest.slowness) {
         const TimePoint reportedAt = now - report.age;
@@ -263,7 +265,7 @@
     m_staleCheckAt = now;
     const bool direct = exchangeMode() == ExchangeMode::Direct;
     for (auto &[name, peer] : m_peers) {
-        if (direct ? !isLive(peer, now) : now - peer.heardDirectlyAt > RelayedHostMaxAge)
+        if (direct ? !isLive(peer, now) : now - peer.heardDirectlyAt > SilentHostLoadAge)
             setInTotals(peer, false);
     }
 }
@@ -311,14 +313,34 @@
 
 bool HostTable::isEligibleForTasks(const Peer &peer, TimePoint now) const
 {
-    return isLive(peer, now) && !peer.digest.leaving;
+    return isLive(peer, countingTime(now)) && !peer.digest.leaving;
+}
+
+TimePoint HostTable::countingTime(TimePoint now) const
+{
+    const Duration silence = now - m_heardAt;
+    if (exchangeMode() == ExchangeMode::Direct || silence > MaxIsolation)
+        return now;
+    return std::min(now, m_heardAt + IsolationTimeout);
+}
+
+/// After a cut, the other hosts get as much time to be heard again as they had before it.
+void HostTable::noteHeard(TimePoint now)
+{
+    const Duration cutOff = now - countingTime(now);
+    m_heardAt = now;
+    if (cutOff <= Duration::zero())
+        return;
+    for (auto &[name, peer] : m_peers)
+        peer.lastSeenAt += cutOff;
 }
 
 int HostTable::liveHosts(TimePoint now) const
 {
+    const TimePoint asOf = countingTime(now);
     int n = 1;
     for (const auto &[name, peer] : m_peers)
-        n += isLive(peer, now) ? 1 : 0;
+        n += isLive(peer, asOf) ? 1 : 0;
     return n;
 }
 
--- a/src/core/relayed_loads.cpp
+++ b/src/core/relayed_loads.cpp
@@ -74,9 +74,14 @@
 /// of a relay that hears about as many hosts as any. One that has just started hears few.
 void RelayedLoads::sumUp()
 {
-    std::map<std::string_view, int> mostHosts;
+    std::map<std::string_view, TimePoint> newest;
     for (const auto &[relay, report] : m_reports)
-        mostHosts[report.zone] = std::max(mostHosts[report.zone], report.hosts);
+        newest[report.zone] = std::max(newest[report.zone], report.receivedAt);
+    std::map<std::string_view, int> mostHosts;
+    for (const auto &[relay, report] : m_reports) {
+        if (newest[report.zone] - report.receivedAt <= FreshReportAge)
+            mostHosts[report.zone] = std::max(mostHosts[report.zone], report.hosts);
+    }
     std::map<std::string_view, const Report *> bestOfZone;
     for (const auto &[relay, report] : m_reports) {
         if (!isUsed(report) || report.hosts < mostHosts[report.zone] * MinHostsShare)
--- a/src/gateway/gateway_node.cpp
+++ b/src/gateway/gateway_node.cpp
@@ -8,6 +8,10 @@
 
 namespace {
 
+/// Number of hosts that probe a server that others suspect, beside those with streams on it. Probes
+/// are priced, and all hosts learn of the result.
+constexpr int SuspicionCheckers = 8;
+
 HostDigest initialDigest(const GatewaySettings &settings, std::int64_t startedAtMs)
 {
     HostDigest digest;
@@ -50,7 +54,15 @@
     , m_survey(*this)
     , m_random(stableHash(settings.name, static_cast<std::uint64_t>(startedAtMs)))
 {
-    m_view.setSuspicionHandler([this](const std::string &server) { m_survey.probeNow(server); });
+    m_view.setSuspicionHandler([this](const std::string &server) { checkSuspicion(server); });
+}
+
+void GatewayNode::checkSuspicion(const std::string &server)
+{
+    const bool checks = m_view.load(server)->streams > 0
+        || m_view.hosts().isTopRanked(m_settings.name, server, SuspicionCheckers, now());
+    if (checks)
+        m_survey.probeNow(server);
 }
 
 void GatewayNode::applySettings(const GatewaySettings &settings)
--- a/src/gateway/gateway_node.h
+++ b/src/gateway/gateway_node.h
@@ -55,6 +55,9 @@
     void refreshGauges();
 
 private:
+    /// Probes a server that other hosts suspect, if this host is one of those that should.
+    void checkSuspicion(const std::string &server);
+
     LoopServices &m_loop;
     GatewaySettings m_settings;
     GatewayPlatform m_platform;
--- a/src/gateway/peer_reader.cpp
+++ b/src/gateway/peer_reader.cpp
@@ -9,6 +9,8 @@
 #include "net/endpoint.h"
 #include "net/http_text.h"
 
+#include <algorithm>
+
 namespace dogwoodvalve {
 
 namespace {
@@ -46,10 +48,10 @@
 {
     const TimePoint now = m_node.now();
     const FeedRole role = chooseRole();
-    if (role != m_role)
+    const bool reads = role == FeedRole::Reader;
+    if (reads != (m_role == FeedRole::Reader))
         LogEvent("feed_role")
-            .field("reader", role == FeedRole::Reader)
-            .field("awaits_changes", role != FeedRole::Dependent)
+            .field("reader", reads)
             .field("hosts", m_node.view().hosts().liveHosts(now));
     m_role = role;
     m_node.platform().feed->setRole(role);
@@ -64,13 +66,13 @@
     });
 }
 
-FeedRole PeerReader::chooseRole() const
+FeedRole PeerReader::chooseRole()
 {
     const HostTable &hosts = m_node.view().hosts();
     const std::string &self = m_node.settings().name;
     const TimePoint now = m_node.now();
     if (hosts.exchangeMode() == ExchangeMode::Member)
-        return FeedRole::Dependent;
+        return chooseMemberRole();
     if (hosts.exchangeMode() == ExchangeMode::Direct)
         return hosts.isTopRanked(self, ReaderTask, ReaderCount, now) ? FeedRole::Reader
                                                                      : FeedRole::Follower;
@@ -78,6 +80,22 @@
     return !first.empty() && first.front().name == self ? FeedRole::Reader : FeedRole::Follower;
 }
 
+/// A member of a zone depends on its relays. While these can't read the store, the members read it
+/// instead, each so seldom that they do so a few times a second together, as each call is priced;
+/// the others learn from them. A member that hears no relay reads by itself.
+FeedRole PeerReader::chooseMemberRole()
+{
+    const HostTable &hosts = m_node.view().hosts();
+    if (hosts.isolated(m_node.now()))
+        return FeedRole::Substitute;
+    const auto members =
+        std::count_if(hosts.peers().begin(), hosts.peers().end(), [this](const auto &it) {
+            return it.second.digest.zone == m_node.settings().zone;
+        });
+    const double share = 1.0 / static_cast<double>(std::max<std::ptrdiff_t>(1, members));
+    return m_node.random().chance(share) ? FeedRole::Substitute : FeedRole::Dependent;
+}
+
 std::vector<const HostTable::Peer *> PeerReader::readers() const
 {
     const HostTable &hosts = m_node.view().hosts();
--- a/src/gateway/peer_reader.h
+++ b/src/gateway/peer_reader.h
@@ -30,7 +30,8 @@
     static constexpr const char *ReaderTask = "store-readers";
 
 private:
-    FeedRole chooseRole() const;
+    FeedRole chooseRole();
+    FeedRole chooseMemberRole();
     /// Hosts to pull registrations from.
     std::vector<const HostTable::Peer *> readers() const;
     /// Updates this host's role, and pulls registrations if its own are out of date.
--- a/src/gateway/platform_interfaces.h
+++ b/src/gateway/platform_interfaces.h
@@ -60,7 +60,9 @@
     /// Long-polls for changes of the configuration. Reads anything else only if the other hosts
     /// have not delivered it for a while.
     Follower,
-    /// As a follower, but learns of changes of the configuration from other hosts too.
+    /// Reads what the other hosts have not delivered for a while, but does not wait for changes.
+    Substitute,
+    /// Reads nothing but what it needs at its start: the other hosts deliver the rest.
     Dependent,
 };
 
