Keep the exchange mode of a host that is cut off

Cause: the new test of a cut-off host: the member believed itself a relay once all others were suspended, and dropped the last load of the fleet. Change: the mode stays while nobody is heard, and counting goes back to the time when somebody was.

--- a/include/dogwoodvalve/host_table.h
+++ b/include/dogwoodvalve/host_table.h
@@ -131,7 +131,7 @@
     static constexpr Duration OwnZoneTimeout = 2500ms;
     static constexpr Duration OtherZoneTimeout = 8s;
     /// A host that hears nobody for this long is cut off; after MaxIsolation, it is alone.
-    static constexpr Duration IsolationTimeout = 1500ms;
+    static constexpr Duration IsolationTimeout = 1s;
     static constexpr Duration MaxIsolation = 30s;
     /// The load of a host that is not heard any more counts for this long. If it is only cut off,
     /// its streams go on.
--- a/src/core/host_table.cpp
+++ b/src/core/host_table.cpp
@@ -227,7 +227,7 @@
         const auto suspended = m_suspendedRelays.find(name);
         if (peer.digest.zone == zone && !peer.digest.leaving && name != self.name
             && (suspended == m_suspendedRelays.end() || suspended->second <= now))
-            candidates.push_back({&peer.digest, isLive(peer, now)});
+            candidates.push_back({&peer.digest, isLive(peer, countingTime(now))});
     }
     const auto rank = [zone](const Candidate &it) {
         return std::tuple(it.live, it.host->linkMbps >= FastLinkMbps,
@@ -319,9 +319,7 @@
 TimePoint HostTable::countingTime(TimePoint now) const
 {
     const Duration silence = now - m_heardAt;
-    if (exchangeMode() == ExchangeMode::Direct || silence > MaxIsolation)
-        return now;
-    return std::min(now, m_heardAt + IsolationTimeout);
+    return isolated(now) && silence <= MaxIsolation ? m_heardAt : now;
 }
 
 /// After a cut, the other hosts get as much time to be heard again as they had before it.
--- a/src/gateway/digest_router.cpp
+++ b/src/gateway/digest_router.cpp
@@ -66,6 +66,9 @@
 void DigestRouter::updateMode()
 {
     HostTable &hosts = m_node.view().hosts();
+    // A host that hears nobody can't tell who relays.
+    if (hosts.isolated(m_node.now()) && m_anyHeard)
+        return;
     const std::size_t known = std::max(hosts.peers().size() + 1, m_recordCount);
     ExchangeMode mode = ExchangeMode::Direct;
     if (known >= MinHostsForRelays && !mutated("gateway-no-relays")) {
--- a/tests/simulation/relay_test.cpp
+++ b/tests/simulation/relay_test.cpp
@@ -43,6 +43,7 @@
     CPPUNIT_TEST(relaysThatAreKilledTogetherAreReplaced);
     CPPUNIT_TEST(aRestartedRelayRelaysAgain);
     CPPUNIT_TEST(aHostThatIsCutOffFromItsRelaysUsesAnotherOne);
+    CPPUNIT_TEST(aHostThatIsCutOffFromAllKeepsItsView);
     CPPUNIT_TEST(hostsWithPartOfTheRecordsFindTheOthers);
     CPPUNIT_TEST(aFailedProbeIsKnownToAllWithinASecond);
     CPPUNIT_TEST(trafficPerHostIsBounded);
@@ -186,6 +187,48 @@
         CPPUNIT_ASSERT(host.hosts().liveHosts(world.now()) > Hosts - 5);
     }
 
+    /// Many hosts may be cut off at once while they still reach callers and engines. If each believed
+    /// that it is alone, it would take all probes and retries for itself, and see no load.
+    void aHostThatIsCutOffFromAllKeepsItsView()
+    {
+        RelayWorld world(Zones, HostsPerZone);
+        world.start();
+        world.host("zone-1-host-20").node->view().load("engine")->committed = LoadPerHost;
+        world.run(StartTime);
+        RelayHost &relay = relayOf(world, "zone-0");
+        RelayHost &member = world.host("zone-0-host-20");
+        for (RelayHost *cut : {&relay, &member}) {
+            for (const auto &other : world.hosts) {
+                if (other.get() != cut)
+                    world.cut(*cut, *other);
+            }
+        }
+        constexpr Duration CutTime = 10s;
+        constexpr int Dead = 3;
+        for (Duration time {}; time < CutTime; time += 1s) {
+            world.run(1s);
+            for (RelayHost *cut : {&relay, &member}) {
+                CPPUNIT_ASSERT(cut->hosts().liveHosts(world.now()) >= Hosts - Dead);
+                CPPUNIT_ASSERT(cut->hosts()
+                                   .taskPartition(cut->node->settings().name, world.now())
+                                   .count
+                               >= Hosts - Dead);
+                CPPUNIT_ASSERT_DOUBLES_EQUAL(LoadPerHost, world.committedByPeers(*cut, "engine"),
+                                             1);
+            }
+        }
+        // The others notice that the two are gone.
+        CPPUNIT_ASSERT_EQUAL(Hosts - 2,
+                             world.host("zone-0-host-9").hosts().liveHosts(world.now()));
+        world.healAll();
+        for (Duration time {}; time < StartTime; time += 100ms) {
+            world.run(100ms);
+            for (RelayHost *cut : {&relay, &member})
+                CPPUNIT_ASSERT(cut->hosts().liveHosts(world.now()) >= Hosts - Dead);
+        }
+        CPPUNIT_ASSERT_EQUAL(Hosts, world.host("zone-0-host-9").hosts().liveHosts(world.now()));
+    }
+
     /// Hosts that start at the same time read the records before all have written theirs.
     void hostsWithPartOfTheRecordsFindTheOthers()
     {
--- a/tests/simulation/relay_world.h
+++ b/tests/simulation/relay_world.h
@@ -114,6 +114,8 @@
         m_network.cut(b.process->name(), a.process->name());
     }
 
+    void healAll() { m_network.healAll(); }
+
     /// The load on a server that a host knows the others have placed.
     double committedByPeers(RelayHost &host, const std::string &server)
     {
