Declare to the thread sanitizer that RCU values are built before they are read

Cause: the thread sanitizer ended the daemon in three process cases (keyedCallsRunAtMostOnce, anEngineAndAnEntryHostKilled..., aFrozenEntryHostLosesNothing) with a race between EntryContext::members() and the construction of the vector that publishMembers() published. liburcu orders the two (assign and dereference), with barriers that the sanitizer can't see; only the end of reads was declared. Change: the same two calls declare it.

--- a/src/daemon/rcu_pointer.h
+++ b/src/daemon/rcu_pointer.h
@@ -47,11 +47,12 @@
         {
             urcu_memb_read_lock();
             m_value = rcu_dereference(m_pointer.m_value);
+            m_pointer.tsanAcquire();
         }
 
         ~Reader()
         {
-            m_pointer.tsanReleaseReader();
+            m_pointer.tsanRelease();
             urcu_memb_read_unlock();
         }
 
@@ -71,23 +72,25 @@
     void publish(std::unique_ptr<T> value)
     {
         T *old = m_value;
+        tsanRelease();
         rcu_assign_pointer(m_value, value.release());
         urcu_memb_synchronize_rcu();
-        tsanAcquireGracePeriod();
+        tsanAcquire();
         delete old;
     }
 
 private:
     // ThreadSanitizer cannot see the ordering that liburcu guarantees, so these calls declare it:
-    // the end of each read happens before the deletion of the old value.
-    void tsanReleaseReader() const
+    // the construction of a value happens before each read of it, and the end of each read before
+    // the deletion of the old value.
+    void tsanRelease() const
     {
 #if defined(__SANITIZE_THREAD__)
         __tsan_release(const_cast<RcuPointer *>(this));
 #endif
     }
 
-    void tsanAcquireGracePeriod() const
+    void tsanAcquire() const
     {
 #if defined(__SANITIZE_THREAD__)
         __tsan_acquire(const_cast<RcuPointer *>(this));
