--- a/src/gateway/gateway_process.cpp
+++ b/src/gateway/gateway_process.cpp
@@ -15,12 +15,15 @@
 #include <csignal>
 #include <cstdio>
 #include <cstdlib>
+#include <utility>
 
 namespace dogwoodvalve {
 
 namespace {
 
 constexpr Duration AdmissionInterval = 25ms;
+/// The other hosts' records are awaited this long before the first read of the store.
+constexpr Duration MaxDiscoveryWait = 150ms;
 constexpr Duration DrainPollInterval = 50ms;
 /// Reading the small settings file is cheap, and a change of it is not urgent.
 constexpr Duration SettingsPollInterval = 5s;
@@ -109,10 +112,9 @@
                 return listening;
         }
         m_node.view().setObserver(this);
-        m_node.platform().feed->start(m_node.view());
-        if (Result<void> started = m_peers.start(); !started)
+        if (Result<void> started = m_peers.start([this] { startReading(); }); !started)
             return started;
-        m_peerReader.start();
+        m_services.timers().schedule(m_node.now() + MaxDiscoveryWait, [this] { startReading(); });
         m_placement.start();
         m_node.survey().start();
         admitPeriodically();
@@ -121,6 +123,15 @@
         return BOOST_OUTCOME_V2_NAMESPACE::success();
     }
 
+    /// Whether this host reads the store at its start depends on which other hosts there are.
+    void startReading()
+    {
+        if (std::exchange(m_reading, true))
+            return;
+        m_peerReader.start();
+        m_node.platform().feed->start(m_node.view());
+    }
+
     void viewChanged()
     {
         if (!m_node.view().starting())
@@ -212,6 +223,7 @@
     HttpServer m_peerServer;
     HttpServer m_metricsServer;
     TimePoint m_drainStarted {};
+    bool m_reading = false;
 };
 
 } // namespace
--- a/src/gateway/peer_exchange.cpp
+++ b/src/gateway/peer_exchange.cpp
@@ -4,6 +4,9 @@
 #include "gateway/host_digest_codec.h"
 #include "net/endpoint.h"
 
+#include <algorithm>
+#include <utility>
+
 namespace dogwoodvalve {
 
 namespace {
@@ -17,6 +20,8 @@
 constexpr const char *DiscoveryTask = "find-hosts";
 constexpr Duration InfrequentDiscoveryInterval = 30s;
 constexpr Duration DiscoveryRetryInterval = 700ms;
+/// A member need not find its relays: they find it, once they have read the records again.
+constexpr Duration MemberRetryInterval = 2s;
 /// Hosts that start together write their records within this time, so relays read them once more
 /// then.
 constexpr Duration StartUpSpread = 1200ms;
@@ -36,7 +41,7 @@
     stop();
 }
 
-Result<void> PeerExchange::start()
+Result<void> PeerExchange::start(std::function<void()> discovered)
 {
     const auto endpoint = parseEndpoint(m_node.settings().peerListen);
     if (!endpoint)
@@ -52,8 +57,8 @@
                       "give a free address of this host"};
     m_socket.non_blocking(true, ec);
     m_startedAt = m_node.now();
+    m_discovered = std::move(discovered);
     receive();
-    announce();
     discoverHosts();
     sendPeriodically();
     return BOOST_OUTCOME_V2_NAMESPACE::success();
@@ -96,19 +101,36 @@
         [this, alive = std::weak_ptr(m_alive)](Result<std::vector<HostRecord>> hosts) {
             if (alive.expired())
                 return;
+            if (hosts)
+                onRecords(hosts.value());
+            if (const auto discovered = std::exchange(m_discovered, nullptr))
+                discovered();
             if (!hosts)
                 return schedule(DiscoveryRetryInterval, &PeerExchange::discoverHosts);
-            m_router.setRecords(hosts.value());
             schedule(nextDiscoveryPause(), &PeerExchange::discoverHosts);
         });
 }
 
+void PeerExchange::onRecords(const std::vector<HostRecord> &records)
+{
+    // A restarted host finds its own record.
+    const GatewaySettings &settings = m_node.settings();
+    const HostRecord own {settings.name, settings.peerListen, settings.zone, settings.linkMbps};
+    if (!std::exchange(m_announced, true)
+        && std::find(records.begin(), records.end(), own) == records.end())
+        announce();
+    m_router.setRecords(records);
+    if (!m_router.anyHeard())
+        sendNow();
+}
+
 Duration PeerExchange::nextDiscoveryPause() const
 {
     // Hosts that start together may miss one another's records, so a host that has heard no other
     // retries soon.
     if (!m_router.anyHeard())
-        return DiscoveryRetryInterval;
+        return m_router.mode() == ExchangeMode::Member ? MemberRetryInterval
+                                                       : DiscoveryRetryInterval;
     if (m_router.mode() == ExchangeMode::Relay)
         return m_node.now() - m_startedAt < StartUpSpread ? StartUpSpread : DiscoveryInterval;
     const bool frequent = !m_router.relays()
--- a/src/gateway/peer_exchange.h
+++ b/src/gateway/peer_exchange.h
@@ -7,6 +7,8 @@
 #include <boost/asio/ip/udp.hpp>
 
 #include <array>
+#include <functional>
+#include <vector>
 #include <string>
 
 namespace dogwoodvalve {
@@ -24,8 +26,9 @@
     PeerExchange(const PeerExchange &) = delete;
     PeerExchange &operator=(const PeerExchange &) = delete;
 
-    /// Errors: Unavailable if the address can't be bound.
-    Result<void> start();
+    /// Calls back once the other hosts' records were read, or could not be. Errors: Unavailable if
+    /// the address can't be bound.
+    Result<void> start(std::function<void()> discovered);
     /// Sends the digest at once, for example to say that this host is leaving.
     void sendNow();
     void stop();
@@ -38,6 +41,7 @@
     /// Writes this host's record to the store, and retries until that succeeds.
     void announce();
     void onDigest(const PeerDigest &digest);
+    void onRecords(const std::vector<HostRecord> &records);
     void send(const std::vector<DigestMessage> &messages);
     Duration nextDiscoveryPause() const;
     /// Calls a member function once after a pause.
@@ -52,6 +56,8 @@
     boost::asio::ip::udp::endpoint m_sender;
     std::array<std::uint8_t, MaxDatagramBytes> m_buffer {};
     TimePoint m_startedAt {};
+    std::function<void()> m_discovered;
+    bool m_announced = false;
     /// Pending callbacks hold a weak pointer to this, and do nothing once it is replaced.
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
--- a/src/gateway/peer_reader.cpp
+++ b/src/gateway/peer_reader.cpp
@@ -6,6 +6,7 @@
 #include "gateway/digest_router.h"
 #include "gateway/support_api.h"
 #include "net/buffered_request.h"
+#include "net/compression.h"
 #include "net/endpoint.h"
 #include "net/http_text.h"
 
@@ -30,6 +31,7 @@
 constexpr Duration PullTimeout = 700ms;
 /// Configurations have hundreds of KB, and a host may send them to several others at a time.
 constexpr Duration ConfigurationPullTimeout = 1500ms;
+constexpr std::size_t MaxConfigurationBytes = 64U << 20;
 
 } // namespace
 
@@ -182,6 +184,9 @@
     const auto &configuration = m_node.view().configuration();
     if (digest.configurationVersion > (configuration ? configuration->version() : 0))
         pullConfiguration(configurationHolder(digest));
+    // A host that has just started needs the servers as soon as some host can tell them.
+    if (m_node.view().serversAge() == Duration::max() && digest.registrationsEnd > 0)
+        pullRegistrations(digest);
 }
 
 /// A random host of this zone that is known to have the configuration of the given digest, so that
@@ -203,16 +208,22 @@
 void PeerReader::pullConfiguration(const HostDigest &peer)
 {
     const TimePoint asOf = m_node.now() - peer.configurationAge;
-    fetch(peer, SupportApi::ConfigurationPath, ConfigurationPullTimeout,
-          m_configurationPullInFlight,
+    fetch(peer,
+          std::string(SupportApi::ConfigurationPath) + "?form=" + SupportApi::CompressedForm,
+          ConfigurationPullTimeout, m_configurationPullInFlight,
           [this, asOf, name = peer.name](const std::string &body) -> Result<void> {
-              const auto decoded = m_node.platform().feed->decodeConfiguration(body);
+              const Result<std::string> document =
+                  decompressText(body, MaxConfigurationBytes);
+              if (!document)
+                  return document.error();
+              const auto decoded =
+                  m_node.platform().feed->decodeConfiguration(document.value());
               if (!decoded)
                   return decoded.error();
               LogEvent("configuration_from_host")
                   .field("host", name)
                   .field("version", decoded.value()->version());
-              m_node.view().onConfiguration(decoded.value(), body);
+              m_node.view().onConfiguration(decoded.value(), document.value());
               m_node.view().onConfigurationConfirmed(asOf);
               return BOOST_OUTCOME_V2_NAMESPACE::success();
           });
--- a/src/gateway/platform_interfaces.h
+++ b/src/gateway/platform_interfaces.h
@@ -87,6 +87,8 @@
     std::string zone;
     /// Bandwidth of the host's link; 0 if unknown.
     double linkMbps = 0;
+
+    bool operator==(const HostRecord &other) const = default;
 };
 
 /// The lease whose holder alone may order servers to load layers. The fencing token rises with
--- a/src/gateway/support_api.cpp
+++ b/src/gateway/support_api.cpp
@@ -1,9 +1,11 @@
 #include "gateway/support_api.h"
 
+#include "net/compression.h"
 #include "net/http_status.h"
 #include "net/http_text.h"
 
 #include <charconv>
+#include <utility>
 
 namespace dogwoodvalve {
 
@@ -11,6 +13,7 @@
 
 const std::vector<HttpField> Json {{"Content-Type", "application/json"}};
 const std::vector<HttpField> Cbor {{"Content-Type", "application/cbor"}};
+const std::vector<HttpField> Zlib {{"Content-Type", "application/zlib"}};
 const std::vector<HttpField> Text {{"Content-Type", "text/plain; version=0.0.4"}};
 
 } // namespace
@@ -29,12 +32,24 @@
         return exchange->respond(StatusOk, Text, m_node.metrics().text());
     }
     if (path == ConfigurationPath)
-        return exchange->respond(StatusOk, Json, m_node.view().configurationDocument());
+        return answerConfiguration(*exchange);
     if (path == RegistrationsPath)
         return answerRegistrations(*exchange);
     exchange->respond(StatusNotFound, Text, "");
 }
 
+/// Hosts ask for the compressed document; operators get it as it is.
+void SupportApi::answerConfiguration(HttpExchange &exchange)
+{
+    const FleetView &view = m_node.view();
+    if (queryParameter(exchange.target(), "form") != CompressedForm)
+        return exchange.respond(StatusOk, Json, view.configurationDocument());
+    const std::uint64_t version = view.configuration() ? view.configuration()->version() : 0;
+    if (std::exchange(m_compressedVersion, version) != version)
+        m_compressedConfiguration = compressText(view.configurationDocument());
+    exchange.respond(StatusOk, Zlib, m_compressedConfiguration);
+}
+
 void SupportApi::answerRegistrations(HttpExchange &exchange)
 {
     const std::string_view digits = queryParameter(exchange.target(), "after");
