--- a/src/gateway/fleet_view.cpp
+++ b/src/gateway/fleet_view.cpp
@@ -38,6 +38,7 @@
     : m_timers(timers)
     , m_self(std::move(self))
     , m_keyRevocation(keyRevocation)
+    , m_hosts(m_self.zone)
 { }
 
 void FleetView::setLeaving()
@@ -109,38 +110,60 @@
         return;
     if (!known)
         LogEvent("host_discovered").field("host", digest.name).field("zone", digest.zone);
-    applySuspicions(digest);
+    for (const std::string &server : digest.failedProbes)
+        applySuspicion(server);
+    applyConfirmation(digest, now);
+}
+
+void FleetView::applyRelayDigest(const RelayDigest &digest)
+{
+    const TimePoint now = m_timers.now();
+    const std::size_t known = m_hosts.peers().size();
+    if (!m_hosts.applyRelayDigest(digest, m_self.name, now))
+        return;
+    if (m_hosts.peers().size() > known)
+        LogEvent("hosts_discovered")
+            .field("relay", digest.relay.name)
+            .field("new", m_hosts.peers().size() - known)
+            .field("known", m_hosts.peers().size());
+    for (const auto &[server, hosts] : digest.failedProbes)
+        applySuspicion(server);
+    applyConfirmation(digest.relay, now);
+    for (const RelayedHost &host : digest.roster)
+        applyConfirmation(host.state, now - host.age);
+}
+
+void FleetView::applyConfirmation(const HostDigest &digest, TimePoint sentAt)
+{
     const bool sameVersion =
         m_configuration && digest.configurationVersion == m_configuration->version();
     if (sameVersion && digest.configurationAge < m_keyRevocation)
-        onConfigurationConfirmed(now - digest.configurationAge);
+        onConfigurationConfirmed(sentAt - digest.configurationAge);
 }
 
-void FleetView::applySuspicions(const HostDigest &digest)
+void FleetView::applySuspicion(const std::string &id)
 {
     const TimePoint now = m_timers.now();
-    for (const std::string &id : digest.failedProbes) {
-        const ServerRegistration *server = m_registry.find(id);
-        if (!server || m_hosts.hostsReportingFailedProbe(id, now) < SuspicionQuorum
-            || mutated("gateway-ignore-hearsay"))
-            continue;
-        const auto it = m_loads.find(id);
-        if (it != m_loads.end() && now - it->second->lastProgressAt < RecentEventWindow)
-            continue;
-        const auto answered = m_answeredAt.find(id);
-        if (answered != m_answeredAt.end() && now - answered->second < RecentAnswerWindow)
-            continue;
-        const bool usableBefore = m_health.usable(id, server->startedAtMs, now);
-        m_health.recordPeerSuspicion(id, server->startedAtMs, now);
-        if (!usableBefore)
-            continue;
-        LogEvent::decision("server_suspected")
-            .field("server", id)
-            .field("reason", "probes by other hosts failed")
-            .field("hosts", m_hosts.hostsReportingFailedProbe(id, now));
-        if (m_suspicionHandler)
-            m_suspicionHandler(id);
-    }
+    const ServerRegistration *server = m_registry.find(id);
+    if (!server || m_hosts.hostsReportingFailedProbe(id, now) < SuspicionQuorum
+        || mutated("gateway-ignore-hearsay"))
+        return;
+    const auto it = m_loads.find(id);
+    if (it != m_loads.end() && now - it->second->lastProgressAt < RecentEventWindow)
+        return;
+    const auto answered = m_answeredAt.find(id);
+    if (answered != m_answeredAt.end() && now - answered->second < RecentAnswerWindow)
+        return;
+    const bool usableBefore = m_health.usable(id, server->startedAtMs, now);
+    m_health.recordPeerSuspicion(id, server->startedAtMs, now);
+    if (!usableBefore)
+        return;
+    LogEvent::decision("server_suspected")
+        .field("server", id)
+        .field("reason", "probes by other hosts failed")
+        .field("hosts", m_hosts.hostsReportingFailedProbe(id, now));
+    if (m_suspicionHandler)
+        m_suspicionHandler(id);
 }
 
 void FleetView::recordProbeAnswer(const ServerRegistration &server, double slowness)
@@ -272,21 +295,27 @@
     return true;
 }
 
+void FleetView::recordRenewal(const ServerRegistration &registration)
+{
+    m_health.recordHeartbeat(registration.id, registration.startedAtMs, m_timers.now());
+    if (const auto it = m_reportedLayers.find(registration.id);
+        it != m_reportedLayers.end() && m_timers.now() - it->second.at > MaxRegistrationLag)
+        m_reportedLayers.erase(it);
+}
+
 void FleetView::onServer(const ServerRegistration &registration, std::uint64_t endOffset)
 {
     std::erase(m_unconfirmedServers, registration.id);
     if (!advanceRecordOffset(registration.id, endOffset))
         return;
-    m_health.recordHeartbeat(registration.id, registration.startedAtMs, m_timers.now());
+    recordRenewal(registration);
     const ServerRegistration *known = m_registry.find(registration.id);
     if (!known)
         m_lastArrivalAt = m_timers.now();
-    if (const auto it = m_reportedLayers.find(registration.id);
-        it != m_reportedLayers.end() && m_timers.now() - it->second.at > MaxRegistrationLag)
-        m_reportedLayers.erase(it);
     const bool restarted = known && known->startedAtMs != registration.startedAtMs;
     if (!m_registry.put(registration))
         return;
+    m_changeEndOffsets[registration.id] = endOffset;
     if (restarted)
         m_reportedLayers.erase(registration.id);
     LogEvent::decision("server_changed")
@@ -307,6 +336,7 @@
     if (!advanceRecordOffset(id, endOffset) || !m_registry.remove(id))
         return;
     m_reportedLayers.erase(std::string(id));
+    m_changeEndOffsets.erase(std::string(id));
     LogEvent::decision("server_gone").field("server", id);
     if (m_observer)
         m_observer->serversChanged();
@@ -343,10 +373,12 @@
     update.endOffset = m_serversEndOffset;
     update.age = serversAge();
     for (const auto &[id, server] : m_registry.servers()) {
-        update.ids.push_back(id);
-        const auto it = m_recordEndOffsets.find(id);
-        if (it != m_recordEndOffsets.end() && it->second > endOffset)
-            update.changed.push_back({server, it->second});
+        const auto newest = m_recordEndOffsets.find(id);
+        const std::uint64_t newestEnd = newest == m_recordEndOffsets.end() ? 0 : newest->second;
+        update.servers.emplace(id, newestEnd);
+        const auto change = m_changeEndOffsets.find(id);
+        if (change != m_changeEndOffsets.end() && change->second > endOffset)
+            update.changed.push_back({server, newestEnd});
     }
     return update;
 }
@@ -359,8 +391,11 @@
         onServer(entry.registration, entry.endOffset);
     std::vector<std::string> gone;
     for (const auto &[id, server] : m_registry.servers()) {
-        if (!std::binary_search(update.ids.begin(), update.ids.end(), id))
+        const auto it = update.servers.find(id);
+        if (it == update.servers.end())
             gone.push_back(id);
+        else if (advanceRecordOffset(id, it->second))
+            recordRenewal(server);
     }
     for (const std::string &id : gone)
         onServerGone(id, update.endOffset);
--- a/src/gateway/fleet_view.h
+++ b/src/gateway/fleet_view.h
@@ -89,6 +89,8 @@
     /// Merges another host's digest. If it has the same configuration version, its confirmation
     /// counts for this host too.
     void applyDigest(const HostDigest &digest);
+    /// Merges what a relay knows of the other hosts.
+    void applyRelayDigest(const RelayDigest &digest);
 
     /// This host's load on a server. The entry is created if there is none.
     std::shared_ptr<ServerLoad> load(std::string_view server);
@@ -141,9 +143,13 @@
     /// Returns whether a server's record is newer than the last known one, and remembers its offset
     /// if so.
     bool advanceRecordOffset(std::string_view id, std::uint64_t endOffset);
+    /// A registered server has renewed its registration.
+    void recordRenewal(const ServerRegistration &registration);
     /// Ejects servers that enough hosts report as unanswered, unless this host has had a sign of
     /// life from them.
-    void applySuspicions(const HostDigest &digest);
+    void applySuspicion(const std::string &server);
+    /// Another host's confirmation of the same configuration version counts here too.
+    void applyConfirmation(const HostDigest &digest, TimePoint sentAt);
 
     TimerService &m_timers;
     HostDigest m_self;
@@ -164,6 +170,9 @@
     /// Offset just past the newest known record of each server. Removed servers keep theirs, so
     /// that an older record does not bring them back.
     std::map<std::string, std::uint64_t, std::less<>> m_recordEndOffsets;
+    /// Offset just past the record by which each registered server's registration last changed, or
+    /// past a later one of the server.
+    std::map<std::string, std::uint64_t, std::less<>> m_changeEndOffsets;
     ServerHealth m_health;
     HostTable m_hosts;
     std::map<std::string, std::shared_ptr<ServerLoad>, std::less<>> m_loads;
--- a/src/gateway/gateway_process.cpp
+++ b/src/gateway/gateway_process.cpp
@@ -15,12 +15,15 @@
 #include <csignal>
 #include <cstdio>
 #include <cstdlib>
+#include <utility>
 
 namespace dogwoodvalve {
 
 namespace {
 
 constexpr Duration AdmissionInterval = 25ms;
+/// The other hosts' records are awaited this long before the first read of the store.
+constexpr Duration MaxDiscoveryWait = 150ms;
 constexpr Duration DrainPollInterval = 50ms;
 /// Reading the small settings file is cheap, and a change of it is not urgent.
 constexpr Duration SettingsPollInterval = 5s;
@@ -59,7 +62,8 @@
         , m_signals(m_loop, SIGTERM, SIGINT, SIGHUP)
         , m_node(m_services, settings, platform(m_services), unixMillis())
         , m_peerReader(m_node)
-        , m_peers(m_loop, m_node, m_peerReader)
+        , m_router(m_node)
+        , m_peers(m_loop, m_node, m_router, m_peerReader)
         , m_placement(m_node)
         , m_frontApi(m_node)
         , m_supportApi(m_node)
@@ -108,10 +112,9 @@
                 return listening;
         }
         m_node.view().setObserver(this);
-        m_node.platform().feed->start(m_node.view());
-        if (Result<void> started = m_peers.start(); !started)
+        if (Result<void> started = m_peers.start([this] { startReading(); }); !started)
             return started;
-        m_peerReader.start();
+        m_services.timers().schedule(m_node.now() + MaxDiscoveryWait, [this] { startReading(); });
         m_placement.start();
         m_node.survey().start();
         admitPeriodically();
@@ -120,6 +123,15 @@
         return BOOST_OUTCOME_V2_NAMESPACE::success();
     }
 
+    /// Whether this host reads the store at its start depends on which other hosts there are.
+    void startReading()
+    {
+        if (std::exchange(m_reading, true))
+            return;
+        m_peerReader.start();
+        m_node.platform().feed->start(m_node.view());
+    }
+
     void viewChanged()
     {
         if (!m_node.view().starting())
@@ -200,6 +212,7 @@
     boost::asio::signal_set m_signals;
     GatewayNode m_node;
     PeerReader m_peerReader;
+    DigestRouter m_router;
     PeerExchange m_peers;
     PlacementController m_placement;
     FrontApi m_frontApi;
@@ -210,6 +223,7 @@
     HttpServer m_peerServer;
     HttpServer m_metricsServer;
     TimePoint m_drainStarted {};
+    bool m_reading = false;
 };
 
 } // namespace
--- a/src/gateway/platform_interfaces.h
+++ b/src/gateway/platform_interfaces.h
@@ -60,6 +60,10 @@
     /// Long-polls for changes of the configuration. Reads anything else only if the other hosts
     /// have not delivered it for a while.
     Follower,
+    /// Reads what the other hosts have not delivered for a while, but does not wait for changes.
+    Substitute,
+    /// Reads nothing but what it needs at its start: the other hosts deliver the rest.
+    Dependent,
 };
 
 /// Reads the operator's configuration and the servers' registrations, and delivers each change.
@@ -80,6 +84,11 @@
     std::string name;
     /// IP:PORT for other hosts.
     std::string peerAddress;
+    std::string zone;
+    /// Bandwidth of the host's link; 0 if unknown.
+    double linkMbps = 0;
+
+    bool operator==(const HostRecord &other) const = default;
 };
 
 /// The lease whose holder alone may order servers to load layers. The fencing token rises with
