Judge a leaving server's requests when it ends to leave

Change: requests that must avoid the server are judged just before it serves again; up to then the check is the same.

--- a/tests/process/soak_ledger.h
+++ b/tests/process/soak_ledger.h
@@ -45,6 +45,9 @@
     void violation(const std::string &what);
     bool clean() const { return m_violations == 0; }
 
+    /// To be called before the leaving server serves again: none of the requests that must avoid it
+    /// has gone there. A request that still waits may go there from then on.
+    void checkLeaving();
     /// To be called when all has ended: who ran what, and how often.
     void checkRuns();
     /// Prints the counts and returns the number of violations.
