--- a/include/dogwoodvalve/host_table.h
+++ b/include/dogwoodvalve/host_table.h
@@ -87,9 +87,10 @@
     Duration digestInterval() const;
     /// Whether a digest of the host arrived recently enough.
     bool isLive(const Peer &peer, TimePoint now) const;
-    /// Number of live hosts, including this one. A host that uses relays and hears nobody is cut off
-    /// itself: it can't tell who lives, and for a while counts those that lived before. Otherwise
-    /// each of many cut-off hosts would take all tasks and the whole retry budget for itself.
+    /// Number of live hosts, including this one. A host that uses relays and hears nobody is cut
+    /// off itself: it can't tell who lives, and for a while counts those that lived before.
+    /// Otherwise each of many cut-off hosts would take all tasks and the whole retry budget for
+    /// itself.
     int liveHosts(TimePoint now) const;
     /// Whether this host uses relays and hears nobody.
     bool isolated(TimePoint now) const
--- a/src/core/host_table.cpp
+++ b/src/core/host_table.cpp
@@ -64,7 +64,8 @@
     if (!known.name.empty() && older)
         return false;
     noteHeard(now);
-    m_changed = m_changed || !sameStanding(known, digest) || known.failedProbes != digest.failedProbes
+    m_changed = m_changed || !sameStanding(known, digest)
+        || known.failedProbes != digest.failedProbes
         || known.slowness.size() != digest.slowness.size();
     setInTotals(peer, false);
     peer.digest = digest;
--- a/src/core/relayed_loads.cpp
+++ b/src/core/relayed_loads.cpp
@@ -38,7 +38,7 @@
         && std::pair(relay.startedAtMs, relay.sequence)
             <= std::pair(known->second.startedAtMs, known->second.sequence))
         return false;
-    m_reports[relay.name] = {relay.zone,    relay.startedAtMs, relay.sequence,
+    m_reports[relay.name] = {relay.zone,   relay.startedAtMs, relay.sequence,
                              digest.hosts, digest.totals,     now};
     sumUp();
     return true;
--- a/src/gateway/digest_router.cpp
+++ b/src/gateway/digest_router.cpp
@@ -92,8 +92,7 @@
     const bool relaying = relays() && (mode() == ExchangeMode::Relay || !m_subscribers.empty());
     const bool changed = view.hosts().takeChanges();
     const Duration interval = relays() ? MemberInterval : view.hosts().digestInterval();
-    const bool digestDue =
-        m_sentAt + interval - now <= PollInterval / 2 || view.hasUrgentUpdate();
+    const bool digestDue = m_sentAt + interval - now <= PollInterval / 2 || view.hasUrgentUpdate();
     const bool relayDue = relaying
         && (now - m_relayedAt >= relayInterval()
             || ((changed || view.hasUrgentUpdate()) && now - m_relayedAt >= MinRelayInterval));
@@ -206,8 +205,8 @@
     for (const HostDigest &relay : hosts.relaysOf(zone, self, RelaysPerZone, now)) {
         if (relay.name == self.name)
             continue;
-        Contact &contact = m_contacts.try_emplace(relay.name, Contact {{}, {}, RelaySuspension})
-                               .first->second;
+        Contact &contact =
+            m_contacts.try_emplace(relay.name, Contact {{}, {}, RelaySuspension}).first->second;
         if (!contact.unansweredSince)
             contact.unansweredSince = now;
         if (now - *contact.unansweredSince > RelayAnswerTimeout) {
--- a/src/gateway/digest_router.h
+++ b/src/gateway/digest_router.h
@@ -39,8 +39,8 @@
     std::vector<DigestMessage> messagesDue();
     /// This host's digest, for the hosts that normally get it.
     std::vector<DigestMessage> messagesNow();
-    /// Applies what another host has sent. Returns that host's state, or nothing if this host itself
-    /// has sent it.
+    /// Applies what another host has sent. Returns that host's state, or nothing if this host
+    /// itself has sent it.
     std::optional<HostDigest> receive(const PeerDigest &digest);
 
     /// Whether the fleet is so large that digests are relayed.
--- a/src/gateway/host_digest_codec.cpp
+++ b/src/gateway/host_digest_codec.cpp
@@ -107,8 +107,8 @@
     json backlog = json::object();
     for (const auto &[server, ms] : digest.backlogMs)
         backlog[server] = std::llround(ms);
-    const json value = {{"n", encodeState(digest)},   {"k", std::move(commitments)},
-                        {"q", std::move(backlog)},    {"i", digest.inFlight},
+    const json value = {{"n", encodeState(digest)}, {"k", std::move(commitments)},
+                        {"q", std::move(backlog)},  {"i", digest.inFlight},
                         {"u", digest.failedProbes}, {"w", digest.slowness}};
     return json::to_cbor(value);
 }
@@ -131,9 +131,12 @@
     json roster = json::array();
     for (const RelayedHost &host : digest.roster)
         roster.push_back(json::array({encodeState(host.state), ageMillis(host.age)}));
-    const json value = {{RelayKey, encodeState(digest.relay)}, {"hosts", digest.hosts},
-                        {"t", std::move(totals)},              {"w", std::move(slowness)},
-                        {"u", std::move(failedProbes)},        {"o", std::move(roster)}};
+    const json value = {{RelayKey, encodeState(digest.relay)},
+                        {"hosts", digest.hosts},
+                        {"t", std::move(totals)},
+                        {"w", std::move(slowness)},
+                        {"u", std::move(failedProbes)},
+                        {"o", std::move(roster)}};
     return json::to_cbor(value);
 }
 
--- a/src/gateway/peer_exchange.h
+++ b/src/gateway/peer_exchange.h
@@ -8,8 +8,8 @@
 
 #include <array>
 #include <functional>
-#include <vector>
 #include <string>
+#include <vector>
 
 namespace dogwoodvalve {
 
--- a/src/gateway/peer_reader.cpp
+++ b/src/gateway/peer_reader.cpp
@@ -105,9 +105,8 @@
     if (hosts.exchangeMode() == ExchangeMode::Direct)
         return hosts.topRankedPeers(m_node.settings().name, ReaderTask, ReaderCount, now);
     std::vector<const HostTable::Peer *> relays;
-    for (const HostDigest &relay :
-         hosts.relaysOf(m_node.settings().zone, m_node.view().identity(),
-                        DigestRouter::RelaysPerZone, now)) {
+    for (const HostDigest &relay : hosts.relaysOf(m_node.settings().zone, m_node.view().identity(),
+                                                  DigestRouter::RelaysPerZone, now)) {
         if (const auto it = hosts.peers().find(relay.name); it != hosts.peers().end())
             relays.push_back(&it->second);
     }
@@ -208,16 +207,13 @@
 void PeerReader::pullConfiguration(const HostDigest &peer)
 {
     const TimePoint asOf = m_node.now() - peer.configurationAge;
-    fetch(peer,
-          std::string(SupportApi::ConfigurationPath) + "?form=" + SupportApi::CompressedForm,
+    fetch(peer, std::string(SupportApi::ConfigurationPath) + "?form=" + SupportApi::CompressedForm,
           ConfigurationPullTimeout, m_configurationPullInFlight,
           [this, asOf, name = peer.name](const std::string &body) -> Result<void> {
-              const Result<std::string> document =
-                  decompressText(body, MaxConfigurationBytes);
+              const Result<std::string> document = decompressText(body, MaxConfigurationBytes);
               if (!document)
                   return document.error();
-              const auto decoded =
-                  m_node.platform().feed->decodeConfiguration(document.value());
+              const auto decoded = m_node.platform().feed->decodeConfiguration(document.value());
               if (!decoded)
                   return decoded.error();
               LogEvent("configuration_from_host")
--- a/src/gateway/peer_reader.h
+++ b/src/gateway/peer_reader.h
@@ -7,9 +7,9 @@
 /// Fetches from other hosts what they have read from the platform's store. Rendezvous hashing
 /// chooses a few hosts, the same ones at every host, as readers of the store; the others fetch the
 /// registrations from one of them about every second. In a fleet that uses relays, the first relay
-/// of each zone reads, and the hosts of its zone fetch from their relays. A host that is cut off from the store keeps
-/// up to date through the other hosts, and hosts that can't reach a reader read the store
-/// themselves.
+/// of each zone reads, and the hosts of its zone fetch from their relays. A host that is cut off
+/// from the store keeps up to date through the other hosts, and hosts that can't reach a reader
+/// read the store themselves.
 class PeerReader
 {
 public:
--- a/src/net/compression.cpp
+++ b/src/net/compression.cpp
@@ -1,8 +1,7 @@
 #include "net/compression.h"
 
-#include <zlib.h>
-
 #include <algorithm>
+#include <zlib.h>
 
 namespace dogwoodvalve {
 
@@ -33,9 +32,8 @@
         capacity = std::min(capacity, maxBytes);
         text.resize(capacity);
         uLongf size = text.size();
-        const int status =
-            uncompress(reinterpret_cast<Bytef *>(text.data()), &size,
-                       reinterpret_cast<const Bytef *>(bytes.data()), bytes.size());
+        const int status = uncompress(reinterpret_cast<Bytef *>(text.data()), &size,
+                                      reinterpret_cast<const Bytef *>(bytes.data()), bytes.size());
         text.resize(size);
         if (status == Z_OK)
             return text;
--- a/tests/simulation/relay_test.cpp
+++ b/tests/simulation/relay_test.cpp
@@ -75,8 +75,7 @@
         for (const auto &host : world.hosts) {
             CPPUNIT_ASSERT_DOUBLES_EQUAL((Hosts - 1) * LoadPerHost,
                                          world.committedByPeers(*host, "engine"), Hosts);
-            CPPUNIT_ASSERT_EQUAL(Hosts - 1,
-                                 host->hosts().inFlightByPeers("engine", world.now()));
+            CPPUNIT_ASSERT_EQUAL(Hosts - 1, host->hosts().inFlightByPeers("engine", world.now()));
             CPPUNIT_ASSERT_EQUAL(Hosts, host->hosts().liveHosts(world.now()));
         }
     }
@@ -150,8 +149,8 @@
         world.run(MaxLoadAge);
         for (const auto &host : world.hosts) {
             if (host->runs() && host.get() != &world.host("zone-0-host-20"))
-                CPPUNIT_ASSERT_DOUBLES_EQUAL_MESSAGE(host->node->settings().name, LoadPerHost, world.committedByPeers(*host, "engine"),
-                                             1);
+                CPPUNIT_ASSERT_DOUBLES_EQUAL_MESSAGE(host->node->settings().name, LoadPerHost,
+                                                     world.committedByPeers(*host, "engine"), 1);
         }
     }
 
@@ -187,8 +186,8 @@
         CPPUNIT_ASSERT(host.hosts().liveHosts(world.now()) > Hosts - 5);
     }
 
-    /// Many hosts may be cut off at once while they still reach callers and engines. If each believed
-    /// that it is alone, it would take all probes and retries for itself, and see no load.
+    /// Many hosts may be cut off at once while they still reach callers and engines. If each
+    /// believed that it is alone, it would take all probes and retries for itself, and see no load.
     void aHostThatIsCutOffFromAllKeepsItsView()
     {
         RelayWorld world(Zones, HostsPerZone);
@@ -209,17 +208,15 @@
             world.run(1s);
             for (RelayHost *cut : {&relay, &member}) {
                 CPPUNIT_ASSERT(cut->hosts().liveHosts(world.now()) >= Hosts - Dead);
-                CPPUNIT_ASSERT(cut->hosts()
-                                   .taskPartition(cut->node->settings().name, world.now())
-                                   .count
-                               >= Hosts - Dead);
+                CPPUNIT_ASSERT(
+                    cut->hosts().taskPartition(cut->node->settings().name, world.now()).count
+                    >= Hosts - Dead);
                 CPPUNIT_ASSERT_DOUBLES_EQUAL(LoadPerHost, world.committedByPeers(*cut, "engine"),
                                              1);
             }
         }
         // The others notice that the two are gone.
-        CPPUNIT_ASSERT_EQUAL(Hosts - 2,
-                             world.host("zone-0-host-9").hosts().liveHosts(world.now()));
+        CPPUNIT_ASSERT_EQUAL(Hosts - 2, world.host("zone-0-host-9").hosts().liveHosts(world.now()));
         world.healAll();
         for (Duration time {}; time < StartTime; time += 100ms) {
             world.run(100ms);
@@ -268,8 +265,7 @@
         // Relays must not keep an old report alive among themselves.
         world.run(ServerHealth::FailedProbeMaxAge * 2);
         for (const auto &host : world.hosts)
-            CPPUNIT_ASSERT_EQUAL(0,
-                                 host->hosts().hostsReportingFailedProbe("engine", world.now()));
+            CPPUNIT_ASSERT_EQUAL(0, host->hosts().hostsReportingFailedProbe("engine", world.now()));
     }
 
     /// A host without a fast link must carry the exchange beside its requests.
