Keep relays in a fleet that shrinks a little

Cause: at exactly 100 hosts some see 100 records and others 99, so that they would use relays and direct digests side by side; a host that starts then learns no load. Change: relays are kept down to 80 hosts, also by a host that starts and hears a relay. Test: RelayTest::aFleetThatShrinksALittleKeepsItsRelays, failed first (a host of the zone had gone back to direct digests).

--- a/src/gateway/digest_router.cpp
+++ b/src/gateway/digest_router.cpp
@@ -32,6 +32,8 @@
 constexpr Duration RelaySuspension = 3s;
 /// The suspension doubles each time that the relay does not answer, up to this.
 constexpr Duration MaxRelaySuspension = 24s;
+/// A host that has heard a relay within this time knows that the fleet uses relays.
+constexpr Duration RelayMemory = 3s;
 /// The other zones' hosts are listed in every second digest, one zone at a time.
 constexpr std::uint64_t RoundsPerOtherZone = 2;
 
@@ -71,7 +73,7 @@
         return;
     const std::size_t known = std::max(hosts.peers().size() + 1, m_recordCount);
     ExchangeMode mode = ExchangeMode::Direct;
-    if (known >= MinHostsForRelays && !mutated("gateway-no-relays")) {
+    if (known >= minHostsForRelays() && !mutated("gateway-no-relays")) {
         const HostDigest self = m_node.view().identity();
         const auto relays = hosts.relaysOf(self.zone, self, RelaysPerZone, m_node.now());
         const bool isRelay = std::any_of(relays.begin(), relays.end(),
@@ -84,6 +86,15 @@
     LogEvent("digest_exchange").field("mode", toString(mode)).field("known_hosts", known);
 }
 
+/// Hysteresis keeps the hosts of a fleet near the limit from using relays and direct digests side
+/// by side.
+std::size_t DigestRouter::minHostsForRelays() const
+{
+    const bool fleetRelays =
+        relays() || (m_relayHeardAt && m_node.now() - *m_relayHeardAt < RelayMemory);
+    return fleetRelays ? MinHostsToKeepRelays : MinHostsForRelays;
+}
+
 std::vector<DigestMessage> DigestRouter::messagesDue()
 {
     const TimePoint now = m_node.now();
@@ -260,6 +271,8 @@
         m_contacts[relayed->relay.name] = {std::nullopt, now, RelaySuspension};
         if (relayed->relay.zone != m_node.settings().zone)
             m_otherRelays[relayed->relay.peerAddress] = now;
+        else
+            m_relayHeardAt = now;
         view.applyRelayDigest(*relayed);
         m_addresses.insert(relayed->relay.peerAddress);
         return relayed->relay;
--- a/src/gateway/digest_router.h
+++ b/src/gateway/digest_router.h
@@ -54,6 +54,8 @@
     static constexpr Duration PollInterval = std::chrono::milliseconds(100);
     /// Fleets of at least this many hosts use relays. Below it, direct digests are recent enough.
     static constexpr std::size_t MinHostsForRelays = 100;
+    /// A fleet that uses relays does so until it has fewer hosts than this.
+    static constexpr std::size_t MinHostsToKeepRelays = 80;
     /// With two relays for a zone, hosts need not notice at once that one is lost.
     static constexpr int RelaysPerZone = 2;
 
@@ -69,6 +71,7 @@
     };
 
     void updateMode();
+    std::size_t minHostsForRelays() const;
     /// Addresses of the relays of a zone, without this host. Relays that do not answer are
     /// suspended.
     std::set<std::string> relayAddresses(std::string_view zone);
@@ -96,6 +99,8 @@
     /// Relay digests sent, to list the other zones' hosts in turn.
     std::uint64_t m_relayRound = 0;
     bool m_anyHeard = false;
+    /// When a relay of this zone was last heard.
+    std::optional<TimePoint> m_relayHeardAt;
 };
 
 } // namespace dogwoodvalve
--- a/tests/simulation/relay_test.cpp
+++ b/tests/simulation/relay_test.cpp
@@ -47,6 +47,7 @@
     CPPUNIT_TEST(hostsWithPartOfTheRecordsFindTheOthers);
     CPPUNIT_TEST(aFailedProbeIsKnownToAllWithinASecond);
     CPPUNIT_TEST(trafficPerHostIsBounded);
+    CPPUNIT_TEST(aFleetThatShrinksALittleKeepsItsRelays);
     CPPUNIT_TEST(smallFleetsExchangeDigestsDirectly);
     CPPUNIT_TEST_SUITE_END();
 
@@ -294,6 +295,36 @@
         }
     }
 
+    /// Hosts that disagree on whether the fleet uses relays would not learn one another's load.
+    void aFleetThatShrinksALittleKeepsItsRelays()
+    {
+        constexpr int Gone = 6;
+        RelayWorld world(Zones, static_cast<int>(DigestRouter::MinHostsForRelays) / Zones);
+        world.start();
+        world.run(StartTime);
+        std::vector<HostRecord> remaining = world.records();
+        for (int i = 0; i < Gone; ++i) {
+            const std::string name = "zone-1-host-" + std::to_string(10 + i);
+            world.kill(world.host(name));
+            std::erase_if(remaining, [&name](const HostRecord &it) { return it.name == name; });
+        }
+        // Until all hosts have forgotten the dead ones.
+        world.run(HostTable::PeerExpiryTimeout + MaxDeadHostAge);
+        // A restarted host and the relays read the records of the remaining hosts.
+        RelayHost &restarted = world.host("zone-2-host-20");
+        world.restart(restarted, remaining);
+        for (RelayHost *relay : world.relaysOf("zone-2"))
+            relay->router->setRecords(remaining);
+        world.host("zone-3-host-20").node->view().load("engine")->committed = LoadPerHost;
+        world.run(StartTime);
+        for (const auto &host : world.hosts) {
+            if (!host->runs() || host.get() == &world.host("zone-3-host-20"))
+                continue;
+            CPPUNIT_ASSERT_MESSAGE(host->node->settings().name, host->router->relays());
+            CPPUNIT_ASSERT_DOUBLES_EQUAL(LoadPerHost, world.committedByPeers(*host, "engine"), 1);
+        }
+    }
+
     void smallFleetsExchangeDigestsDirectly()
     {
         RelayWorld world(3, 3);
--- a/tests/simulation/relay_world.h
+++ b/tests/simulation/relay_world.h
@@ -96,14 +96,16 @@
     void kill(RelayHost &host) { host.process->end(); }
 
     /// Kills a host's process, if it runs, and starts a new one.
-    void restart(RelayHost &host)
+    void restart(RelayHost &host) { restart(host, records()); }
+    /// As above, with the records that the new process reads.
+    void restart(RelayHost &host, const std::vector<HostRecord> &read)
     {
         host.process->end();
         m_ended.push_back(std::move(host.router));
         m_endedNodes.push_back(std::move(host.node));
         const GatewaySettings settings = m_endedNodes.back()->settings();
         startProcess(host, settings);
-        host.router->setRecords(records());
+        host.router->setRecords(read);
         exchange(host);
     }
 
