Cap the ages that hosts report, and tell no servers before they are known

Cause: the undefined-behaviour sanitizer, in its first run of gateway_test, reported overflows: a host that does not know the servers yet gives their age as the largest duration, to which others add. Between processes the digests' codec caps ages at an hour, the answer to a fetch of registrations did not: its list, empty before the first read, could have been adopted as the newest one by a host that knows none either. Change: ages are capped where they are reported, and a list with such an age is ignored. Test: RegistrationsUpdateTest::aHostThatKnowsNoServersTellsNothing (did not compile before, as the cap was private to the codec).

--- a/include/dogwoodvalve/host_digest.h
+++ b/include/dogwoodvalve/host_digest.h
@@ -14,6 +14,10 @@
 /// previous one, so a lost datagram needs no retransmission.
 struct HostDigest
 {
+    /// Ages are capped at this, which exceeds every bound that they are compared with. A state with
+    /// this age is not known at all.
+    static constexpr Duration MaxAge = std::chrono::hours(1);
+
     std::string name;
     std::string zone;
     /// IP:PORT on which the host accepts callers, and other hosts.
--- a/src/gateway/fleet_view.cpp
+++ b/src/gateway/fleet_view.cpp
@@ -81,9 +81,9 @@
     ++m_self.sequence;
     HostDigest digest = identity();
     digest.configurationVersion = m_configuration ? m_configuration->version() : 0;
-    digest.configurationAge = configurationAge();
+    digest.configurationAge = std::min(configurationAge(), HostDigest::MaxAge);
     digest.registrationsEnd = m_serversEndOffset;
-    digest.registrationsAge = serversAge();
+    digest.registrationsAge = std::min(serversAge(), HostDigest::MaxAge);
     for (const auto &[id, load] : m_loads) {
         if (load->committed > 0)
             digest.commitments.emplace(id, load->committed);
@@ -371,7 +371,7 @@
 {
     RegistrationsUpdate update;
     update.endOffset = m_serversEndOffset;
-    update.age = serversAge();
+    update.age = std::min(serversAge(), HostDigest::MaxAge);
     for (const auto &[id, server] : m_registry.servers()) {
         const auto newest = m_recordEndOffsets.find(id);
         const std::uint64_t newestEnd = newest == m_recordEndOffsets.end() ? 0 : newest->second;
@@ -385,7 +385,8 @@
 
 void FleetView::adoptRegistrations(const RegistrationsUpdate &update, TimePoint asOf)
 {
-    if (update.endOffset < m_serversEndOffset || (m_serversKnown && asOf <= m_serversReadAt))
+    if (update.age >= HostDigest::MaxAge || update.endOffset < m_serversEndOffset
+        || (m_serversKnown && asOf <= m_serversReadAt))
         return;
     for (const RegistrationsUpdate::Entry &entry : update.changed)
         onServer(entry.registration, entry.endOffset);
--- a/src/gateway/host_digest_codec.cpp
+++ b/src/gateway/host_digest_codec.cpp
@@ -14,13 +14,10 @@
 /// A digest of a relay has this member, which no host's digest has.
 constexpr const char *RelayKey = "relay";
 
-/// Ages are capped at this, which exceeds every bound that they are compared with.
-constexpr Duration MaxAge = 1h;
-
 /// An age as it is sent, in ms.
 std::int64_t ageMillis(Duration age)
 {
-    return std::clamp<Duration>(age, Duration::zero(), MaxAge).count() / 1000;
+    return std::clamp<Duration>(age, Duration::zero(), HostDigest::MaxAge).count() / 1000;
 }
 
 Duration durationOf(const json &millis)
--- a/tests/unit/registrations_update_test.cpp
+++ b/tests/unit/registrations_update_test.cpp
@@ -41,6 +41,7 @@
     CPPUNIT_TEST(renewalsArePassedOnWithoutTheRegistrations);
     CPPUNIT_TEST(aChangeIsPassedOnAfterItsRenewals);
     CPPUNIT_TEST(removedServersAreGone);
+    CPPUNIT_TEST(aHostThatKnowsNoServersTellsNothing);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -92,6 +93,20 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t {Servers - 1}, m_follower.registry().servers().size());
     }
 
+    /// Its list is empty because it has not read the servers yet.
+    void aHostThatKnowsNoServersTellsNothing()
+    {
+        FleetView starting(m_timers, identity("starting"), KeyRevocation);
+        FleetView other(m_timers, identity("other"), KeyRevocation);
+        const auto update =
+            decodeRegistrations(encodeRegistrations(starting.registrationsSince(0)));
+        CPPUNIT_ASSERT(update);
+        other.adoptRegistrations(update.value(), m_timers.now() - update.value().age);
+        CPPUNIT_ASSERT_EQUAL(Duration::max().count(), other.serversAge().count());
+        CPPUNIT_ASSERT_EQUAL(HostDigest::MaxAge.count(),
+                             starting.nextDigest().registrationsAge.count());
+    }
+
 private:
     std::uint64_t nextOffset() { return ++m_offset; }
 
