--- a/src/gateway/host_digest_codec.cpp
+++ b/src/gateway/host_digest_codec.cpp
@@ -14,13 +14,10 @@
 /// A digest of a relay has this member, which no host's digest has.
 constexpr const char *RelayKey = "relay";
 
-/// Ages are capped at this, which exceeds every bound that they are compared with.
-constexpr Duration MaxAge = 1h;
-
 /// An age as it is sent, in ms.
 std::int64_t ageMillis(Duration age)
 {
-    return std::clamp<Duration>(age, Duration::zero(), MaxAge).count() / 1000;
+    return std::clamp<Duration>(age, Duration::zero(), HostDigest::MaxAge).count() / 1000;
 }
 
 Duration durationOf(const json &millis)
@@ -107,8 +104,8 @@
     json backlog = json::object();
     for (const auto &[server, ms] : digest.backlogMs)
         backlog[server] = std::llround(ms);
-    const json value = {{"n", encodeState(digest)},   {"k", std::move(commitments)},
-                        {"q", std::move(backlog)},    {"i", digest.inFlight},
+    const json value = {{"n", encodeState(digest)}, {"k", std::move(commitments)},
+                        {"q", std::move(backlog)},  {"i", digest.inFlight},
                         {"u", digest.failedProbes}, {"w", digest.slowness}};
     return json::to_cbor(value);
 }
@@ -131,9 +128,12 @@
     json roster = json::array();
     for (const RelayedHost &host : digest.roster)
         roster.push_back(json::array({encodeState(host.state), ageMillis(host.age)}));
-    const json value = {{RelayKey, encodeState(digest.relay)}, {"hosts", digest.hosts},
-                        {"t", std::move(totals)},              {"w", std::move(slowness)},
-                        {"u", std::move(failedProbes)},        {"o", std::move(roster)}};
+    const json value = {{RelayKey, encodeState(digest.relay)},
+                        {"hosts", digest.hosts},
+                        {"t", std::move(totals)},
+                        {"w", std::move(slowness)},
+                        {"u", std::move(failedProbes)},
+                        {"o", std::move(roster)}};
     return json::to_cbor(value);
 }
 
