Tell answers that were cut from requests that failed, with a rate limit of their own

They now have their own, a cut answer is an outcome of its own, and the end of a request tells if its attempt was still open. A refusal tells how long the unread body is, and a host that stops tells what it still held.

--- a/src/daemon/log.cpp
+++ b/src/daemon/log.cpp
@@ -59,17 +59,25 @@
 std::atomic<bool> started {false};
 std::atomic<int> currentLevel {static_cast<int>(LogLevel::Info)};
 std::atomic<std::uint32_t> maxDecisionsPerSecond {0};
-std::atomic<std::int64_t> decisionWindow {0};
-std::atomic<std::uint32_t> decisionsInWindow {0};
 std::atomic<std::uint32_t> droppedDecisions {0};
 
+/// Counts the lines of one kind in the current second.
+struct RateWindow
+{
+    std::atomic<std::int64_t> second {0};
+    std::atomic<std::uint32_t> lines {0};
+};
+
+RateWindow decisionWindow;
+RateWindow failureWindow;
+
 bool isEnabled(LogLevel level)
 {
     return started.load(std::memory_order_acquire)
         && static_cast<int>(level) >= currentLevel.load(std::memory_order_relaxed);
 }
 
-bool decisionAllowed()
+bool lineAllowed(RateWindow &window)
 {
     const std::uint32_t rate = maxDecisionsPerSecond.load(std::memory_order_relaxed);
     if (rate == 0)
@@ -77,9 +85,9 @@
     const auto now = std::chrono::duration_cast<std::chrono::seconds>(
                          std::chrono::steady_clock::now().time_since_epoch())
                          .count();
-    if (decisionWindow.exchange(now, std::memory_order_relaxed) != now)
-        decisionsInWindow.store(0, std::memory_order_relaxed);
-    if (decisionsInWindow.fetch_add(1, std::memory_order_relaxed) < rate)
+    if (window.second.exchange(now, std::memory_order_relaxed) != now)
+        window.lines.store(0, std::memory_order_relaxed);
+    if (window.lines.fetch_add(1, std::memory_order_relaxed) < rate)
         return true;
     droppedDecisions.fetch_add(1, std::memory_order_relaxed);
     return false;
@@ -221,7 +229,14 @@
 
 LogEvent LogEvent::decision(std::string_view event)
 {
-    return LogEvent(event, LogLevel::Info, isEnabled(LogLevel::Info) && decisionAllowed());
+    return LogEvent(event, LogLevel::Info,
+                    isEnabled(LogLevel::Info) && lineAllowed(decisionWindow));
+}
+
+LogEvent LogEvent::failure(std::string_view event)
+{
+    return LogEvent(event, LogLevel::Warning,
+                    isEnabled(LogLevel::Warning) && lineAllowed(failureWindow));
 }
 
 LogEvent::~LogEvent()
--- a/src/daemon/log.h
+++ b/src/daemon/log.h
@@ -26,8 +26,8 @@
 void startLogOnStandardOutput(LogLevel level);
 void setLogLevel(LogLevel level);
 
-/// Limits decision lines to a number per second; 0 means no limit. The next line that is written
-/// reports how many were left out.
+/// Limits decision lines, and separately failure lines, to a number per second; 0 means no limit.
+/// The next line that is written reports how many were left out.
 void setDecisionLogRate(std::uint32_t linesPerSecond);
 
 /// Builds one line of key=value pairs and writes it when destroyed.
@@ -42,6 +42,9 @@
 
     /// A line about a decision (such as the route of a request), subject to the rate limit.
     static LogEvent decision(std::string_view event);
+    /// A line about a request that failed. Failures have a rate limit of their own, so that the
+    /// decisions of an overloaded host do not displace them.
+    static LogEvent failure(std::string_view event);
 
     LogEvent &field(std::string_view key, std::string_view value);
     LogEvent &field(std::string_view key, const char *value)
--- a/src/gateway/front_api.cpp
+++ b/src/gateway/front_api.cpp
@@ -116,6 +116,7 @@
         .field("request", caller.id)
         .field("status", status)
         .field("reason", error.message)
+        .field("body_bytes", exchange->header("Content-Length"))
         .field("version",
                m_node.view().configuration() ? m_node.view().configuration()->version() : 0)
         .field("configuration_age_ms", m_node.view().configurationAge().count() / 1000);
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -16,7 +16,8 @@
 public:
     GatewayMetrics();
 
-    /// Counts a request that has ended. Outcomes: complete, failed, refused, caller_left.
+    /// Counts a request that has ended. Outcomes: complete, failed, cut (the answer had begun),
+    /// refused, caller_left.
     void countRequest(std::string_view outcome);
     void countDispatch(std::string_view reason);
     void countLayerOrder(std::string_view outcome);
--- a/src/gateway/gateway_process.cpp
+++ b/src/gateway/gateway_process.cpp
@@ -85,7 +85,11 @@
             .field("zone", m_node.settings().zone)
             .field("listen", m_node.settings().listen);
         m_loop.run();
-        LogEvent("stopped").field("open", m_node.openSessions());
+        LogEvent("stopped")
+            .field("open", m_node.openSessions())
+            .field("exchanges", m_front.exchangesInFlight())
+            .field("connections", m_front.connections())
+            .field("draining_ms", (m_node.now() - m_drainStarted).count() / 1000);
         // Nothing is left to save, and waiting for the log library's idle threads could take longer
         // than the grace period.
         std::_Exit(0);
--- a/src/gateway/request_session.cpp
+++ b/src/gateway/request_session.cpp
@@ -174,12 +174,13 @@
 {
     if (m_ended)
         return;
-    if (m_responded)
+    if (m_responded) {
         m_request.exchange->abort();
-    else
-        m_request.exchange->respond(
-            status, m_node.dialect().refusalFields(m_request.caller.id, std::nullopt),
-            errorBody(error, "unknown"));
+        return finish("cut", error.message);
+    }
+    m_request.exchange->respond(status,
+                                m_node.dialect().refusalFields(m_request.caller.id, std::nullopt),
+                                errorBody(error, "unknown"));
     finish("failed", error.message);
 }
 
@@ -200,15 +201,18 @@
     m_request.exchange->onClosed(nullptr);
     m_node.timers().cancel(m_deadlineTimer);
     m_node.timers().cancel(m_waitTimer);
+    const bool attemptOpen = m_client != nullptr;
     closeAttempt();
     m_node.metrics().countRequest(outcome);
-    LogEvent event = LogEvent::decision("request");
+    const bool failed = outcome == "failed" || outcome == "cut";
+    LogEvent event = failed ? LogEvent::failure("request") : LogEvent::decision("request");
     event.field("request", m_request.caller.id)
         .field("route", m_request.route->name)
         .field("workspace", m_request.workspace)
         .field("outcome", outcome)
         .field("reason", reason)
         .field("attempts", m_attempts)
+        .field("attempt_open", attemptOpen)
         .field("path", m_pathText)
         .field("ms", (m_node.now() - m_request.arrivedAt).count() / 1000);
     addOutcomeFields(event);
