--- a/tests/simulation/gateway_world.h
+++ b/tests/simulation/gateway_world.h
@@ -270,10 +270,12 @@
         registerPlain("p-2", SecondPlainAddress);
     }
 
-    void configure(int version, const std::vector<std::string> &keys)
+    void configure(int version, const std::vector<std::string> &keys, bool canResume = true)
     {
-        const auto route = [](const char *prefix, const char *kind, const char *service) {
-            return testtool::routeObject("site", prefix, kind, service);
+        const auto route = [canResume](const char *prefix, const char *kind, const char *service) {
+            json object = testtool::routeObject("site", prefix, kind, service);
+            object["CanResume"] = canResume;
+            return object;
         };
         const json configuration = {
             {"Version", version},
@@ -409,7 +411,7 @@
     void sendHeartbeats()
     {
         for (std::size_t i = 0; i < engines.size(); ++i) {
-            if (!engines[i]->dark())
+            if (!engines[i]->standsStill())
                 registerEngine(static_cast<int>(i));
         }
         m_clock.after(HeartbeatInterval, [this] { sendHeartbeats(); });
--- a/tools/testtool/forwarding_engine.cpp
+++ b/tools/testtool/forwarding_engine.cpp
@@ -7,6 +7,7 @@
 
 #include <cstdio>
 #include <sstream>
+#include <utility>
 
 namespace dogwoodvalve::testtool {
 
@@ -79,10 +80,23 @@
     return text;
 }
 
+void ForwardingEngine::setFault(EngineFault fault)
+{
+    m_fault = fault;
+    if (standsStill())
+        return;
+    for (const auto &exchange : std::exchange(m_unread, {}))
+        handle(exchange);
+}
+
 void ForwardingEngine::handle(const std::shared_ptr<HttpExchange> &exchange)
 {
     if (dark())
         return;
+    if (standsStill()) {
+        m_unread.push_back(exchange);
+        return;
+    }
     const std::string_view expected = exchange->header("X-Expect-Instance");
     if (!expected.empty() && expected != m_id)
         return exchange->respond(421, {}, "");
@@ -160,12 +174,12 @@
     emit(stream);
 }
 
-/// A path stands still while one of its engines is dark.
+/// A path stands still while one of its engines does.
 bool ForwardingEngine::pathMoves(const Stream &stream) const
 {
     for (const Part &part : parsePath(stream.path)) {
         const auto it = m_engines.find(part.address);
-        if (it == m_engines.end() || it->second->dark())
+        if (it == m_engines.end() || it->second->standsStill())
             return false;
     }
     return true;
--- a/tools/testtool/forwarding_engine.h
+++ b/tools/testtool/forwarding_engine.h
@@ -18,6 +18,8 @@
     None,
     /// Does nothing any more and says nothing.
     Dark,
+    /// Stands still, and goes on where it was when the fault ends.
+    Silent,
     /// Ends each stream within an event.
     BreaksOff,
     /// Leaves out an event of each stream.
@@ -49,12 +51,14 @@
 
     void handle(const std::shared_ptr<HttpExchange> &exchange) override;
 
-    void setFault(EngineFault fault) { m_fault = fault; }
+    void setFault(EngineFault fault);
     void setLayers(LayerSpan layers) { m_layers = layers; }
     LayerSpan layers() const { return m_layers; }
     /// What the engine reports as factor on its usual times.
     void setSlowness(double factor) { m_slowness = factor; }
     bool dark() const { return m_fault == EngineFault::Dark; }
+    /// Answers nothing and sends nothing now.
+    bool standsStill() const { return dark() || m_fault == EngineFault::Silent; }
     /// Runs begun, by the caller's request id.
     const std::map<std::string, int> &runs() const { return m_runs; }
     int orders() const { return m_orders; }
@@ -80,6 +84,8 @@
     std::string m_id;
     LayerSpan m_layers;
     EngineFault m_fault = EngineFault::None;
+    /// Requests that arrived while the engine was silent.
+    std::vector<std::shared_ptr<HttpExchange>> m_unread;
     std::map<std::string, int> m_runs;
     std::uint64_t m_fence = 0;
     int m_orders = 0;
