Keep a silent attempt of a stream open until another one delivers

What callers saw: answers cut midway, or 502 before the first event, when engines stood still for a second and went on.

Cause: the suspicion of a lost engine (no event for 350 ms, or 700 ms before the first) closed the attempt before it was known whether another one was possible. Where no path had capacity within 2 s, the route may not be resumed, or its attempts or the retry budget were used up, the answer of a sound engine was given up.

Change: attempts of a generation are objects of their own. A silent one stays open, and another is started beside it where the route, its attempts, the budget and the engines allow; the one that delivers the next event goes on, the others are closed. The gateway ends an answer only when no attempt is left or at the deadline. A path whose engine has restarted since is given up at once, as nothing more can come from it. Streams that wait while an attempt is open don't block others in the queue.

Before: five of six cases of silence_test fail.

--- /dev/null
+++ b/src/gateway/generation_attempt.cpp
@@ -0,0 +1,142 @@
+#include "gateway/generation_attempt.h"
+
+#include "net/http_status.h"
+
+#include <algorithm>
+
+namespace dogwoodvalve {
+
+namespace {
+
+/// A stream without an event for this many times its expected pause, and at least MinStallTimeout,
+/// may have lost an engine of its path.
+constexpr int StallPauseFactor = 8;
+/// The wait for the first event includes the queues of all engines of the path.
+constexpr int FirstEventTimeoutFactor = 4;
+constexpr Duration MinFirstEventTimeout = 700ms;
+
+} // namespace
+
+GenerationAttempt::GenerationAttempt(GatewayNode &node, GenerationAttemptObserver &observer,
+                                     std::string requestId, EnginePath path,
+                                     std::vector<ReservedPart> parts, std::string pathText)
+    : m_node(node)
+    , m_observer(observer)
+    , m_requestId(std::move(requestId))
+    , m_path(std::move(path))
+    , m_parts(std::move(parts))
+    , m_pathText(std::move(pathText))
+    , m_lastProgressAt(node.now())
+{
+    for (const ReservedPart &part : m_parts) {
+        part.load->committed += part.committed;
+        part.load->backlogMs += part.backlogMs;
+        ++part.load->streams;
+    }
+}
+
+GenerationAttempt::~GenerationAttempt()
+{
+    close();
+}
+
+void GenerationAttempt::close()
+{
+    if (std::exchange(m_closed, true))
+        return;
+    m_node.timers().cancel(std::exchange(stallTimer, 0));
+    releaseBacklog();
+    for (const ReservedPart &part : m_parts) {
+        part.load->committed -= part.committed;
+        --part.load->streams;
+    }
+    if (const auto client = std::exchange(m_client, nullptr))
+        client->close();
+}
+
+void GenerationAttempt::releaseBacklog()
+{
+    for (ReservedPart &part : m_parts)
+        part.load->backlogMs =
+            std::max(0.0, part.load->backlogMs - std::exchange(part.backlogMs, 0));
+}
+
+void GenerationAttempt::onHead(int status, std::span<const HttpField> fields)
+{
+    m_answer = m_node.dialect().decodeAnswer(status, fields, m_requestId);
+    m_isStream = status == StatusOk && m_answer.stamped && m_answer.idMatches && !m_answer.encoded;
+    m_answerFields = m_node.dialect().answerFields(fields);
+}
+
+void GenerationAttempt::onBody(std::string_view part)
+{
+    if (!m_isStream) {
+        m_answerBody += part;
+        return;
+    }
+    const auto keep = shared_from_this();
+    m_splitter.append(part);
+    m_observer.onStreamData(*this);
+}
+
+void GenerationAttempt::onEnd()
+{
+    const auto keep = shared_from_this();
+    m_observer.onAnswerEnd(*this);
+}
+
+void GenerationAttempt::onError(const Error &error)
+{
+    const auto keep = shared_from_this();
+    m_observer.onAttemptError(*this, error);
+}
+
+void GenerationAttempt::pauseReading(bool paused)
+{
+    if (m_client)
+        m_client->pauseReading(paused);
+}
+
+void GenerationAttempt::recordProgress()
+{
+    m_anyEvent = true;
+    m_lastProgressAt = m_node.now();
+    releaseBacklog();
+    for (const ReservedPart &part : m_parts)
+        part.load->lastProgressAt = m_lastProgressAt;
+}
+
+Duration GenerationAttempt::stallTimeout(int stepsPerEvent) const
+{
+    if (!m_anyEvent)
+        return std::max<Duration>(MinFirstEventTimeout,
+                                  m_path.timeToFirstEvent * FirstEventTimeoutFactor);
+    return std::max<Duration>(MinStallTimeout, m_path.stepTime * stepsPerEvent * StallPauseFactor);
+}
+
+std::vector<const ReservedPart *> GenerationAttempt::stalledParts() const
+{
+    std::vector<const ReservedPart *> stalled;
+    for (const ReservedPart &part : m_parts) {
+        if (m_node.now() - part.load->lastProgressAt >= MinStallTimeout)
+            stalled.push_back(&part);
+    }
+    return stalled;
+}
+
+bool GenerationAttempt::engineRestarted() const
+{
+    return std::any_of(m_parts.begin(), m_parts.end(), [this](const ReservedPart &part) {
+        const ServerRegistration *server = m_node.view().registry().find(part.server);
+        return server && server->startedAtMs > part.startedAtMs;
+    });
+}
+
+const ReservedPart &GenerationAttempt::partAt(std::string_view address) const
+{
+    const auto it = std::find_if(m_parts.begin(), m_parts.end(),
+                                 [address](const auto &part) { return part.address == address; });
+    return it == m_parts.end() ? m_parts.front() : *it;
+}
+
+} // namespace dogwoodvalve
--- a/src/gateway/generation_session.cpp
+++ b/src/gateway/generation_session.cpp
@@ -1,5 +1,6 @@
 #include "gateway/generation_session.h"
 
+#include "core/mutation.h"
 #include "daemon/log.h"
 
 #include <algorithm>
@@ -10,22 +11,16 @@
 
 /// Reading from the engine pauses while more bytes than this wait to be sent to the caller.
 constexpr std::size_t HighWaterBytes = 128 * 1024;
-/// A stream without an event for this many times its expected pause, and at least MinStallTimeout,
-/// may have lost an engine of its path. Callers close a stream after 2 s without an event.
-constexpr int StallPauseFactor = 8;
-constexpr Duration MinStallTimeout = 350ms;
-/// The wait for the first event includes the queues of all engines of the path.
-constexpr int FirstEventTimeoutFactor = 4;
-constexpr Duration MinFirstEventTimeout = 700ms;
 /// If all engines of the path make progress on other streams, the stream is probably delayed and
 /// not lost, so the timeout is longer.
 constexpr Duration MaxStallTimeout = 1300ms;
-/// Callers close a stream that has had no event for this long.
-constexpr Duration CallerSilenceTimeout = 2s;
+/// An engine that delivered an event of any stream within this time is not dead.
+constexpr Duration RecentProgressWindow = 700ms;
 constexpr Duration RetryAfterRefusal = 500ms;
 /// Engines have ten levels of urgency and admit 0 first; the middle one stands for routes of
 /// rank 1.
 constexpr int MaxUrgency = 9;
+constexpr Duration MinStallTimeout = GenerationAttempt::MinStallTimeout;
 
 std::string describePath(std::span<const PathServer> servers, std::span<const PathPart> parts)
 {
@@ -50,21 +45,19 @@
         m_size.answerTokens = m_request.service->engine->usualAnswerTokens;
 }
 
-GenerationSession::~GenerationSession()
-{
-    m_node.timers().cancel(m_stallTimer);
-}
+GenerationSession::~GenerationSession() = default;
 
+// A stream that has begun can't be refused any more, so it waits until its deadline. Callers that
+// are no longer interested disconnect.
 Duration GenerationSession::maxFailoverWait() const
 {
-    return m_responded ? CallerSilenceTimeout - (m_node.now() - m_lastProgressAt) : maxUsefulWait();
+    return m_responded || attemptOpen() ? timeLeft() : maxUsefulWait();
 }
 
 bool GenerationSession::tryStart()
 {
-    FleetView &view = m_node.view();
     const EngineProfile &profile = *m_request.service->engine;
-    std::vector<PathServer> servers = view.pathServers(*m_request.service);
+    std::vector<PathServer> servers = m_node.view().pathServers(*m_request.service);
     std::erase_if(servers, [this](const PathServer &server) {
         return m_excludedServers.count(std::string(server.id)) > 0;
     });
@@ -72,65 +65,64 @@
     auto path = selector.selectFromSample(servers, m_size, m_node.random());
     if (!path)
         return false;
-    m_path = std::move(*path);
-    m_pathText = describePath(servers, m_path.parts);
-    std::vector<DispatchPart> parts;
-    m_parts.clear();
-    for (const PathPart &part : m_path.parts) {
-        const PathServer &server = servers[part.server];
-        const ServerRegistration *registration = view.registry().find(server.id);
-        ReservedPart reserved {registration->id,
-                               registration->address,
-                               registration->startedAtMs,
-                               view.load(server.id),
-                               m_size.total() * part.layers.size(),
-                               server.prefillMsPerTokenLayer * m_size.promptTokens
-                                   * part.layers.size()};
-        reserved.load->committed += reserved.committed;
-        reserved.load->backlogMs += reserved.backlogMs;
-        ++reserved.load->streams;
-        m_parts.push_back(std::move(reserved));
-        parts.push_back({registration->address, part.layers});
+    startAttempt(servers, std::move(*path));
+    return true;
+}
+
+ReservedPart GenerationSession::reservedPart(const PathServer &server, LayerSpan layers) const
+{
+    FleetView &view = m_node.view();
+    const ServerRegistration *registration = view.registry().find(server.id);
+    return {registration->id,
+            registration->address,
+            registration->startedAtMs,
+            view.load(server.id),
+            m_size.total() * layers.size(),
+            server.prefillMsPerTokenLayer * m_size.promptTokens * layers.size()};
+}
+
+void GenerationSession::startAttempt(std::span<const PathServer> servers, EnginePath path)
+{
+    std::vector<DispatchPart> dispatched;
+    std::vector<ReservedPart> reserved;
+    for (const PathPart &part : path.parts) {
+        reserved.push_back(reservedPart(servers[part.server], part.layers));
+        dispatched.push_back({reserved.back().address, part.layers});
     }
+    m_pathText = describePath(servers, path.parts);
+    m_expectedFirstEvent = path.timeToFirstEvent;
+    m_expectedStep = path.stepTime;
     DispatchRequest request;
-    const ServerRegistration *first = view.registry().find(m_parts.front().server);
+    const ServerRegistration *first = m_node.view().registry().find(reserved.front().server);
     request.server = first;
     request.workspace = m_request.workspace;
     request.timeLeft = timeLeft();
     if (m_eventOrder.lastDeliveredId())
         request.lastEventId = m_eventOrder.lastDeliveredId();
-    request.path = parts;
+    request.path = dispatched;
     request.urgency = std::clamp(m_request.priority, 0, MaxUrgency);
-    m_splitter.discardUnfinished();
-    m_answerBody.clear();
-    m_attemptEvents = 0;
-    m_lastProgressAt = m_node.now();
-    dispatch(*first, request, m_attempts == 0 ? "least_time" : "continue");
-    scheduleStallCheck(m_lastProgressAt + stallTimeout());
-    return true;
+    auto attempt = std::make_shared<GenerationAttempt>(
+        m_node, *this, m_request.caller.id, std::move(path), std::move(reserved), m_pathText);
+    m_open.push_back(attempt);
+    attempt->setClient(
+        dispatch(*first, request, m_attempts == 0 ? "least_time" : "continue", *attempt));
+    scheduleStallCheck(
+        *attempt, m_node.now() + attempt->stallTimeout(m_request.service->engine->stepsPerPass));
 }
 
-void GenerationSession::releaseAttempt()
+void GenerationSession::closeAttempt(GenerationAttempt &attempt)
 {
-    m_node.timers().cancel(m_stallTimer);
-    m_stallTimer = 0;
-    if (m_parts.empty())
-        return;
-    releaseBacklog();
-    for (const ReservedPart &part : m_parts) {
-        part.load->committed -= part.committed;
-        --part.load->streams;
-    }
-    m_parts.clear();
+    attempt.close();
     m_node.queue(m_request.service->name).predictor().recordCompleted(m_size.total(), m_node.now());
+    std::erase_if(m_open, [&attempt](const auto &it) { return it.get() == &attempt; });
 }
 
-/// Called when the engines have read the prompt, or will not read it.
-void GenerationSession::releaseBacklog()
+void GenerationSession::closeAttempts()
 {
-    for (ReservedPart &part : m_parts)
-        part.load->backlogMs =
-            std::max(0.0, part.load->backlogMs - std::exchange(part.backlogMs, 0));
+    while (!m_open.empty()) {
+        const auto attempt = m_open.back();
+        closeAttempt(*attempt);
+    }
 }
 
 void GenerationSession::addOutcomeFields(LogEvent &event) const
@@ -138,35 +130,18 @@
     event.field("events", m_deliveredEvents)
         .field("first_event_ms", m_timeToFirstEvent.count() / 1000)
         .field("longest_gap_ms", m_longestGap.count() / 1000)
-        .field("expected_first_event_ms", m_path.timeToFirstEvent.count() / 1000)
-        .field("expected_step_us", m_path.stepTime.count());
+        .field("expected_first_event_ms", m_expectedFirstEvent.count() / 1000)
+        .field("expected_step_us", m_expectedStep.count());
 }
 
-void GenerationSession::onHead(int status, std::span<const HttpField> fields)
-{
-    m_answer = m_node.dialect().decodeAnswer(status, fields, m_request.caller.id);
-    m_streaming = status == StatusOk && m_answer.stamped && m_answer.idMatches && !m_answer.encoded;
-    if (!m_streaming || !m_responded)
-        m_answerFields = m_node.dialect().answerFields(fields);
-}
-
-void GenerationSession::onBody(std::string_view part)
-{
-    if (!m_streaming) {
-        m_answerBody += part;
-        return;
-    }
-    m_splitter.append(part);
-    deliverEvents();
-}
-
-void GenerationSession::deliverEvents()
+void GenerationSession::onStreamData(GenerationAttempt &attempt)
 {
     const auto keep = shared_from_this();
+    const auto keepAttempt = attempt.shared_from_this();
     std::string completeEvents;
     bool inOrder = true;
     while (inOrder) {
-        const auto event = m_splitter.next();
+        const auto event = attempt.splitter().next();
         if (!event)
             break;
         const EventVerdict verdict = m_eventOrder.check(event->id);
@@ -175,30 +150,62 @@
             continue;
         completeEvents += event->bytes;
         ++m_deliveredEvents;
-        ++m_attemptEvents;
     }
     if (!completeEvents.empty()) {
-        if (!std::exchange(m_responded, true)) {
-            m_request.exchange->beginStream(m_answer.status, m_answerFields);
-            m_timeToFirstEvent = m_node.now() - m_request.arrivedAt;
-            m_node.metrics().observeFirstByte(m_timeToFirstEvent);
-        }
+        continueWith(attempt);
+        beginStream(attempt);
         m_request.exchange->write(completeEvents);
-        recordProgress();
+        recordEventTimes();
     }
-    if (!inOrder || m_splitter.overflowed())
-        return failOver("the engine's events are out of order or too long", true);
-    if (m_request.exchange->pendingBytes() > HighWaterBytes && m_client) {
-        m_client->pauseReading(true);
-        m_request.exchange->onDrained([weak = weak_from_this()] {
-            const auto self = std::static_pointer_cast<GenerationSession>(weak.lock());
-            if (self && self->m_client)
-                self->m_client->pauseReading(false);
-        });
+    if (!inOrder || attempt.splitter().overflowed())
+        return failAttempt(attempt, "the engine's events are out of order or too long", true);
+    limitPendingBytes(keepAttempt);
+}
+
+void GenerationSession::continueWith(GenerationAttempt &attempt)
+{
+    const std::vector<std::shared_ptr<GenerationAttempt>> open = m_open;
+    for (const auto &it : open) {
+        if (it.get() != &attempt)
+            closeAttempt(*it);
     }
+    leaveQueue();
+    if (std::exchange(attempt.silent, false)) {
+        LogEvent::decision("attempt_resumed")
+            .field("request", m_request.caller.id)
+            .field("path", attempt.pathText())
+            .field("silent_ms", attempt.silence().count() / 1000);
+        for (const ReservedPart &part : attempt.parts()) {
+            m_excludedServers.erase(part.server);
+            m_node.view().health().recordEvidence(part.server, part.startedAtMs,
+                                                  ServerEvidence::ProbeSucceeded, m_node.now());
+        }
+        m_interruptedAt = {};
+    }
+    attempt.recordProgress();
+}
+
+void GenerationSession::beginStream(const GenerationAttempt &attempt)
+{
+    if (std::exchange(m_responded, true))
+        return;
+    m_request.exchange->beginStream(attempt.answer().status, attempt.answerFields());
+    m_timeToFirstEvent = m_node.now() - m_request.arrivedAt;
+    m_node.metrics().observeFirstByte(m_timeToFirstEvent);
 }
 
-void GenerationSession::recordProgress()
+void GenerationSession::limitPendingBytes(const std::shared_ptr<GenerationAttempt> &attempt)
+{
+    if (m_request.exchange->pendingBytes() <= HighWaterBytes)
+        return;
+    attempt->pauseReading(true);
+    m_request.exchange->onDrained([weak = std::weak_ptr(attempt)] {
+        if (const auto paused = weak.lock())
+            paused->pauseReading(false);
+    });
+}
+
+void GenerationSession::recordEventTimes()
 {
     const TimePoint now = m_node.now();
     if (m_lastEventAt != TimePoint {}) {
@@ -210,46 +217,49 @@
         m_node.metrics().observeFailover(now - m_interruptedAt);
         m_interruptedAt = {};
     }
-    m_lastProgressAt = now;
-    releaseBacklog();
-    for (const ReservedPart &part : m_parts)
-        part.load->lastProgressAt = now;
 }
 
-Duration GenerationSession::stallTimeout() const
+void GenerationSession::scheduleStallCheck(GenerationAttempt &attempt, TimePoint at)
 {
-    if (m_attemptEvents == 0)
-        return std::max<Duration>(MinFirstEventTimeout,
-                                  m_path.timeToFirstEvent * FirstEventTimeoutFactor);
-    const int steps = m_request.service->engine->stepsPerPass;
-    return std::max<Duration>(MinStallTimeout, m_path.stepTime * steps * StallPauseFactor);
-}
-
-void GenerationSession::scheduleStallCheck(TimePoint at)
-{
-    m_stallTimer = m_node.timers().schedule(at, [weak = weak_from_this()] {
-        const auto self = std::static_pointer_cast<GenerationSession>(weak.lock());
-        if (self && !self->m_ended && !self->m_parts.empty())
-            self->checkStall();
-    });
+    attempt.stallTimer = m_node.timers().schedule(
+        at, [weak = weak_from_this(), weakAttempt = attempt.weak_from_this()] {
+            const auto self = std::static_pointer_cast<GenerationSession>(weak.lock());
+            const auto checked = weakAttempt.lock();
+            if (self && checked && !self->m_ended)
+                self->checkStall(*checked);
+        });
 }
 
 /// Looks for the engines of the path on which no stream has made progress lately.
-void GenerationSession::checkStall()
+void GenerationSession::checkStall(GenerationAttempt &attempt)
 {
     const TimePoint now = m_node.now();
-    const Duration sinceProgress = now - m_lastProgressAt;
+    const Duration timeout = attempt.stallTimeout(m_request.service->engine->stepsPerPass);
     // A caller that does not read blocks its own stream.
-    if (sinceProgress < stallTimeout() || m_request.exchange->pendingBytes() > 0)
+    if (attempt.silence() < timeout || m_request.exchange->pendingBytes() > 0)
         return scheduleStallCheck(
-            std::max(m_lastProgressAt + stallTimeout(), now + MinStallTimeout));
-    std::vector<const ReservedPart *> stalled;
-    for (const ReservedPart &part : m_parts) {
-        if (now - part.load->lastProgressAt >= MinStallTimeout)
-            stalled.push_back(&part);
-    }
-    if (stalled.empty() && sinceProgress < MaxStallTimeout)
-        return scheduleStallCheck(now + MinStallTimeout);
+            attempt, std::max(attempt.lastProgressAt() + timeout, now + MinStallTimeout));
+    if (attempt.engineRestarted())
+        return failAttempt(attempt, "an engine of the path has restarted", true);
+    scheduleStallCheck(attempt, now + MinStallTimeout);
+    const std::vector<const ReservedPart *> stalled = attempt.stalledParts();
+    if (stalled.empty() && attempt.silence() < MaxStallTimeout)
+        return;
+    suspectLoss(attempt, stalled);
+    resumeBesideSilentAttempts();
+}
+
+void GenerationSession::suspectLoss(GenerationAttempt &attempt,
+                                    std::span<const ReservedPart *const> stalled)
+{
+    if (std::exchange(attempt.silent, true))
+        return;
+    LogEvent::decision("attempt_silent")
+        .field("request", m_request.caller.id)
+        .field("path", attempt.pathText())
+        .field("silent_ms", attempt.silence().count() / 1000)
+        .field("stalled_servers", stalled.size())
+        .field("events", m_deliveredEvents);
     // With several stalled engines any of them may be the dead one, so a failure is recorded only
     // if there is one.
     if (stalled.size() == 1)
@@ -258,7 +268,23 @@
         m_excludedServers.insert(part->server);
         m_node.survey().probeNow(part->server);
     }
-    failOver("no event within the stall timeout", true);
+}
+
+void GenerationSession::resumeBesideSilentAttempts()
+{
+    const bool allSilent =
+        std::all_of(m_open.begin(), m_open.end(), [](const auto &it) { return it->silent; });
+    if (isWaiting() || !allSilent || m_request.route->retryPolicy != RetryPolicy::Resumable)
+        return;
+    if (mutated("gateway-close-silent-attempts"))
+        return failAttempt(*m_open.back(), "no event within the stall timeout", true);
+    for (const auto &it : m_open)
+        countRun(*it, true);
+    if (!tryTakeRetry())
+        return;
+    if (m_interruptedAt == TimePoint {})
+        m_interruptedAt = m_open.back()->lastProgressAt();
+    startOrEnqueue(true);
 }
 
 void GenerationSession::recordFailure(const ReservedPart &part, ServerEvidence evidence)
@@ -275,83 +301,101 @@
         .field("evidence", toString(evidence));
 }
 
-void GenerationSession::onEnd()
+void GenerationSession::onAnswerEnd(GenerationAttempt &attempt)
 {
     const auto keep = shared_from_this();
-    if (!m_streaming)
-        return handleNonStreamAnswer();
-    if (m_splitter.unfinishedBytes() > 0)
-        return failOver("the stream ended within an event", true);
+    if (!attempt.isStream())
+        return handleNonStreamAnswer(attempt);
+    if (attempt.splitter().unfinishedBytes() > 0)
+        return failAttempt(attempt, "the stream ended within an event", true);
     if (!std::exchange(m_responded, true))
-        m_request.exchange->beginStream(m_answer.status, m_answerFields);
-    for (const ReservedPart &part : m_parts)
+        m_request.exchange->beginStream(attempt.answer().status, attempt.answerFields());
+    for (const ReservedPart &part : attempt.parts())
         m_node.view().health().recordEvidence(part.server, part.startedAtMs, ServerEvidence::Served,
                                               m_node.now());
     m_request.exchange->endStream();
-    finish("complete", std::to_string(m_answer.status));
+    finish("complete", std::to_string(attempt.answer().status));
 }
 
-void GenerationSession::handleFailedAnswer()
+void GenerationSession::handleFailedAnswer(GenerationAttempt &attempt)
 {
-    if (!m_parts.empty())
-        recordFailure(m_parts.front(), ServerEvidence::Failed);
-    const bool own = m_answer.stamped && m_answer.idMatches && !m_answer.encoded;
-    if (!own || m_answer.status == StatusOk || m_responded)
-        return failOver(
+    recordFailure(attempt.parts().front(), ServerEvidence::Failed);
+    const ServerAnswer &answer = attempt.answer();
+    const bool own = answer.stamped && answer.idMatches && !answer.encoded;
+    if (!own || answer.status == StatusOk || m_responded || m_open.size() > 1)
+        return failAttempt(
+            attempt,
             "the engine failed, or its answer is unstamped, encoded or for another request", true);
-    if (tryBeginRetry(true)) {
-        closeAttempt();
+    countRun(attempt, true);
+    if (m_request.route->retryPolicy != RetryPolicy::AtMostOnce && tryTakeRetry()) {
+        closeAttempt(attempt);
         return startOrEnqueue(true);
     }
     m_responded = true;
-    m_request.exchange->respond(m_answer.status, m_answerFields, m_answerBody);
-    finish("complete", std::to_string(m_answer.status));
+    m_request.exchange->respond(answer.status, attempt.answerFields(), attempt.answerBody());
+    finish("complete", std::to_string(answer.status));
 }
 
-void GenerationSession::handleNonStreamAnswer()
+void GenerationSession::handleNonStreamAnswer(GenerationAttempt &attempt)
 {
-    if (!m_answer.notRun)
-        return handleFailedAnswer();
-    const auto at = std::find_if(m_parts.begin(), m_parts.end(), [this](const ReservedPart &part) {
-        return part.address == m_answer.faultyAddress;
-    });
-    const ReservedPart &faulty = at == m_parts.end() ? m_parts.front() : *at;
-    // The status is the same for a dead engine and for one without free memory. An engine that
-    // makes progress on other streams is not dead.
-    const bool makesProgress = m_node.now() - faulty.load->lastProgressAt < MinFirstEventTimeout;
+    if (!attempt.answer().notRun)
+        return handleFailedAnswer(attempt);
+    const ReservedPart &faulty = attempt.partAt(attempt.answer().faultyAddress);
+    // The status is the same for a dead engine and for one without free memory.
+    const bool makesProgress = m_node.now() - faulty.load->lastProgressAt < RecentProgressWindow;
     recordFailure(faulty,
-                  m_answer.status == StatusMisdirectedRequest || !makesProgress
+                  attempt.answer().status == StatusMisdirectedRequest || !makesProgress
                       ? ServerEvidence::Unreachable
                       : ServerEvidence::Refused);
-    failOver("engine " + faulty.server + " refused with " + std::to_string(m_answer.status), false);
+    failAttempt(attempt,
+                "engine " + faulty.server + " refused with "
+                    + std::to_string(attempt.answer().status),
+                false);
 }
 
-void GenerationSession::onError(const Error &error)
+void GenerationSession::onAttemptError(GenerationAttempt &attempt, const Error &error)
 {
     const auto keep = shared_from_this();
-    const bool sent = m_client && m_client->anyByteSent();
-    if (!m_parts.empty())
-        recordFailure(m_parts.front(), sent ? ServerEvidence::Failed : ServerEvidence::Unreachable);
-    failOver(error.message, sent);
+    const bool sent = attempt.anyByteSent();
+    recordFailure(attempt.parts().front(),
+                  sent ? ServerEvidence::Failed : ServerEvidence::Unreachable);
+    failAttempt(attempt, error.message, sent);
+}
+
+/// Corrects the count if an attempt that was taken for run turns out not to have run.
+void GenerationSession::countRun(GenerationAttempt &attempt, bool ran)
+{
+    if (attempt.countedAsRun == ran)
+        return;
+    attempt.countedAsRun = ran;
+    m_ranAttempts += ran ? 1 : -1;
 }
 
-void GenerationSession::failOver(std::string_view reason, bool ran)
+void GenerationSession::failAttempt(GenerationAttempt &attempt, std::string_view reason, bool ran)
 {
     if (m_ended)
         return;
+    const auto keep = shared_from_this();
+    const auto keepAttempt = attempt.shared_from_this();
     LogEvent::decision("attempt_failed")
         .field("request", m_request.caller.id)
-        .field("path", m_pathText)
+        .field("path", attempt.pathText())
         .field("reason", reason)
         .field("events", m_deliveredEvents)
-        .field("since_progress_ms", (m_node.now() - m_lastProgressAt).count() / 1000)
-        .field("may_have_run", ran);
+        .field("since_progress_ms", attempt.silence().count() / 1000)
+        .field("may_have_run", ran)
+        .field("open_attempts", m_open.size() - 1);
     if (m_interruptedAt == TimePoint {})
-        m_interruptedAt = m_lastProgressAt;
-    m_mayHaveRun = ran || m_ranAttempts > 0;
-    closeAttempt();
+        m_interruptedAt = attempt.lastProgressAt();
+    countRun(attempt, ran);
+    closeAttempt(attempt);
+    if (attemptOpen())
+        return resumeBesideSilentAttempts();
+    m_mayHaveRun = m_ranAttempts > 0;
+    if (isWaiting())
+        return startWaitTimer(maxFailoverWait());
     const bool repeatable = m_request.route->retryPolicy == RetryPolicy::Resumable || !ran;
-    if (repeatable && tryBeginRetry(ran))
+    if (repeatable && tryTakeRetry())
         return startOrEnqueue(true);
     giveUp({ErrorKind::Unavailable, std::string(reason), "send it again later"}, RetryAfterRefusal);
 }
--- a/src/gateway/generation_session.h
+++ b/src/gateway/generation_session.h
@@ -1,17 +1,21 @@
 #pragma once
 
+#include "gateway/generation_attempt.h"
 #include "gateway/request_session.h"
 
-#include <dogwoodvalve/event_stream.h>
-
 #include <set>
 
 namespace dogwoodvalve {
 
 /// A generation on a path of engines, of which the first streams the events. Only complete events
-/// with consecutive ids are delivered to the caller. When an engine of the path dies or stalls, the
-/// stream is resumed on another path after the last delivered event.
-class GenerationSession : public RequestSession
+/// with consecutive ids are delivered to the caller.
+///
+/// An engine without an event for a while may be lost, or may go on a moment later. So a silent
+/// attempt stays open while the stream is resumed on another path after the last delivered event,
+/// if the route, its attempts, the retry budget and the engines allow that. The attempt that
+/// delivers the next event goes on, and the others are closed. The gateway itself ends an answer
+/// only when no attempt is left, or at the deadline.
+class GenerationSession : public RequestSession, public GenerationAttemptObserver
 {
 public:
     GenerationSession(GatewayNode &node, AcceptedRequest request);
@@ -19,69 +23,62 @@
 
     bool tryStart() override;
     double work() const override { return m_size.total(); }
+    bool attemptOpen() const override { return !m_open.empty(); }
 
-    void onHead(int status, std::span<const HttpField> fields) override;
-    void onBody(std::string_view part) override;
-    void onEnd() override;
-    void onError(const Error &error) override;
+    void onStreamData(GenerationAttempt &attempt) override;
+    void onAnswerEnd(GenerationAttempt &attempt) override;
+    void onAttemptError(GenerationAttempt &attempt, const Error &error) override;
 
 protected:
     Duration maxFailoverWait() const override;
-    void releaseAttempt() override;
+    void closeAttempts() override;
     void addOutcomeFields(LogEvent &event) const override;
 
 private:
-    /// A part of the current attempt's path, with what the attempt has reserved on its server.
-    struct ReservedPart
-    {
-        std::string server;
-        std::string address;
-        std::int64_t startedAtMs = 0;
-        std::shared_ptr<ServerLoad> load;
-        /// Context memory, in tokens x layers.
-        double committed = 0;
-        /// Time that the server needs to read the prompt; 0 once it was read.
-        double backlogMs = 0;
-    };
+    ReservedPart reservedPart(const PathServer &server, LayerSpan layers) const;
+    void startAttempt(std::span<const PathServer> servers, EnginePath path);
+    void closeAttempt(GenerationAttempt &attempt);
+    /// Lets the attempt go on that has delivered an event, and closes the others.
+    void continueWith(GenerationAttempt &attempt);
+    void beginStream(const GenerationAttempt &attempt);
+    /// Updates latencies after an event was delivered.
+    void recordEventTimes();
+    void limitPendingBytes(const std::shared_ptr<GenerationAttempt> &attempt);
+
+    void scheduleStallCheck(GenerationAttempt &attempt, TimePoint at);
+    void checkStall(GenerationAttempt &attempt);
+    /// Excludes the servers that may be lost, and has them probed.
+    void suspectLoss(GenerationAttempt &attempt, std::span<const ReservedPart *const> stalled);
+    /// Starts or queues another attempt beside the silent ones, if there may be one.
+    void resumeBesideSilentAttempts();
 
-    /// Forwards the complete events that have arrived to the caller.
-    void deliverEvents();
-    /// Updates latencies and progress times after an event was delivered.
-    void recordProgress();
-    void releaseBacklog();
-    void scheduleStallCheck(TimePoint at);
-    void checkStall();
-    Duration stallTimeout() const;
     /// Handles an answer without a stream: an engine of the path refused the request or failed it.
-    void handleNonStreamAnswer();
+    void handleNonStreamAnswer(GenerationAttempt &attempt);
     /// Handles an error of the engine, or an answer that is not this engine's to this request. An
     /// error of the engine is forwarded to the caller if the request may not be retried.
-    void handleFailedAnswer();
-    /// Closes the attempt and resumes the stream on another path, or ends the request if it may not
-    /// be retried. A request that may have run is retried only on a route for resumable requests.
-    void failOver(std::string_view reason, bool ran);
+    void handleFailedAnswer(GenerationAttempt &attempt);
+    /// Closes the attempt. If it was the last one, resumes the stream on another path, or ends the
+    /// request if it may not be retried. A request that may have run is retried only on a route for
+    /// resumable requests.
+    void failAttempt(GenerationAttempt &attempt, std::string_view reason, bool ran);
+    void countRun(GenerationAttempt &attempt, bool ran);
     /// Excludes the server from this request and reports the evidence to the health checks.
     void recordFailure(const ReservedPart &part, ServerEvidence evidence);
 
     SequenceSize m_size;
-    std::vector<ReservedPart> m_parts;
-    EnginePath m_path;
+    std::vector<std::shared_ptr<GenerationAttempt>> m_open;
+    /// Expectations of the last path.
+    Duration m_expectedFirstEvent {};
+    Duration m_expectedStep {};
     /// Servers that failed this request or stalled it; no further attempt uses them.
     std::set<std::string> m_excludedServers;
-    EventSplitter m_splitter;
     EventOrderChecker m_eventOrder;
     int m_deliveredEvents = 0;
     Duration m_timeToFirstEvent {};
     Duration m_longestGap {};
-    /// Events that the current attempt has delivered.
-    int m_attemptEvents = 0;
-    /// The start of the attempt, or its last event.
-    TimePoint m_lastProgressAt {};
     TimePoint m_lastEventAt {};
     /// Last progress before the stream was interrupted; unset while it runs.
     TimePoint m_interruptedAt {};
-    TimerId m_stallTimer = 0;
-    bool m_streaming = false;
 };
 
 } // namespace dogwoodvalve
--- a/src/gateway/plain_session.cpp
+++ b/src/gateway/plain_session.cpp
@@ -1,5 +1,6 @@
 #include "gateway/plain_session.h"
 
+#include "core/mutation.h"
 #include "daemon/log.h"
 
 #include <dogwoodvalve/plain_selector.h>
@@ -50,7 +51,7 @@
     request.server = &server;
     request.workspace = m_request.workspace;
     request.timeLeft = timeLeft();
-    dispatch(server, request, m_attempts == 0 ? "least_outstanding" : "retry");
+    m_client = dispatch(server, request, m_attempts == 0 ? "least_outstanding" : "retry", *this);
     return true;
 }
 
@@ -59,12 +60,23 @@
     return maxUsefulWait();
 }
 
-void PlainSession::releaseAttempt()
+void PlainSession::closeAttempts()
 {
     if (const auto load = std::exchange(m_load, nullptr)) {
         --load->inFlight;
         m_node.queue(m_request.service->name).predictor().recordCompleted(1, m_node.now());
     }
+    if (const auto client = std::exchange(m_client, nullptr))
+        client->close();
+}
+
+bool PlainSession::tryBeginRetry(bool lastAttemptRan)
+{
+    m_ranAttempts += lastAttemptRan ? 1 : 0;
+    if (m_request.route->retryPolicy == RetryPolicy::AtMostOnce && lastAttemptRan
+        && !mutated("gateway-repeat-unsafe"))
+        return false;
+    return tryTakeRetry();
 }
 
 void PlainSession::onHead(int status, std::span<const HttpField> fields)
@@ -90,7 +102,7 @@
                                    "the answer is unstamped, encoded or for another request", true);
     if (m_answer.status >= FirstServerError
         && m_request.route->retryPolicy == RetryPolicy::Idempotent && tryBeginRetry(true)) {
-        closeAttempt();
+        closeAttempts();
         return startOrEnqueue(true);
     }
     deliver();
@@ -124,7 +136,7 @@
         .field("reason", reason)
         .field("may_have_run", ran);
     m_mayHaveRun = ran || m_ranAttempts > 0;
-    closeAttempt();
+    closeAttempts();
     if (tryBeginRetry(ran))
         return startOrEnqueue(true);
     giveUp({ErrorKind::Unavailable, std::string(reason), "send it again later"}, RetryAfterRefusal);
--- a/src/gateway/plain_session.h
+++ b/src/gateway/plain_session.h
@@ -8,13 +8,14 @@
 
 /// A request to a plain service, which any of its servers can answer. The answer is buffered until
 /// it is complete, so that a request that may be repeated can be retried if the answer breaks off.
-class PlainSession : public RequestSession
+class PlainSession : public RequestSession, public HttpClientEvents
 {
 public:
     using RequestSession::RequestSession;
 
     bool tryStart() override;
     double work() const override { return 1; }
+    bool attemptOpen() const override { return m_client != nullptr; }
 
     void onHead(int status, std::span<const HttpField> fields) override;
     void onBody(std::string_view part) override;
@@ -23,13 +24,20 @@
 
 protected:
     Duration maxFailoverWait() const override;
-    void releaseAttempt() override;
+    void closeAttempts() override;
 
 private:
     /// Closes the attempt and retries the request, or ends it if it may not be retried.
     void handleFailedAttempt(ServerEvidence evidence, std::string_view reason, bool ran);
     void deliver();
-
+    /// Whether the request may be sent to another server after its last attempt.
+    bool tryBeginRetry(bool lastAttemptRan);
+
+    std::shared_ptr<HttpClientRequest> m_client;
+    /// What has arrived of the answer to the current attempt.
+    ServerAnswer m_answer;
+    std::vector<HttpField> m_answerFields;
+    std::string m_answerBody;
     std::shared_ptr<ServerLoad> m_load;
     std::string m_server;
     std::int64_t m_serverStartedAtMs = 0;
--- a/src/gateway/request_session.cpp
+++ b/src/gateway/request_session.cpp
@@ -1,7 +1,6 @@
 #include "gateway/request_session.h"
 
 #include "core/duration_math.h"
-#include "core/mutation.h"
 #include "gateway/generation_session.h"
 #include "gateway/plain_session.h"
 #include "net/endpoint.h"
@@ -62,7 +61,7 @@
 {
     WaitQueue &queue = m_node.queue(m_request.service->name);
     m_isWaiting = false;
-    if ((atFront || queue.empty()) && tryStart())
+    if ((atFront || !queue.blocksArrivals()) && tryStart())
         return;
     if (m_ended)
         return;
@@ -93,17 +92,26 @@
 
 void RequestSession::startWaitTimer(Duration time)
 {
+    m_node.timers().cancel(m_waitTimer);
     m_waitTimer = m_node.timers().schedule(m_node.now() + time, [weak = weak_from_this()] {
         if (const auto session = weak.lock())
             session->onWaitTimeout();
     });
 }
 
+void RequestSession::leaveQueue()
+{
+    m_isWaiting = false;
+    m_node.timers().cancel(std::exchange(m_waitTimer, 0));
+}
+
 void RequestSession::onWaitTimeout()
 {
     m_waitTimer = 0;
     if (!isWaiting())
         return;
+    if (attemptOpen())
+        return leaveQueue();
     const Error error {ErrorKind::Overloaded, "no server had capacity in time",
                        "send it again later"};
     if (m_mayHaveRun || m_responded)
@@ -114,13 +122,15 @@
            decideWait(wait, Duration::zero(), timeLeft(), m_node.random().fraction()).retryAfter);
 }
 
-void RequestSession::dispatch(const ServerRegistration &server, const DispatchRequest &request,
-                              std::string_view reason)
+std::shared_ptr<HttpClientRequest> RequestSession::dispatch(const ServerRegistration &server,
+                                                            const DispatchRequest &request,
+                                                            std::string_view reason,
+                                                            HttpClientEvents &events)
 {
     const auto endpoint = parseEndpoint(server.address);
-    m_isWaiting = false;
-    m_node.timers().cancel(std::exchange(m_waitTimer, 0));
+    leaveQueue();
     ++m_attempts;
+    m_retryTaken = false;
     m_mayHaveRun = true;
     m_node.metrics().countDispatch(reason);
     LogEvent::decision("dispatch")
@@ -136,28 +146,21 @@
         .field("time_left_ms", request.timeLeft.count() / 1000);
     HttpRequestHead head = m_node.dialect().encodeDispatch(*m_request.exchange, request);
     head.bodyBytes = m_request.body.size();
-    m_client = m_node.loop().createHttpClient();
-    m_client->start(endpoint.value(), head, ConnectTimeout, *this);
-    m_client->write(m_request.body);
-}
-
-void RequestSession::closeAttempt()
-{
-    releaseAttempt();
-    if (const auto client = std::exchange(m_client, nullptr))
-        client->close();
+    auto client = m_node.loop().createHttpClient();
+    client->start(endpoint.value(), head, ConnectTimeout, events);
+    client->write(m_request.body);
+    return client;
 }
 
-bool RequestSession::tryBeginRetry(bool lastAttemptRan)
+bool RequestSession::tryTakeRetry()
 {
-    m_ranAttempts += lastAttemptRan ? 1 : 0;
-    if (m_request.route->retryPolicy == RetryPolicy::AtMostOnce && lastAttemptRan
-        && !mutated("gateway-repeat-unsafe"))
-        return false;
     if (m_ranAttempts >= m_request.route->maxAttempts
         || m_attempts >= m_request.route->maxAttempts + MaxRefusedAttempts)
         return false;
-    return timeLeft() > Duration::zero() && m_node.tryConsumeRetry(m_request.service->name);
+    if (timeLeft() <= Duration::zero())
+        return false;
+    m_retryTaken = m_retryTaken || m_node.tryConsumeRetry(m_request.service->name);
+    return m_retryTaken;
 }
 
 void RequestSession::refuse(int status, const Error &error, std::optional<Duration> retryAfter)
@@ -201,8 +204,8 @@
     m_request.exchange->onClosed(nullptr);
     m_node.timers().cancel(m_deadlineTimer);
     m_node.timers().cancel(m_waitTimer);
-    const bool attemptOpen = m_client != nullptr;
-    closeAttempt();
+    const bool hadOpenAttempt = attemptOpen();
+    closeAttempts();
     m_node.metrics().countRequest(outcome);
     const bool failed = outcome == "failed" || outcome == "cut";
     LogEvent event = failed ? LogEvent::failure("request") : LogEvent::decision("request");
@@ -212,7 +215,7 @@
         .field("outcome", outcome)
         .field("reason", reason)
         .field("attempts", m_attempts)
-        .field("attempt_open", attemptOpen)
+        .field("attempt_open", hadOpenAttempt)
         .field("path", m_pathText)
         .field("ms", (m_node.now() - m_request.arrivedAt).count() / 1000);
     addOutcomeFields(event);
--- a/src/gateway/request_session.h
+++ b/src/gateway/request_session.h
@@ -27,9 +27,7 @@
 
 /// One request of a caller from its arrival to its final answer. Each attempt sends it to one
 /// server; the subclass decides what happens when an attempt fails.
-class RequestSession : public HttpClientEvents,
-                       public WaitingRequest,
-                       public std::enable_shared_from_this<RequestSession>
+class RequestSession : public WaitingRequest, public std::enable_shared_from_this<RequestSession>
 {
 public:
     RequestSession(GatewayNode &node, AcceptedRequest request);
@@ -51,22 +49,26 @@
     Duration maxUsefulWait() const;
     /// Adds the fields of this kind of request to the log event of its end.
     virtual void addOutcomeFields(LogEvent &event) const;
-    /// Releases what the current attempt has reserved on servers.
-    virtual void releaseAttempt() = 0;
+    /// Releases what open attempts have reserved on servers and closes their connections.
+    virtual void closeAttempts() = 0;
 
     /// How long a request whose attempt failed may wait for another server.
     virtual Duration maxFailoverWait() const = 0;
     /// Starts an attempt if servers have capacity, or queues the request. A request that was sent
     /// before goes to the front of the queue. One that gets no capacity within the wait timeout
-    /// gets its final answer then.
+    /// gets its final answer then, unless an attempt is open.
     void startOrEnqueue(bool atFront);
-    void dispatch(const ServerRegistration &server, const DispatchRequest &request,
-                  std::string_view reason);
-    /// Releases the attempt's reservations and closes its connection.
-    void closeAttempt();
-    /// Whether the request may be sent to another server; takes the attempt from the retry budget.
-    /// An attempt that did not run doesn't count towards the route's maximum.
-    bool tryBeginRetry(bool lastAttemptRan);
+    /// Limits the time in the queue, from now on.
+    void startWaitTimer(Duration time);
+    void leaveQueue();
+    /// Sends the request to a server. The events object must outlive the returned client, or close
+    /// it.
+    std::shared_ptr<HttpClientRequest> dispatch(const ServerRegistration &server,
+                                                const DispatchRequest &request,
+                                                std::string_view reason, HttpClientEvents &events);
+    /// Whether the attempts of the route and the retry budget allow another attempt. Takes it from
+    /// the budget, once for each attempt that is then sent.
+    bool tryTakeRetry();
 
     /// Ends the request with an error that the gateway answers itself. The body's outcome tells the
     /// caller whether the request may have run.
@@ -80,14 +82,10 @@
 
     GatewayNode &m_node;
     AcceptedRequest m_request;
-    std::shared_ptr<HttpClientRequest> m_client;
     TimePoint m_deadline {};
     std::string m_pathText;
-    /// What has arrived of the answer to the current attempt.
-    ServerAnswer m_answer;
-    std::vector<HttpField> m_answerFields;
-    std::string m_answerBody;
     int m_attempts = 0;
+    /// Attempts that may have run; the others don't count towards the route's maximum.
     int m_ranAttempts = 0;
     /// The request was sent to a server that has not answered that it did not run it.
     bool m_mayHaveRun = false;
@@ -98,11 +96,12 @@
 private:
     void onDeadline();
     void onCallerDisconnected();
-    void startWaitTimer(Duration time);
     void onWaitTimeout();
 
     TimerId m_deadlineTimer = 0;
     TimerId m_waitTimer = 0;
+    /// The next attempt was taken from the retry budget and is not sent yet.
+    bool m_retryTaken = false;
 };
 
 /// Creates a GenerationSession for a generation on a layered service, and a PlainSession otherwise.
--- a/src/gateway/wait_queue.cpp
+++ b/src/gateway/wait_queue.cpp
@@ -1,5 +1,7 @@
 #include "gateway/wait_queue.h"
 
+#include <algorithm>
+
 namespace dogwoodvalve {
 
 namespace {
@@ -7,6 +9,12 @@
 /// How many requests that do not fit are passed over behind the first one.
 constexpr int LookAhead = 4;
 
+bool blocksOthers(const std::weak_ptr<WaitingRequest> &waiting)
+{
+    const auto request = waiting.lock();
+    return request && request->isWaiting() && !request->attemptOpen();
+}
+
 } // namespace
 
 void WaitQueue::admitWaiting()
@@ -18,11 +26,13 @@
     std::deque<std::weak_ptr<WaitingRequest>> previous;
     previous.swap(m_waiting);
     std::deque<std::weak_ptr<WaitingRequest>> remaining;
-    int misses = 0;
+    int missesWithAttempt = 0;
+    int missesWithoutAttempt = 0;
     for (const auto &it : previous) {
         const auto request = it.lock();
         if (!request || !request->isWaiting())
             continue;
+        int &misses = request->attemptOpen() ? missesWithAttempt : missesWithoutAttempt;
         if (misses > LookAhead || !request->tryStart()) {
             ++misses;
             remaining.push_back(it);
@@ -32,13 +42,17 @@
     m_admitting = false;
 }
 
+bool WaitQueue::blocksArrivals() const
+{
+    return std::any_of(m_waiting.begin(), m_waiting.end(), blocksOthers);
+}
+
 double WaitQueue::waitingWork() const
 {
     double work = 0;
     for (const auto &it : m_waiting) {
-        const auto request = it.lock();
-        if (request && request->isWaiting())
-            work += request->work();
+        if (blocksOthers(it))
+            work += it.lock()->work();
     }
     return work;
 }
