--- a/src/gateway/request_session.cpp
+++ b/src/gateway/request_session.cpp
@@ -178,6 +178,8 @@
     if (m_ended)
         return;
     if (m_responded) {
+        // Closing calls back, and this is not the caller's disconnect.
+        m_request.exchange->onClosed(nullptr);
         m_request.exchange->abort();
         return finish("cut", error.message);
     }
