Check in the randomised gateway runs that silent engines lose no answer, as known red

Callers saw streams cut, and requests answered 502, although nothing but a short silence had happened. The randomised runs had no such fault, and counted answers that broke off without asking for the reason.

New fault: one engine, several or all of them are silent for 0.5 to 1.5 s and go on, half the time beside a change of the configuration. New check: a generation that is cut, answered 502 or never ended before its deadline is a violation, unless its host was killed, frozen or restarted, or an engine was restarted or had another fault, between its start and its end.

--- a/tests/simulation/gateway_soak.cpp
+++ b/tests/simulation/gateway_soak.cpp
@@ -1,3 +1,4 @@
+#include "disturbance_log.h"
 #include "simulation/gateway_world.h"
 
 #include <gflags/gflags.h>
@@ -19,6 +20,11 @@
 constexpr Duration Recovery = 15s;
 constexpr Duration KeyRevocation = 5s;
 constexpr Duration CallInterval = 30ms;
+constexpr Duration ShortestSilence = 500ms;
+constexpr Duration LongestSilence = 1500ms;
+/// What generate() names as the caller's deadline. Answers may end at the deadline.
+constexpr Duration CallerDeadline = 8s;
+constexpr Duration DeadlineTolerance = 100ms;
 
 /// A call with what is needed to check its answer.
 struct SentCall
@@ -28,6 +34,7 @@
     char kind = 'g';
     std::shared_ptr<Call> call;
     int host = 0;
+    TimePoint sentAt {};
     bool usesRevokedKey = false;
     /// The key was revoked so long ago that no host may accept it any more.
     bool pastRevocationLimit = false;
@@ -42,6 +49,8 @@
         : m_seed(seed)
         , m_world(Hosts, Engines, seed)
         , m_versions(Hosts)
+        , m_hostLogs(Hosts)
+        , m_engineLogs(Engines)
     { }
 
     int run()
@@ -72,6 +81,7 @@
             return;
         SentCall sent;
         sent.host = randomHost();
+        sent.sentAt = m_world.now();
         sent.kind = "ggrw"[random().below(4)];
         const bool usesTemporaryKey = random().chance(0.15);
         sent.usesRevokedKey = usesTemporaryKey && m_revokedAt;
@@ -111,17 +121,15 @@
         const std::string name = "host-" + std::to_string(host + 1);
         const Duration time(500'000 + static_cast<Duration::rep>(random().below(5'000'000)));
         SimProcess &process = *m_world.hosts[static_cast<std::size_t>(host)]->process;
-        switch (random().below(8)) {
+        switch (random().below(9)) {
         case 0:
             m_world.endHost(host);
-            return undoLater(time, [this, host] { m_world.restartHost(host); });
+            hostLog(host).begin(m_world.now());
+            return undoLater(time, [this, host] { restartHost(host); });
         case 1:
             process.freeze();
-            return undoLater(time, [this, host] {
-                SimProcess &frozen = *m_world.hosts[static_cast<std::size_t>(host)]->process;
-                if (frozen.frozen())
-                    frozen.thaw();
-            });
+            hostLog(host).begin(m_world.now());
+            return undoLater(time, [this, host] { thawHost(host); });
         case 2:
             if (random().chance(0.7))
                 m_world.network().cut(name, "store");
@@ -139,25 +147,86 @@
             return m_world.store.forgetHistory();
         case 5:
             return changeConfiguration();
+        case 6:
+            return silenceEngines();
         default:
             return breakEngine(time);
         }
     }
 
+    DisturbanceLog &hostLog(int i) { return m_hostLogs[static_cast<std::size_t>(i)]; }
+
+    void restartHost(int i)
+    {
+        m_world.restartHost(i);
+        hostLog(i).note(m_world.now());
+        hostLog(i).end(m_world.now());
+    }
+
+    void thawHost(int i)
+    {
+        SimProcess &process = *m_world.hosts[static_cast<std::size_t>(i)]->process;
+        if (!process.frozen())
+            return;
+        process.thaw();
+        if (process.alive())
+            hostLog(i).end(m_world.now());
+    }
+
+    /// Sets a fault and notes it, unless it is a silence, which must not cost an answer.
+    void setEngineFault(int i, EngineFault fault)
+    {
+        m_world.engines[static_cast<std::size_t>(i)]->setFault(fault);
+        DisturbanceLog &log = m_engineLogs[static_cast<std::size_t>(i)];
+        if (fault == EngineFault::None || fault == EngineFault::Silent)
+            log.end(m_world.now());
+        else
+            log.begin(m_world.now());
+    }
+
+    /// Lets one engine, several or all fall silent for a moment, beside whatever else happens.
+    /// Engines that have another fault keep it.
+    void silenceEngines()
+    {
+        const double share = random().chance(0.3) ? 1 : 0.4;
+        const auto one = random().below(Engines);
+        const Duration time = ShortestSilence
+            + Duration(static_cast<Duration::rep>(random().below(
+                static_cast<std::uint64_t>((LongestSilence - ShortestSilence).count()))));
+        const bool several = random().chance(0.6);
+        for (int i = 0; i < Engines; ++i) {
+            const bool drawn =
+                several ? random().chance(share) : static_cast<std::uint64_t>(i) == one;
+            if (!drawn || faultOf(i) != EngineFault::None)
+                continue;
+            setEngineFault(i, EngineFault::Silent);
+            undoLater(time, [this, i] {
+                if (faultOf(i) == EngineFault::Silent)
+                    setEngineFault(i, EngineFault::None);
+            });
+        }
+        if (random().chance(0.5))
+            changeConfiguration();
+    }
+
+    EngineFault faultOf(int i) const
+    {
+        return m_world.engines[static_cast<std::size_t>(i)]->fault();
+    }
+
     void breakEngine(Duration time)
     {
         static constexpr EngineFault Faults[] {EngineFault::Dark,         EngineFault::BreaksOff,
                                                EngineFault::SkipsAnEvent, EngineFault::Unstamped,
                                                EngineFault::Refuses,      EngineFault::Fails};
         const int i = static_cast<int>(random().below(Engines));
-        if (random().chance(0.3))
+        if (random().chance(0.3)) {
+            m_engineLogs[static_cast<std::size_t>(i)].note(m_world.now());
             return m_world.restartEngine(i);
+        }
         m_world.engines[static_cast<std::size_t>(i)]->setSlowness(random().chance(0.3) ? 5 : 1);
-        m_world.engines[static_cast<std::size_t>(i)]->setFault(
-            Faults[random().below(std::size(Faults))]);
-        undoLater(time, [this, i] {
-            m_world.engines[static_cast<std::size_t>(i)]->setFault(EngineFault::None);
-        });
+        setEngineFault(i, Faults[random().below(std::size(Faults))]);
+        undoLater(time, [this, i] { setEngineFault(i, EngineFault::None); });
     }
 
     /// Adds a temporary key and revokes it, in turn.
@@ -196,16 +265,14 @@
         m_faultsStopped = true;
         m_world.network().healAll();
         m_world.store.setFaults({});
-        for (const auto &engine : m_world.engines) {
-            engine->setFault(EngineFault::None);
-            engine->setSlowness(1);
+        for (int i = 0; i < Engines; ++i) {
+            setEngineFault(i, EngineFault::None);
+            m_world.engines[static_cast<std::size_t>(i)]->setSlowness(1);
         }
         for (int i = 0; i < Hosts; ++i) {
-            SimProcess &process = *m_world.hosts[static_cast<std::size_t>(i)]->process;
-            if (process.frozen())
-                process.thaw();
-            if (!process.alive())
-                m_world.restartHost(i);
+            thawHost(i);
+            if (!m_world.hosts[static_cast<std::size_t>(i)]->process->alive())
+                restartHost(i);
         }
     }
 
@@ -230,6 +297,32 @@
         }
     }
 
+    /// Whether something happened to the host or to any engine while a call was open that may have
+    /// ended its answer.
+    bool isExcused(const SentCall &sent, TimePoint endedAt) const
+    {
+        const auto disturbed = [&sent, endedAt](const DisturbanceLog &log) {
+            return log.overlaps(sent.sentAt, endedAt);
+        };
+        return disturbed(m_hostLogs[static_cast<std::size_t>(sent.host)])
+            || std::any_of(m_engineLogs.begin(), m_engineLogs.end(), disturbed);
+    }
+
+    /// A generation that began is not cut or answered 502 before its deadline, and ends by then.
+    void checkNotLost(const SentCall &sent)
+    {
+        const Answer &answer = sent.call->answer;
+        const TimePoint endedAt = answer.ended ? answer.endedAt : m_world.now();
+        if (answer.complete && answer.status != 502)
+            return;
+        const bool byDeadline =
+            answer.ended && endedAt >= sent.sentAt + CallerDeadline - DeadlineTolerance;
+        if (!byDeadline && !isExcused(sent, endedAt))
+            reportViolation(sent.id + " was lost " + std::to_string((endedAt - sent.sentAt) / 1ms)
+                            + " ms after it was sent: " + std::to_string(answer.status) + ' '
+                            + answer.error + ' ' + answer.body.substr(0, 120));
+    }
+
     void checkAnswers()
     {
         for (const SentCall &sent : m_sent) {
@@ -248,6 +341,8 @@
                 reportViolation(sent.id + " ran although its answer says that it did not run");
             if (sent.kind == 'w' && m_world.plain.runsOf(sent.id) > 1)
                 reportViolation(sent.id + " ran more than once and must not be repeated");
+            if (sent.kind == 'g')
+                checkNotLost(sent);
             const bool complete = answer.complete && answer.status == 200;
             ++(complete ? m_complete : answer.complete ? m_refused : m_incomplete);
         }
@@ -265,6 +360,8 @@
     TimePoint m_end {};
     std::vector<SentCall> m_sent;
     std::vector<std::pair<const SimGateway *, std::uint64_t>> m_versions;
+    std::vector<DisturbanceLog> m_hostLogs;
+    std::vector<DisturbanceLog> m_engineLogs;
     int m_version = 1;
     std::string m_temporaryKey;
     std::optional<TimePoint> m_revokedAt;
--- a/tools/testtool/forwarding_engine.h
+++ b/tools/testtool/forwarding_engine.h
@@ -52,6 +52,7 @@
     void handle(const std::shared_ptr<HttpExchange> &exchange) override;
 
     void setFault(EngineFault fault);
+    EngineFault fault() const { return m_fault; }
     void setLayers(LayerSpan layers) { m_layers = layers; }
     LayerSpan layers() const { return m_layers; }
     /// What the engine reports as factor on its usual times.
