Let engines fall silent in the fault soak, and check that no answer is lost, as known red

Callers of real hosts saw streams cut and answers 502 while engines were only silent for a moment. The soak had no such fault and counted broken answers without asking for the reason.

New fault: one engine, several or all are silent for 0.5 to 1.5 s, half the time beside a change of the configuration. New check: a generation that is cut, answered 502, or unanswered 1 s after its route's timeout is a violation, unless its host was disturbed since 4 s before it was sent, or an engine or the link to a server was disturbed while it was open. SIGTERM excuses nothing for requests sent up to 3 s after it that end before the last sixth of the grace period. Connections that were refused have brought no request and don't count.

A host that is killed at the end of the faults, because it was asked to stop, now counts as disturbed: that kill is the soak's own.

--- a/tests/process/fault_soak.cpp
+++ b/tests/process/fault_soak.cpp
@@ -1,20 +1,16 @@
 #include "net/asio_loop_services.h"
 #include "net/buffered_request.h"
 #include "net/endpoint.h"
-#include "path_fleet.h"
 #include "process/gateway_hosts.h"
 #include "process/kept_caller.h"
+#include "process/soak_faults.h"
 #include "process/soak_ledger.h"
-#include "relay.h"
-
-#include <dogwoodvalve/random.h>
 
 #include <gflags/gflags.h>
 
 #include <csignal>
 #include <cstdio>
 #include <filesystem>
-#include <map>
 #include <optional>
 
 DEFINE_uint64(seed, 1, "first seed");
@@ -29,20 +25,11 @@
 namespace dogwoodvalve::process {
 namespace {
 
-using testtool::EngineFault;
-using testtool::PathFleet;
-using testtool::Relay;
-using testtool::RelayFaults;
-
-/// Relays listen on the servers' ports plus this.
-constexpr int RelayShift = 100;
-/// Bounds of the platform that the hosts' settings name, and of its sites.
-constexpr Duration KeyRevocation = 5s;
-constexpr Duration ServerDrain = 3s;
+/// For how long hosts may take to serve.
 constexpr Duration Recovery = 15s;
-constexpr Duration Grace = 8s;
-/// A host counts as disturbed for this long after a fault of its own.
-constexpr Duration Contact = 4s;
+/// The timeout of the configured routes. Answers may end there.
+constexpr Duration RouteTimeout = 10s;
+constexpr Duration TimeoutTolerance = 500ms;
 
 class SoakRun;
 
@@ -54,6 +41,9 @@
         : m_run(run)
     { }
     void next();
+    /// Gives up a request that is unanswered long after its route's timeout.
+    void checkOverdue();
+    void onConnected() override { m_connected = true; }
     void onHead(int status, std::span<const HttpField>) override { m_status = status; }
     void onBody(std::string_view part) override { m_body += part; }
     void onEnd() override { finish(true); }
@@ -61,10 +51,14 @@
 
 private:
     void finish(bool whole);
+    void checkNotLost(bool whole);
 
     SoakRun &m_run;
     std::shared_ptr<HttpClientRequest> m_client;
+    SentRequest m_request;
     std::string m_id;
+    bool m_waiting = false;
+    bool m_connected = false;
     int m_status = 0;
     std::string m_body;
 };
@@ -81,11 +75,12 @@
                    / ("dogwoodvalve-fault-soak-" + std::to_string(::getpid()) + '-'
                       + std::to_string(seed)))
         , m_services(m_loop)
-        , m_platform(m_loop, m_services.timers(), FLAGS_engines, RelayShift)
+        , m_platform(m_loop, m_services.timers(), FLAGS_engines, SoakFaults::RelayShift)
         , m_ledger(seed, m_platform, FLAGS_engines)
-        , m_hosts(m_folder, FLAGS_first_port + 300, storeAddresses())
-        , m_disturbedAt(static_cast<std::size_t>(FLAGS_hosts))
-        , m_stopping(static_cast<std::size_t>(FLAGS_hosts))
+        , m_hosts(m_folder, FLAGS_first_port + 300,
+                  SoakFaults::storeAddresses(FLAGS_hosts, FLAGS_first_port))
+        , m_faults({m_loop, m_services.timers(), m_random, m_platform, m_hosts, m_ledger,
+                    FLAGS_engines, FLAGS_first_port})
         , m_versions(static_cast<std::size_t>(FLAGS_hosts))
     {
         std::filesystem::create_directories(m_folder);
@@ -110,12 +105,10 @@
             it->next();
         for (auto &it : m_kept)
             it->start();
-        m_faultsEnd = now() + std::chrono::seconds(FLAGS_seconds);
         watch();
-        scheduleFault();
-        runFor(m_faultsEnd - now());
-        m_calm = true;
-        calmDown();
+        m_faults.begin();
+        runFor(std::chrono::seconds(FLAGS_seconds));
+        m_faults.calmDown();
         awaitServing("after the faults");
         m_ended = true;
         runFor(1s);
@@ -137,63 +130,24 @@
         request.kind = Kinds[m_random.below(Kinds.size())];
         request.takenAwayKey = m_random.chance(0.1);
         request.sentAt = now();
-        request.avoidsLeaving =
-            m_drainingSince && now() - *m_drainingSince > ServerDrain && !isDisturbed(request.host);
+        request.avoidsLeaving = m_faults.mustAvoidLeaving(request.host);
         return request;
     }
 
     const std::string &key(const SentRequest &request) const
     {
         static const std::string Steady = "demo-key";
-        return request.takenAwayKey ? m_lentKey : Steady;
+        return request.takenAwayKey ? m_faults.lentKey() : Steady;
     }
 
     SoakLedger &ledger() { return m_ledger; }
 
-    /// From when on the lent key must be refused, if it was taken away.
-    std::optional<TimePoint> keyRefusedFrom() const
-    {
-        return m_keyTakenAt ? std::optional(*m_keyTakenAt + KeyRevocation) : std::nullopt;
-    }
-
-    bool isDisturbed(int host)
-    {
-        const TimePoint at = m_disturbedAt[static_cast<std::size_t>(host)];
-        return at != TimePoint {} && now() - at < Contact;
-    }
+    const SoakFaults &faults() const { return m_faults; }
 
 private:
-    std::vector<std::string> storeAddresses()
-    {
-        std::vector<std::string> addresses;
-        for (int i = 0; i < FLAGS_hosts; ++i) {
-            const int port = FLAGS_first_port + 200 + i;
-            addresses.push_back("127.0.0.1:" + std::to_string(port));
-        }
-        return addresses;
-    }
-
-    static boost::asio::ip::tcp::endpoint endpoint(int port)
-    {
-        return parseEndpoint("127.0.0.1:" + std::to_string(port)).value();
-    }
-
-    std::unique_ptr<Relay> relay(int port, int target)
-    {
-        auto relay = std::make_unique<Relay>(m_loop, endpoint(target));
-        relay->listen(endpoint(port)).value();
-        return relay;
-    }
-
     void start()
     {
-        m_platform.listen(endpoint(FLAGS_first_port)).value();
-        for (int i = 0; i < FLAGS_hosts; ++i)
-            m_storeRelays.push_back(relay(FLAGS_first_port + 200 + i, FLAGS_first_port));
-        for (int i = 1; i <= FLAGS_engines + PathFleet::Services; ++i)
-            m_serverRelays.push_back(
-                relay(FLAGS_first_port + i + RelayShift, FLAGS_first_port + i));
-        lendKey();
+        m_faults.listen();
         for (int i = 0; i < FLAGS_hosts; ++i) {
             m_hosts.start(i);
             m_kept.push_back(std::make_unique<KeptCaller>(
@@ -206,7 +160,7 @@
                     return m_ledger.noteSent(request);
                 },
                 [this, i](const std::string &id) {
-                    if (!isDisturbed(i))
+                    if (!m_faults.isDisturbed(i))
                         m_ledger.noteLost(id);
                 }));
         }
@@ -256,10 +210,12 @@
         m_loop.restart();
     }
 
-    /// Looks at each host twice a second: versions never go back in a process, and a host that was
-    /// asked to stop ends by itself within its grace.
+    /// Looks at each host and caller twice a second: versions never go back in a process, and each
+    /// request is answered.
     void watch()
     {
+        for (const auto &it : m_callers)
+            it->checkOverdue();
         for (int i = 0; i < FLAGS_hosts; ++i)
             watchVersion(i);
         m_services.timers().schedule(now() + 500ms, [this] {
@@ -291,192 +247,6 @@
             });
     }
 
-    void scheduleFault()
-    {
-        const Duration pause(200'000 + static_cast<Duration::rep>(m_random.below(1'300'000)));
-        m_services.timers().schedule(now() + pause, [this] {
-            if (m_calm)
-                return;
-            throwFault();
-            scheduleFault();
-        });
-    }
-
-    /// Undoes something later, unless all was undone before.
-    void later(Duration time, std::function<void()> undo)
-    {
-        m_services.timers().schedule(now() + time, [this, undo = std::move(undo)] {
-            if (!m_calm)
-                undo();
-        });
-    }
-
-    void throwFault()
-    {
-        const auto host = m_random.below(static_cast<std::uint64_t>(FLAGS_hosts));
-        const int i = static_cast<int>(host);
-        const Duration time(500'000 + static_cast<Duration::rep>(m_random.below(4'000'000)));
-        switch (m_random.below(9)) {
-        case 0:
-            note("kill", i);
-            disturb(i, time);
-            m_hosts.process(i).signal(SIGKILL);
-            m_hosts.process(i).wait();
-            return later(time, [this, i] { restart(i); });
-        case 1:
-            note("pause", i);
-            disturb(i, time);
-            m_hosts.process(i).signal(SIGSTOP);
-            return later(time, [this, i] { m_hosts.process(i).signal(SIGCONT); });
-        case 2:
-            return stop(i);
-        case 3:
-            note("reload", i);
-            m_hosts.writeSettings(
-                i, "lookupTimeToLiveMs: " + std::to_string(1000 + m_random.below(2000)) + "\n");
-            return m_hosts.process(i).signal(SIGHUP);
-        case 4:
-            note("store relay", i);
-            disturb(i, time);
-            return breakRelay(*m_storeRelays[host], time);
-        case 5: {
-            const auto server = m_random.below(m_serverRelays.size());
-            note("server relay", static_cast<int>(server));
-            return breakRelay(*m_serverRelays[server], time);
-        }
-        case 6:
-            return breakEngine(time);
-        case 7:
-            return changeConfiguration();
-        default:
-            note("drain", 1);
-            m_platform.setDraining(true);
-            m_drainingSince = now();
-            return later(time + ServerDrain, [this] { endDraining(); });
-        }
-    }
-
-    void note(const char *fault, int which)
-    {
-        m_ledger.noteFault(fault);
-        std::printf("  %8.3f s  %s %d\n",
-                    static_cast<double>(
-                        (now() - (m_faultsEnd - std::chrono::seconds(FLAGS_seconds))).count())
-                        / 1e6,
-                    fault, which);
-    }
-
-    /// A host is disturbed until the fault's end and for some time after.
-    void disturb(int i, Duration time)
-    {
-        TimePoint &until = m_disturbedAt[static_cast<std::size_t>(i)];
-        until = std::max(until, now() + time);
-    }
-
-    void restart(int i)
-    {
-        m_hosts.process(i).signal(SIGCONT);
-        m_hosts.process(i).signal(SIGKILL);
-        m_hosts.process(i).wait();
-        m_hosts.start(i);
-    }
-
-    /// Asks a host to stop, and checks that it does so within its grace if nothing held it up.
-    void stop(int i)
-    {
-        if (isDisturbed(i) || m_stopping[static_cast<std::size_t>(i)])
-            return;
-        note("stop", i);
-        m_stopping[static_cast<std::size_t>(i)] = true;
-        m_hosts.process(i).signal(SIGTERM);
-        const int pid = m_hosts.process(i).pid();
-        m_services.timers().schedule(now() + Grace, [this, i, pid] {
-            m_stopping[static_cast<std::size_t>(i)] = false;
-            if (m_ended || m_hosts.process(i).pid() != pid)
-                return;
-            if (!isDisturbed(i) && !m_hosts.process(i).ended())
-                m_ledger.violation("host " + std::to_string(i) + " did not stop within its grace");
-            disturb(i, 0s);
-            restart(i);
-        });
-    }
-
-    void breakRelay(Relay &relay, Duration time)
-    {
-        RelayFaults faults;
-        switch (m_random.below(4)) {
-        case 0:
-            faults.cut = true;
-            break;
-        case 1:
-            faults.swallowForward = true;
-            break;
-        case 2:
-            faults.swallowBackward = true;
-            break;
-        default:
-            faults.delay = 300ms;
-        }
-        relay.setFaults(faults);
-        later(time, [&relay] { relay.setFaults({}); });
-    }
-
-    void breakEngine(Duration time)
-    {
-        static constexpr EngineFault Faults[] {EngineFault::Dark, EngineFault::BreaksOff,
-                                               EngineFault::SkipsAnEvent, EngineFault::Unstamped,
-                                               EngineFault::Refuses};
-        const int i = static_cast<int>(m_random.below(static_cast<std::uint64_t>(FLAGS_engines)));
-        note("engine", i);
-        if (m_random.chance(0.25))
-            return m_platform.restartEngine(i);
-        m_platform.engine(i).setFault(Faults[m_random.below(std::size(Faults))]);
-        later(time, [this, i] { m_platform.engine(i).setFault(EngineFault::None); });
-    }
-
-    /// Lends a key and takes it away by turns; other changes come in between.
-    void changeConfiguration()
-    {
-        note("configuration", m_version);
-        if (m_keyTakenAt || m_random.chance(0.3))
-            return lendKey();
-        m_platform.configure(++m_version, {"demo-key"});
-        m_keyTakenAt = now();
-    }
-
-    void lendKey()
-    {
-        ++m_version;
-        m_lentKey = "lent-key-" + std::to_string(m_version);
-        m_keyTakenAt.reset();
-        m_platform.configure(m_version, {"demo-key", m_lentKey});
-    }
-
-    void endDraining()
-    {
-        m_ledger.checkLeaving();
-        m_drainingSince.reset();
-        m_platform.setDraining(false);
-    }
-
-    void calmDown()
-    {
-        for (const auto &it : m_storeRelays)
-            it->setFaults({});
-        for (const auto &it : m_serverRelays)
-            it->setFaults({});
-        for (int i = 0; i < FLAGS_engines; ++i)
-            m_platform.engine(i).setFault(EngineFault::None);
-        endDraining();
-        for (int i = 0; i < FLAGS_hosts; ++i) {
-            m_hosts.process(i).signal(SIGCONT);
-            if (m_hosts.process(i).ended() || m_stopping[static_cast<std::size_t>(i)]) {
-                m_stopping[static_cast<std::size_t>(i)] = false;
-                restart(i);
-            }
-        }
-    }
-
     std::size_t report() const
     {
         if (!m_ledger.clean())
@@ -488,23 +258,14 @@
     std::filesystem::path m_folder;
     boost::asio::io_context m_loop {1};
     AsioLoopServices m_services;
-    PathFleet m_platform;
+    testtool::PathFleet m_platform;
     SoakLedger m_ledger;
-    std::vector<std::unique_ptr<Relay>> m_storeRelays;
-    std::vector<std::unique_ptr<Relay>> m_serverRelays;
     GatewayHosts m_hosts;
+    SoakFaults m_faults;
     std::vector<std::unique_ptr<SoakCaller>> m_callers;
     std::vector<std::unique_ptr<KeptCaller>> m_kept;
-    std::vector<TimePoint> m_disturbedAt;
-    std::vector<bool> m_stopping;
     /// Process and version that a host's metrics told last.
     std::vector<std::pair<int, double>> m_versions;
-    int m_version = 1;
-    std::string m_lentKey;
-    std::optional<TimePoint> m_keyTakenAt;
-    std::optional<TimePoint> m_drainingSince;
-    TimePoint m_faultsEnd {};
-    bool m_calm = false;
     bool m_ended = false;
 };
 
@@ -512,8 +273,11 @@
 {
     if (m_run.ended())
         return;
-    const SentRequest request = m_run.drawRequest();
+    m_request = m_run.drawRequest();
+    const SentRequest &request = m_request;
     m_id = m_run.ledger().noteSent(request);
+    m_waiting = true;
+    m_connected = false;
     m_status = 0;
     m_body.clear();
     HttpRequestHead head;
@@ -531,11 +295,39 @@
 
 void SoakCaller::finish(bool whole)
 {
-    m_run.ledger().noteAnswer(m_id, m_status, m_body, whole, m_run.keyRefusedFrom());
+    m_waiting = false;
+    m_run.ledger().noteAnswer(m_id, m_status, m_body, whole, m_run.faults().keyRefusedFrom());
+    if (m_request.kind == 'g')
+        checkNotLost(whole);
     const Duration pause(5'000 + static_cast<Duration::rep>(m_run.random().below(40'000)));
     m_run.services().timers().schedule(m_run.now() + pause, [this] { next(); });
 }
 
+/// A generation is not cut or answered 502 before its route's timeout without a fault that excuses
+/// it. A connection that was refused has brought no request.
+void SoakCaller::checkNotLost(bool whole)
+{
+    if ((whole && m_status != 502) || !m_connected)
+        return;
+    const Duration time = m_run.now() - m_request.sentAt;
+    const bool byTimeout =
+        time >= RouteTimeout - TimeoutTolerance && time <= RouteTimeout + TimeoutTolerance;
+    if (byTimeout || m_run.faults().excuseLoss(m_request))
+        return;
+    m_run.ledger().violation("request " + m_id + " was lost at host "
+                             + std::to_string(m_request.host) + ' ' + std::to_string(time / 1ms)
+                             + " ms after it was sent: " + std::to_string(m_status) + ' '
+                             + (whole ? m_body.substr(0, 120) : "and cut"));
+}
+
+void SoakCaller::checkOverdue()
+{
+    if (!m_waiting || m_run.now() - m_request.sentAt <= RouteTimeout + 2 * TimeoutTolerance)
+        return;
+    m_client->close();
+    finish(false);
+}
+
 } // namespace
 } // namespace dogwoodvalve::process
 
