--- /dev/null
+++ b/src/net/http_connection.cpp
@@ -0,0 +1,307 @@
+#include "net/http_connection.h"
+
+#include <boost/asio/write.hpp>
+
+namespace dogwoodvalve {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using asio::ip::tcp;
+using boost::system::error_code;
+
+namespace {
+
+constexpr Duration DeadlineCheckInterval = 500ms;
+/// The deadline while a response waits for its handler.
+constexpr Duration HandlerDeadline = 24h;
+
+Error malformedRequest(const error_code &ec)
+{
+    if (ec == http::error::body_limit)
+        return {ErrorKind::TooLarge, "the body is too large", "send a smaller request"};
+    return {ErrorKind::Malformed, "the request is malformed: " + ec.message(),
+            "send a well-formed HTTP/1.1 request"};
+}
+
+} // namespace
+
+void HttpConnection::readHead()
+{
+    m_parser.emplace();
+    m_parser->header_limit(static_cast<std::uint32_t>(m_limits.maxHeaderBytes));
+    m_parser->body_limit(m_limits.maxBodyBytes);
+    m_responded = m_chunked = m_responseEnded = m_requestBodyRead = false;
+    ++m_exchangeNumber;
+    setDeadline(m_buffer.size() > 0 ? m_limits.headerTimeout : m_limits.idleTimeout);
+    http::async_read_header(
+        m_socket, m_buffer, *m_parser, [self = shared_from_this()](error_code ec, std::size_t) {
+            if (self->m_closed)
+                return;
+            if (ec == http::error::end_of_stream || ec == asio::error::eof
+                || ec == asio::error::connection_reset || ec == asio::error::operation_aborted)
+                return self->close();
+            if (ec == http::error::header_limit)
+                return self->refuse(431,
+                                    {ErrorKind::TooLarge, "the header is too large",
+                                     "send fewer or shorter header fields"});
+            if (ec == http::error::body_limit)
+                return self->refuse(413, malformedRequest(ec));
+            if (ec)
+                return self->refuse(400, malformedRequest(ec));
+            self->dispatchRequest();
+        });
+}
+
+void HttpConnection::dispatchRequest()
+{
+    const auto &head = m_parser->get();
+    m_method.assign(head.method_string().data(), head.method_string().size());
+    m_target.assign(head.target().data(), head.target().size());
+    m_fields.clear();
+    for (const auto &field : head)
+        m_fields.push_back({std::string(field.name_string()), std::string(field.value())});
+    m_keepAlive = m_parser->keep_alive();
+    m_requestBodyRead = m_parser->is_done();
+    setDeadline(m_limits.stallTimeout);
+    if (head.version() != 11 && head.version() != 10)
+        return refuse(505, {ErrorKind::Malformed, "unknown HTTP version", "use HTTP/1.1"});
+    if (const auto it = head.find(http::field::content_length);
+        it != head.end() && head.count(http::field::transfer_encoding) > 0)
+        return refuse(400,
+                      {ErrorKind::Malformed,
+                       "the request has both Content-Length and Transfer-Encoding",
+                       "send either Content-Length or Transfer-Encoding"});
+    if (boost::beast::iequals(head[http::field::expect], "100-continue") && !m_requestBodyRead) {
+        m_queuedOutput += "HTTP/1.1 100 Continue\r\n\r\n";
+        flush();
+    }
+    if (m_requestBodyRead)
+        watchPeer();
+    setExchangeInFlight(true);
+    m_handler.handle(shared_from_this());
+}
+
+void HttpConnection::setExchangeInFlight(bool inFlight)
+{
+    if (m_exchangeInFlight == inFlight)
+        return;
+    m_exchangeInFlight = inFlight;
+    m_counters->exchangesInFlight.fetch_add(inFlight ? 1 : -1, std::memory_order_relaxed);
+}
+
+/// Responds to a request that was not accepted and then closes the connection: bytes that follow
+/// cannot be distinguished from the rest of the rejected request.
+void HttpConnection::refuse(int status, const Error &error)
+{
+    m_keepAlive = false;
+    m_requestBodyRead = true;
+    const std::vector<HttpField> fields {{"Content-Type", "application/json"},
+                                         {"Dogwoodvalve-Outcome", "not-run"}};
+    respond(status, fields, errorBody(error, "not_run"));
+}
+
+void HttpConnection::readBody(std::size_t limit, std::function<void(Result<std::string>)> done)
+{
+    auto whole = std::make_shared<std::string>();
+    auto step = std::make_shared<std::function<void()>>();
+    *step = [self = shared_from_this(), whole, limit, done = std::move(done),
+             weak = std::weak_ptr(step)] {
+        self->readBodyPart(
+            [self, whole, limit, done, step = weak.lock()](Result<std::string_view> part) {
+                if (!part)
+                    return done(part.error());
+                if (part.value().empty())
+                    return done(std::move(*whole));
+                if (whole->size() + part.value().size() > limit)
+                    return done(Error {ErrorKind::TooLarge, "the body is too large",
+                                       "send at most " + std::to_string(limit) + " bytes"});
+                whole->append(part.value());
+                (*step)();
+            });
+    };
+    (*step)();
+}
+
+void HttpConnection::readBodyPart(std::function<void(Result<std::string_view>)> done)
+{
+    if (m_closed)
+        return done(Error {ErrorKind::Unavailable, "the peer went away", ""});
+    if (m_parser->is_done()) {
+        if (!m_requestBodyRead) {
+            m_requestBodyRead = true;
+            watchPeer();
+        }
+        return done(std::string_view());
+    }
+    m_parser->get().body().data = m_bodyBuffer.data();
+    m_parser->get().body().size = m_bodyBuffer.size();
+    http::async_read_some(
+        m_socket, m_buffer, *m_parser,
+        [self = shared_from_this(), done = std::move(done)](error_code ec, std::size_t) {
+            if (self->m_closed)
+                return done(Error {ErrorKind::Unavailable, "the peer went away", ""});
+            if (ec == http::error::need_buffer)
+                ec = {};
+            if (ec) {
+                const bool disconnected = ec == http::error::partial_message
+                    || ec == asio::error::eof
+                    || ec.category() == asio::error::get_system_category();
+                self->m_keepAlive = false;
+                if (disconnected) {
+                    done(Error {ErrorKind::Unavailable, "the peer went away", ""});
+                    return self->close();
+                }
+                self->m_requestBodyRead = true;
+                return done(malformedRequest(ec));
+            }
+            self->setDeadline(self->m_limits.stallTimeout);
+            const std::size_t n = self->m_bodyBuffer.size() - self->m_parser->get().body().size;
+            if (n == 0)
+                return self->readBodyPart(done);
+            done(std::string_view(self->m_bodyBuffer.data(), n));
+        });
+}
+
+void HttpConnection::respond(int status, std::span<const HttpField> fields, std::string_view body)
+{
+    if (m_closed || m_responded)
+        return;
+    m_responded = true;
+    if (!m_requestBodyRead)
+        m_keepAlive = false;
+    appendStatusLine(m_queuedOutput, status);
+    appendFields(m_queuedOutput, fields);
+    m_queuedOutput += "Content-Length: " + std::to_string(body.size()) + "\r\n";
+    m_queuedOutput += m_keepAlive ? "Connection: keep-alive\r\n\r\n" : "Connection: close\r\n\r\n";
+    if (m_method != "HEAD")
+        m_queuedOutput += body;
+    m_responseEnded = true;
+    flush();
+}
+
+void HttpConnection::beginStream(int status, std::span<const HttpField> fields)
+{
+    if (m_closed || m_responded)
+        return;
+    m_responded = m_chunked = true;
+    appendStatusLine(m_queuedOutput, status);
+    appendFields(m_queuedOutput, fields);
+    m_queuedOutput += "Transfer-Encoding: chunked\r\n";
+    m_queuedOutput += m_keepAlive ? "Connection: keep-alive\r\n\r\n" : "Connection: close\r\n\r\n";
+    flush();
+}
+
+void HttpConnection::write(std::string_view part)
+{
+    if (m_closed || !m_chunked || m_responseEnded || part.empty())
+        return;
+    appendChunk(m_queuedOutput, part);
+    flush();
+}
+
+void HttpConnection::endStream()
+{
+    if (m_closed || !m_chunked || m_responseEnded)
+        return;
+    m_responseEnded = true;
+    if (!m_requestBodyRead)
+        m_keepAlive = false;
+    m_queuedOutput += "0\r\n\r\n";
+    flush();
+}
+
+void HttpConnection::flush()
+{
+    if (!m_outputInFlight.empty() || m_queuedOutput.empty() || m_closed)
+        return;
+    m_outputInFlight.swap(m_queuedOutput);
+    setDeadline(m_limits.stallTimeout);
+    asio::async_write(
+        m_socket, asio::buffer(m_outputInFlight),
+        [self = shared_from_this()](error_code ec, std::size_t) { self->onWritten(ec); });
+}
+
+void HttpConnection::onWritten(error_code ec)
+{
+    m_outputInFlight.clear();
+    if (ec || m_closed)
+        return close();
+    if (!m_queuedOutput.empty())
+        return flush();
+    if (m_responseEnded)
+        return finishExchange();
+    // A response may wait long for its backend. Only unsent bytes count as a stall.
+    setDeadline(HandlerDeadline);
+    if (const auto callback = std::exchange(m_onDrained, nullptr))
+        callback();
+}
+
+void HttpConnection::finishExchange()
+{
+    m_onClosed = nullptr;
+    m_onDrained = nullptr;
+    setExchangeInFlight(false);
+    if (!m_keepAlive) {
+        error_code ec;
+        m_socket.shutdown(tcp::socket::shutdown_send, ec);
+        return close();
+    }
+    readHead();
+}
+
+/// Detects that the peer disconnects before its response is complete. The wait of one exchange may
+/// outlast it and wake up on the bytes of the next request. As the parser may have read these
+/// already, an empty socket does not mean a disconnect then.
+void HttpConnection::watchPeer()
+{
+    if (m_closed)
+        return;
+    setDeadline(HandlerDeadline);
+    if (m_watchingPeer)
+        return;
+    m_watchingPeer = true;
+    m_socket.async_wait(tcp::socket::wait_read,
+                        [self = shared_from_this(), exchange = m_exchangeNumber](error_code ec) {
+                            self->m_watchingPeer = false;
+                            if (self->m_closed || self->m_responseEnded || ec)
+                                return;
+                            if (exchange != self->m_exchangeNumber) {
+                                if (self->m_requestBodyRead)
+                                    self->watchPeer();
+                                return;
+                            }
+                            error_code availableError;
+                            if (self->m_socket.available(availableError) == 0 || availableError)
+                                self->close();
+                        });
+}
+
+void HttpConnection::watchDeadline()
+{
+    m_timer.expires_after(DeadlineCheckInterval);
+    m_timer.async_wait([weak = weak_from_this()](error_code ec) {
+        const auto self = weak.lock();
+        if (ec || !self || self->m_closed)
+            return;
+        if (std::chrono::steady_clock::now() >= self->m_deadline)
+            return self->close();
+        self->watchDeadline();
+    });
+}
+
+void HttpConnection::close()
+{
+    if (m_closed)
+        return;
+    m_closed = true;
+    error_code ec;
+    m_socket.close(ec);
+    m_timer.cancel();
+    setExchangeInFlight(false);
+    --m_counters->connections;
+    m_onDrained = nullptr;
+    if (const auto callback = std::exchange(m_onClosed, nullptr))
+        callback();
+}
+
+} // namespace dogwoodvalve
