Read on after a refusal until the client has closed, so that no reset takes the place of the answer

A caller that was refused (404, 401, 503, 413) before its body had been read could get a reset instead of the refusal.

Cause: the connection was closed at once. A system that closes a socket with unread bytes, or gets more of them later, sends a reset; that breaks the client's writing, and the client may lose what it has not read yet.

Change: after its last response a connection shuts down sending and discards what arrives until the peer closes, for 1 s or 16 MB at most. It is no exchange in flight, so a drain doesn't wait for it; it gives up its output and ends a pending read of the body; the deadline timer closes it. A client that asked for the close itself and whose body is read is still closed at once.

--- a/src/net/http_connection.cpp
+++ b/src/net/http_connection.cpp
@@ -14,6 +14,9 @@
 constexpr Duration DeadlineCheckInterval = 500ms;
 /// The deadline while a response waits for its handler.
 constexpr Duration HandlerDeadline = 24h;
+/// For how long, and for how many bytes, a connection reads on after its last response.
+constexpr Duration LingerTime = 1s;
+constexpr std::size_t LingerBytes = 16 * 1024 * 1024;
 
 Error malformedRequest(const error_code &ec)
 {
@@ -124,7 +127,7 @@
 
 void HttpConnection::readBodyPart(std::function<void(Result<std::string_view>)> done)
 {
-    if (m_closed)
+    if (m_closed || m_lingering)
         return done(Error {ErrorKind::Unavailable, "the peer went away", ""});
     if (m_parser->is_done()) {
         if (!m_requestBodyRead) {
@@ -138,7 +141,7 @@
     http::async_read_some(
         m_socket, m_buffer, *m_parser,
         [self = shared_from_this(), done = std::move(done)](error_code ec, std::size_t) {
-            if (self->m_closed)
+            if (self->m_closed || self->m_lingering)
                 return done(Error {ErrorKind::Unavailable, "the peer went away", ""});
             if (ec == http::error::need_buffer)
                 ec = {};
@@ -241,12 +244,41 @@
     m_onClosed = nullptr;
     m_onDrained = nullptr;
     setExchangeInFlight(false);
-    if (!m_keepAlive) {
-        error_code ec;
-        m_socket.shutdown(tcp::socket::shutdown_send, ec);
-        return close();
-    }
-    readHead();
+    if (m_keepAlive)
+        return readHead();
+    const bool moreMayCome = !m_parser->is_done() || m_parser->keep_alive();
+    if (moreMayCome)
+        return linger();
+    error_code ec;
+    m_socket.shutdown(tcp::socket::shutdown_send, ec);
+    close();
+}
+
+/// Closes the connection once the peer has, or after a limit. Closing a socket with unread bytes
+/// resets the connection, and a reset discards what the peer has not yet read of the response.
+void HttpConnection::linger()
+{
+    m_lingering = true;
+    setDeadline(LingerTime);
+    std::string().swap(m_queuedOutput);
+    std::string().swap(m_outputInFlight);
+    error_code ec;
+    m_socket.cancel(ec);
+    m_socket.shutdown(tcp::socket::shutdown_send, ec);
+    discardInput();
+}
+
+void HttpConnection::discardInput()
+{
+    m_socket.async_read_some(asio::buffer(m_bodyBuffer),
+                             [self = shared_from_this()](error_code ec, std::size_t n) {
+                                 if (self->m_closed)
+                                     return;
+                                 self->m_discardedBytes += n;
+                                 if (ec || self->m_discardedBytes > LingerBytes)
+                                     return self->close();
+                                 self->discardInput();
+                             });
 }
 
 /// Detects that the peer disconnects before its response is complete. The wait of one exchange may
--- a/src/net/http_connection.h
+++ b/src/net/http_connection.h
@@ -83,6 +83,8 @@
     void flush();
     void onWritten(boost::system::error_code ec);
     void finishExchange();
+    void linger();
+    void discardInput();
     void setExchangeInFlight(bool inFlight);
     void watchPeer();
     void watchDeadline();
@@ -113,6 +115,8 @@
     bool m_responseEnded = false;
     bool m_requestBodyRead = false;
     bool m_closed = false;
+    bool m_lingering = false;
+    std::size_t m_discardedBytes = 0;
     bool m_exchangeInFlight = false;
     bool m_watchingPeer = false;
     /// The number of the current exchange. Identifies late wake-ups of an earlier exchange.
--- a/tests/unit/http_server_test.cpp
+++ b/tests/unit/http_server_test.cpp
@@ -17,14 +17,28 @@
 namespace {
 
 constexpr std::size_t BodyLimit = 1000;
+/// A body that doesn't fit into the buffers of a connection, and the pieces it is sent in.
+constexpr std::size_t LongBody = 4 * 1024 * 1024;
+constexpr std::size_t Piece = 64 * 1024;
+constexpr auto PauseBetweenPieces = std::chrono::milliseconds(2);
 
 /// Responds with the length of the body. /stream responds with ten parts, /flood without end,
-/// /hang never.
+/// /hang never, /refuse before it has read the body, /refuse-early while it reads the body.
 class EchoHandler : public HttpHandler
 {
 public:
     void handle(const std::shared_ptr<HttpExchange> &exchange) override
     {
+        ++requests;
+        if (exchange->target() == "/refuse")
+            return exchange->respond(404, {}, "refused");
+        if (exchange->target() == "/refuse-early") {
+            exchange->readBody(2 * LongBody, [this](const Result<std::string> &body) {
+                if (!body)
+                    ++unreadBodies;
+            });
+            return exchange->respond(404, {}, "refused");
+        }
         if (exchange->target() == "/stream") {
             exchange->beginStream(200, {});
             for (int i = 0; i < 10; ++i)
@@ -57,6 +71,8 @@
     }
 
     std::shared_ptr<HttpExchange> heldExchange;
+    std::atomic<int> requests {0};
+    std::atomic<int> unreadBodies {0};
     std::atomic<int> closedExchanges {0};
     std::atomic<std::size_t> maxPendingBytes {0};
 };
@@ -65,11 +81,11 @@
 class RunningServer
 {
 public:
-    RunningServer()
+    explicit RunningServer(std::size_t maxBodyBytes = 10 * BodyLimit)
     {
         HttpServerLimits limits;
         limits.maxHeaderBytes = 2000;
-        limits.maxBodyBytes = 10 * BodyLimit;
+        limits.maxBodyBytes = maxBodyBytes;
         limits.maxConnections = 50;
         limits.headerTimeout = 300ms;
         limits.idleTimeout = 300ms;
@@ -87,6 +103,8 @@
         handler.heldExchange.reset();
     }
 
+    int exchangesInFlight() const { return m_server->exchangesInFlight(); }
+
     EchoHandler handler;
     unsigned short port = 0;
 
@@ -112,6 +130,27 @@
         asio::write(socket, asio::buffer(text.data(), text.size()), ec);
     }
 
+    /// Sends a body in pieces with pauses. Returns false if the connection broke meanwhile.
+    bool sendSlowly(std::size_t bytes)
+    {
+        const std::string piece(Piece, 'x');
+        boost::system::error_code ec;
+        for (std::size_t sent = 0; sent < bytes && !ec; sent += piece.size()) {
+            asio::write(socket, asio::buffer(piece), ec);
+            std::this_thread::sleep_for(PauseBetweenPieces);
+        }
+        return !ec;
+    }
+
+    /// Reads until the server closes the connection, and returns whether it did so in order.
+    bool closedInOrder()
+    {
+        std::string rest;
+        boost::system::error_code ec;
+        asio::read(socket, asio::dynamic_buffer(rest), ec);
+        return ec == asio::error::eof && rest.empty();
+    }
+
     /// Reads until the server closes the connection.
     std::string readAll()
     {
@@ -151,6 +190,10 @@
     CPPUNIT_TEST(treatsAHalfClosedConnectionAsDisconnected);
     CPPUNIT_TEST(refusesBadRequests);
     CPPUNIT_TEST(closesHalfSentRequests);
+    CPPUNIT_TEST(aClientThatStillWritesItsBodyReadsTheWholeRefusal);
+    CPPUNIT_TEST(aRefusalOnAKeptConnectionIsReadWhileTheBodyIsWritten);
+    CPPUNIT_TEST(bytesAfterARefusalAreNoRequest);
+    CPPUNIT_TEST(aRefusedClientThatGoesOnIsDisconnected);
     CPPUNIT_TEST(buffersStayBoundedForSlowReaders);
     CPPUNIT_TEST(detectsADisconnectDuringARequest);
     CPPUNIT_TEST(misbehavingClientsDoNotAffectOthers);
@@ -304,6 +347,79 @@
         }
     }
 
+    static std::string longRequest(std::string_view target)
+    {
+        return "POST " + std::string(target)
+            + " HTTP/1.1\r\nHost: a\r\nContent-Length: " + std::to_string(LongBody) + "\r\n\r\n";
+    }
+
+    static void expectRefusalWhileWriting(RawClient &client, const std::string &body)
+    {
+        CPPUNIT_ASSERT_MESSAGE("the connection broke while the body was sent",
+                               client.sendSlowly(LongBody));
+        const std::string answer = client.readAnswer();
+        CPPUNIT_ASSERT_MESSAGE(answer, answer.find(body) != std::string::npos);
+        CPPUNIT_ASSERT(client.closedInOrder());
+    }
+
+    void aClientThatStillWritesItsBodyReadsTheWholeRefusal()
+    {
+        RunningServer server(2 * LongBody);
+        RawClient client(server.port);
+        client.send(longRequest("/refuse"));
+        expectRefusalWhileWriting(client, "refused");
+        RawClient early(server.port);
+        early.send(longRequest("/refuse-early"));
+        expectRefusalWhileWriting(early, "refused");
+        CPPUNIT_ASSERT_EQUAL(1, server.handler.unreadBodies.load());
+        RunningServer strictServer;
+        RawClient tooLong(strictServer.port);
+        tooLong.send(longRequest("/"));
+        expectRefusalWhileWriting(tooLong, "too large");
+    }
+
+    void aRefusalOnAKeptConnectionIsReadWhileTheBodyIsWritten()
+    {
+        RunningServer server(2 * LongBody);
+        RawClient client(server.port);
+        client.send("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n\r\nabc");
+        CPPUNIT_ASSERT_EQUAL(std::string("3"), client.readAnswer());
+        client.send(longRequest("/refuse"));
+        expectRefusalWhileWriting(client, "refused");
+    }
+
+    void bytesAfterARefusalAreNoRequest()
+    {
+        RunningServer server(2 * LongBody);
+        RawClient client(server.port);
+        client.send(longRequest("/refuse"));
+        CPPUNIT_ASSERT_EQUAL(std::string("refused"), client.readAnswer());
+        for (int i = 0; i < 20; ++i) {
+            client.send("GET /stream HTTP/1.1\r\nHost: a\r\n\r\n");
+            std::this_thread::sleep_for(PauseBetweenPieces);
+        }
+        client.socket.shutdown(tcp::socket::shutdown_send);
+        CPPUNIT_ASSERT_EQUAL(std::string(), client.readAll());
+        CPPUNIT_ASSERT_EQUAL(1, server.handler.requests.load());
+    }
+
+    void aRefusedClientThatGoesOnIsDisconnected()
+    {
+        RunningServer server(2 * LongBody);
+        RawClient floods(server.port);
+        floods.send(longRequest("/refuse"));
+        CPPUNIT_ASSERT_EQUAL(std::string("refused"), floods.readAnswer());
+        while (server.exchangesInFlight() > 0)
+            std::this_thread::yield();
+        CPPUNIT_ASSERT(floods.sendSlowly(LongBody / 4));
+        while (floods.sendSlowly(LongBody)) { }
+        RawClient pauses(server.port);
+        pauses.send(longRequest("/refuse"));
+        CPPUNIT_ASSERT_EQUAL(std::string("refused"), pauses.readAnswer());
+        while (pauses.sendSlowly(1))
+            std::this_thread::sleep_for(10 * PauseBetweenPieces);
+    }
+
     void buffersStayBoundedForSlowReaders()
     {
         RunningServer server;
