--- a/tests/simulation/store_feed_test.cpp
+++ b/tests/simulation/store_feed_test.cpp
@@ -21,6 +21,8 @@
     CPPUNIT_TEST(aDependentHostReadsNothingThatOthersDeliver);
     CPPUNIT_TEST(aDependentHostThatNobodyTellsReadsTheStore);
     CPPUNIT_TEST(aSubstituteReadsWhatOthersHaveNotDelivered);
+    CPPUNIT_TEST(aPartOfTheRecordsConfirmsNoConfiguration);
+    CPPUNIT_TEST(aReaderThatFellBehindTakesTheNewestConfiguration);
     CPPUNIT_TEST_SUITE_END();
 
     /// A feed with its view, in the world's network.
@@ -91,6 +93,52 @@
         CPPUNIT_ASSERT_EQUAL(std::uint64_t {2}, host.view.configuration()->version());
         CPPUNIT_ASSERT(!host.view.registry().find("p-1"));
     }
+
+    /// Expects that a host that begins to read after many changes knows the newest one at once.
+    static void expectNewestAfterTakeOver(GatewayWorld &world, Host &host, FeedRole role)
+    {
+        constexpr std::uint64_t Newest = 9;
+        for (std::uint64_t version = host.view.configuration()->version() + 1; version <= Newest;
+             ++version)
+            world.configure(static_cast<int>(version), {"other-key"});
+        const Duration age = host.view.configurationAge();
+        host.feed.setRole(role);
+        constexpr Duration TakeOverTime = 4s;
+        constexpr Duration Step = 10ms;
+        for (Duration time {}; time < TakeOverTime; time += Step) {
+            world.run(Step);
+            if (host.view.configurationAge() <= age)
+                CPPUNIT_ASSERT_EQUAL(Newest, host.view.configuration()->version());
+        }
+        CPPUNIT_ASSERT_EQUAL(Newest, host.view.configuration()->version());
+    }
+
+    /// A member that became its zone's reader asked for all records from the first on, and took the
+    /// first part of them, all older than its own, for a confirmation.
+    void aPartOfTheRecordsConfirmsNoConfiguration()
+    {
+        GatewayWorld world;
+        world.store.setMaxReadBytes(1);
+        world.settle();
+        Host host(world, FeedRole::Dependent);
+        deliver(world, host);
+        world.run(200ms);
+        expectNewestAfterTakeOver(world, host, FeedRole::Reader);
+    }
+
+    void aReaderThatFellBehindTakesTheNewestConfiguration()
+    {
+        GatewayWorld world;
+        world.store.setMaxReadBytes(1);
+        world.settle();
+        Host host(world, FeedRole::Reader);
+        world.run(1s);
+        host.feed.setRole(FeedRole::Dependent);
+        // The read that waits ends with the next change.
+        world.configure(2, {"other-key"});
+        world.run(1s);
+        expectNewestAfterTakeOver(world, host, FeedRole::Substitute);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(StoreFeedTest);
--- a/tools/testtool/log_store.cpp
+++ b/tools/testtool/log_store.cpp
@@ -111,8 +111,13 @@
     std::string body;
     appendNumber(body, topic.end(), OffsetBytes);
     appendNumber(body, topic.first, OffsetBytes);
+    const std::size_t headBytes = body.size();
     for (std::uint64_t offset = std::max(from, topic.first); offset < topic.end(); ++offset) {
         const Record &record = topic.records[offset - topic.first];
+        const std::size_t recordBytes =
+            LengthBytes + 1 + record.key.size() + record.value.value_or("").size();
+        if (body.size() > headBytes && body.size() + recordBytes > headBytes + m_maxReadBytes)
+            break;
         appendNumber(body, 1 + record.key.size() + record.value.value_or("").size(), LengthBytes);
         body += static_cast<char>(record.key.size());
         body += record.key + record.value.value_or("");
--- a/tools/testtool/log_store.h
+++ b/tools/testtool/log_store.h
@@ -42,6 +42,8 @@
     /// Drops all records but the newest of each key.
     void forgetHistory();
     void setFaults(const LogStoreFaults &faults) { m_faults = faults; }
+    /// Limits the records of an answer to a read, in bytes. At least one record is returned.
+    void setMaxReadBytes(std::size_t bytes) { m_maxReadBytes = bytes; }
     int calls() const { return m_calls; }
     int reads() const { return m_reads; }
 
@@ -78,6 +80,7 @@
     std::map<std::string, Topic> m_topics;
     std::map<std::string, Group> m_groups;
     LogStoreFaults m_faults;
+    std::size_t m_maxReadBytes = 1U << 20;
     /// Reads that wait, by topic and offset.
     std::multimap<std::string, std::function<void()>> m_waiting;
     int m_calls = 0;
