Let a host that can't fetch a newer configuration read the store

Change: a member of which others have had a newer version for a while, and whose own has not been confirmed for 1.5 s, reads the store. New log line configuration_behind.

--- a/src/gateway/peer_reader.cpp
+++ b/src/gateway/peer_reader.cpp
@@ -29,6 +29,9 @@
 /// this.
 constexpr Duration MinFreshnessGain = 200ms;
 constexpr Duration PullTimeout = 700ms;
+/// Hosts that are told of a newer configuration usually have it within this time. One that has not
+/// reads the store, which the others reach, in time before its own configuration is too old.
+constexpr Duration MaxConfigurationLag = 1500ms;
 /// Configurations have hundreds of KB, and a host may send them to several others at a time.
 constexpr Duration ConfigurationPullTimeout = 1500ms;
 constexpr std::size_t MaxConfigurationBytes = 64U << 20;
@@ -88,7 +91,7 @@
 FeedRole PeerReader::chooseMemberRole()
 {
     const HostTable &hosts = m_node.view().hosts();
-    if (hosts.isolated(m_node.now()))
+    if (hosts.isolated(m_node.now()) || fallenBehind())
         return FeedRole::Substitute;
     const auto members =
         std::count_if(hosts.peers().begin(), hosts.peers().end(), [this](const auto &it) {
@@ -98,6 +101,26 @@
     return m_node.random().chance(share) ? FeedRole::Substitute : FeedRole::Dependent;
 }
 
+bool PeerReader::fallenBehind()
+{
+    const FleetView &view = m_node.view();
+    const std::uint64_t version = view.configuration() ? view.configuration()->version() : 0;
+    std::uint64_t newest = version;
+    if (view.configurationAge() >= MaxConfigurationLag && !mutated("gateway-stay-behind")) {
+        for (const auto &[name, peer] : view.hosts().peers()) {
+            if (view.hosts().isLive(peer, m_node.now()))
+                newest = std::max(newest, peer.digest.configurationVersion);
+        }
+    }
+    const bool behind = newest > version;
+    if (behind && !m_fallenBehind)
+        LogEvent("configuration_behind")
+            .field("version", version)
+            .field("newest", newest)
+            .field("configuration_age_ms", view.configurationAge().count() / 1000);
+    return m_fallenBehind = behind;
+}
+
 std::vector<const HostTable::Peer *> PeerReader::readers() const
 {
     const HostTable &hosts = m_node.view().hosts();
--- a/src/gateway/peer_reader.h
+++ b/src/gateway/peer_reader.h
@@ -32,6 +32,9 @@
 private:
     FeedRole chooseRole();
     FeedRole chooseMemberRole();
+    /// Whether other hosts have had a newer configuration for some time, and this one could not
+    /// fetch it.
+    bool fallenBehind();
     /// Hosts to pull registrations from.
     std::vector<const HostTable::Peer *> readers() const;
     /// Updates this host's role, and pulls registrations if its own are out of date.
@@ -47,6 +50,7 @@
     bool m_configurationPullInFlight = false;
     bool m_registrationsPullInFlight = false;
     FeedRole m_role = FeedRole::Reader;
+    bool m_fallenBehind = false;
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
 
--- a/tests/simulation/relay_test.cpp
+++ b/tests/simulation/relay_test.cpp
@@ -18,6 +18,8 @@
 constexpr Duration MaxLoadAge = 1s;
 /// Look-ups must not name a dead host for longer.
 constexpr Duration MaxDeadHostAge = 3s;
+/// A configuration that has been replaced must not be used for longer.
+constexpr Duration ConfigurationBound = 4s;
 /// KV cache that each host of a test reserves on a server, in tokens x layers.
 constexpr double LoadPerHost = 1'000;
 
@@ -49,6 +51,7 @@
     CPPUNIT_TEST(trafficPerHostIsBounded);
     CPPUNIT_TEST(aFleetThatShrinksALittleKeepsItsRelays);
     CPPUNIT_TEST(smallFleetsExchangeDigestsDirectly);
+    CPPUNIT_TEST(hostsThatCannotFetchTheConfigurationReadTheStore);
     CPPUNIT_TEST_SUITE_END();
 
     void eachZoneHasTwoRelaysWithFastLinks()
@@ -338,6 +341,20 @@
                                          1);
         }
     }
+
+    /// Members that were told of a newer configuration waited for their turn to read the store, one
+    /// in thirty each 0.4 s, until their own was too old.
+    void hostsThatCannotFetchTheConfigurationReadTheStore()
+    {
+        RelayWorld world(Zones, HostsPerZone, StoreAccess::Answers);
+        world.start();
+        world.run(StartTime);
+        world.refuseFetches();
+        world.configure(2);
+        world.run(ConfigurationBound);
+        for (const auto &host : world.hosts)
+            CPPUNIT_ASSERT_EQUAL(std::uint64_t {2}, host->node->view().configuration()->version());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(RelayTest);
