Survive a store that comes back from a copy some seconds old

What callers would have seen: after the store's offsets went back and were given out again, a changed configuration or a draining server was not read until the log had grown past the old offset, so that a key that had been taken away stayed accepted; keys were confirmed by a log that only had an older version; servers that the copy lacked were dropped for 2 s, those that had left since were used again, and placement orders could carry a lower fencing token than servers had seen.

Cause: offsets were compared though they had been given out anew.

Change, in four parts: - LogPosition is the pair of era and offset.

--- a/include/dogwoodvalve/host_digest.h
+++ b/include/dogwoodvalve/host_digest.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <dogwoodvalve/log_position.h>
 #include <dogwoodvalve/timer_service.h>
 
 #include <cstdint>
@@ -34,8 +35,9 @@
     std::uint64_t configurationVersion = 0;
     /// How long ago the configuration was last confirmed to be the newest.
     Duration configurationAge {};
-    /// Log offset up to which the host has read the registrations, and how long ago it did.
-    std::uint64_t registrationsEnd = 0;
+    /// End of the part of the log up to which the host has read the registrations, and how long ago
+    /// it did.
+    LogPosition registrationsEnd;
     Duration registrationsAge {};
     /// KV cache that this host has reserved on servers, in tokens x layers, by server id.
     std::map<std::string, double> commitments;
--- a/src/gateway/fleet_view.cpp
+++ b/src/gateway/fleet_view.cpp
@@ -12,10 +12,13 @@
 /// Longest time from the check of a request's key until it reaches a server, plus the error of ages
 /// that come from other hosts.
 constexpr Duration KeyCheckMargin = 800ms;
+/// A host fetches a configuration that another one has reported within this time, or does not trust
+/// its own any longer: the later one may have revoked keys while the store had lost it.
+constexpr Duration MaxTimeBehind = 2s;
 /// A registration read within this time after a server's own report may be older than the report:
 /// it is delayed by the heartbeat interval, the store and the read interval.
 constexpr Duration MaxRegistrationLag = 3s;
-/// The offsets of removed servers are kept for this many records of the log. No host is further
+/// The positions of removed servers are kept for this many records of the log. No host is further
 /// behind.
 constexpr std::uint64_t RemovedServerRetentionRecords = 20'000;
 /// Factors below this are normal variation under load.
@@ -32,6 +35,12 @@
 /// from a server that others can reach.
 constexpr Duration RecentAnswerWindow = 2s;
 
+/// Whether no host can be as far behind in the servers' log as this position.
+bool isOutdated(const LogPosition &position, const LogPosition &end)
+{
+    return position.era != end.era || position.offset + RemovedServerRetentionRecords < end.offset;
+}
+
 } // namespace
 
 FleetView::FleetView(TimerService &timers, HostDigest self, Duration keyRevocation)
@@ -66,6 +75,8 @@
 {
     if (mutated("gateway-trust-keys-for-ever"))
         return m_configurationConfirmed;
+    if (behindOtherHosts() && m_timers.now() - m_behindSince > MaxTimeBehind)
+        return false;
     return m_configurationConfirmed && configurationAge() < m_keyRevocation - KeyCheckMargin;
 }
 
@@ -80,9 +91,9 @@
 {
     ++m_self.sequence;
     HostDigest digest = identity();
-    digest.configurationVersion = m_configuration ? m_configuration->version() : 0;
+    digest.configurationVersion = configurationVersion();
     digest.configurationAge = std::min(configurationAge(), HostDigest::MaxAge);
-    digest.registrationsEnd = m_serversEndOffset;
+    digest.registrationsEnd = m_serversEnd;
     digest.registrationsAge = std::min(serversAge(), HostDigest::MaxAge);
     for (const auto &[id, load] : m_loads) {
         if (load->committed > 0)
@@ -133,8 +144,23 @@
         applyConfirmation(host.state, now - host.age);
 }
 
+void FleetView::recordReportedVersion(std::uint64_t version)
+{
+    if (version <= m_reportedVersion)
+        return;
+    const bool behindBefore = behindOtherHosts();
+    m_reportedVersion = version;
+    if (behindBefore || !behindOtherHosts())
+        return;
+    m_behindSince = m_timers.now();
+    LogEvent("configuration_behind")
+        .field("version", configurationVersion())
+        .field("reported", m_reportedVersion);
+}
+
 void FleetView::applyConfirmation(const HostDigest &digest, TimePoint sentAt)
 {
+    recordReportedVersion(digest.configurationVersion);
     const bool sameVersion =
         m_configuration && digest.configurationVersion == m_configuration->version();
     if (sameVersion && digest.configurationAge < m_keyRevocation)
@@ -274,7 +300,8 @@
 
 void FleetView::onConfigurationConfirmed(TimePoint asOf)
 {
-    if (!m_configuration)
+    // A store that came back from a copy also shows an older version as the newest one.
+    if (!m_configuration || (behindOtherHosts() && !mutated("gateway-confirm-by-older-version")))
         return;
     if (!m_configurationConfirmed || asOf > m_configurationConfirmedAt)
         m_configurationConfirmedAt = asOf;
@@ -282,16 +309,16 @@
         m_observer->configurationChanged();
 }
 
-bool FleetView::advanceRecordOffset(std::string_view id, std::uint64_t endOffset)
+bool FleetView::advanceRecordEnd(std::string_view id, LogPosition end)
 {
-    const auto it = m_recordEndOffsets.find(id);
-    if (it == m_recordEndOffsets.end()) {
-        m_recordEndOffsets.emplace(id, endOffset);
+    const auto it = m_recordEnds.find(id);
+    if (it == m_recordEnds.end()) {
+        m_recordEnds.emplace(id, end);
         return true;
     }
-    if (endOffset <= it->second && !mutated("gateway-old-records-count"))
+    if (end <= it->second && !mutated("gateway-old-records-count"))
         return false;
-    it->second = endOffset;
+    it->second = end;
     return true;
 }
 
@@ -303,19 +330,46 @@
         m_reportedLayers.erase(it);
 }
 
-void FleetView::onServer(const ServerRegistration &registration, std::uint64_t endOffset)
+void FleetView::onServer(const ServerRegistration &registration, LogPosition end)
 {
+    m_restored.noticeEra(end.era, m_serversKnown, m_timers.now());
+    if (m_restored.isFromCopy(end))
+        return applyCopied(registration, end);
     std::erase(m_unconfirmedServers, registration.id);
-    if (!advanceRecordOffset(registration.id, endOffset))
+    m_restored.recordRegistration(registration.id);
+    if (!advanceRecordEnd(registration.id, end))
         return;
     recordRenewal(registration);
+    applyRegistration(registration, end);
+}
+
+void FleetView::applyCopied(const ServerRegistration &registration, LogPosition end)
+{
+    const auto merged = m_restored.merge(m_registry.find(registration.id), registration);
+    if (!merged)
+        return;
+    std::erase(m_unconfirmedServers, registration.id);
+    if (advanceRecordEnd(registration.id, end))
+        applyRegistration(*merged, end);
+}
+
+void FleetView::applyAbsence(const std::string &id, LogPosition end)
+{
+    if (m_restored.isReconciling(m_timers.now()))
+        m_restored.await(id);
+    else
+        onServerGone(id, end);
+}
+
+void FleetView::applyRegistration(const ServerRegistration &registration, LogPosition end)
+{
     const ServerRegistration *known = m_registry.find(registration.id);
     if (!known)
         m_lastArrivalAt = m_timers.now();
     const bool restarted = known && known->startedAtMs != registration.startedAtMs;
     if (!m_registry.put(registration))
         return;
-    m_changeEndOffsets[registration.id] = endOffset;
+    m_changeEnds[registration.id] = end;
     if (restarted)
         m_reportedLayers.erase(registration.id);
     LogEvent::decision("server_changed")
@@ -331,22 +385,31 @@
         m_observer->serversChanged();
 }
 
-void FleetView::onServerGone(std::string_view id, std::uint64_t endOffset)
+void FleetView::onServerGone(std::string_view id, LogPosition end)
 {
-    if (!advanceRecordOffset(id, endOffset) || !m_registry.remove(id))
+    if (!advanceRecordEnd(id, end))
+        return;
+    if (const ServerRegistration *known = m_registry.find(id))
+        m_restored.recordRemoval(*known, m_timers.now());
+    if (!m_registry.remove(id))
         return;
     m_reportedLayers.erase(std::string(id));
-    m_changeEndOffsets.erase(std::string(id));
+    m_changeEnds.erase(std::string(id));
     LogEvent::decision("server_gone").field("server", id);
     if (m_observer)
         m_observer->serversChanged();
 }
 
-void FleetView::onServersUpToDate(std::uint64_t endOffset, TimePoint asOf)
+void FleetView::onServersUpToDate(LogPosition end, TimePoint asOf)
 {
+    m_restored.noticeEra(end.era, m_serversKnown, m_timers.now());
     for (const std::string &id : std::exchange(m_unconfirmedServers, {}))
-        onServerGone(id, endOffset);
-    m_serversEndOffset = std::max(m_serversEndOffset, endOffset);
+        applyAbsence(id, end);
+    for (const std::string &id : m_restored.takeOverdue(m_timers.now()))
+        onServerGone(id, end);
+    if (m_restored.noticeEnd(end) && m_restored.awaited() > 0)
+        LogEvent("servers_awaited").field("era", end.era).field("count", m_restored.awaited());
+    m_serversEnd = std::max(m_serversEnd, end);
     m_serversReadAt = m_serversKnown ? std::max(m_serversReadAt, asOf) : asOf;
     if (!std::exchange(m_serversKnown, true)) {
         LogEvent("servers_known").field("count", m_registry.servers().size());
@@ -361,23 +424,23 @@
         return m_timers.now() - entry.second > RecentAnswerWindow;
     });
     m_health.retain([this](const std::string &id) { return m_registry.find(id) != nullptr; });
-    std::erase_if(m_recordEndOffsets, [this](const auto &entry) {
-        return entry.second + RemovedServerRetentionRecords < m_serversEndOffset
-            && !m_registry.find(entry.first);
+    std::erase_if(m_recordEnds, [this](const auto &entry) {
+        return isOutdated(entry.second, m_serversEnd) && !m_registry.find(entry.first);
     });
 }
 
-RegistrationsUpdate FleetView::registrationsSince(std::uint64_t endOffset) const
+RegistrationsUpdate FleetView::registrationsSince(LogPosition end) const
 {
     RegistrationsUpdate update;
-    update.endOffset = m_serversEndOffset;
+    update.end = m_serversEnd;
     update.age = std::min(serversAge(), HostDigest::MaxAge);
     for (const auto &[id, server] : m_registry.servers()) {
-        const auto newest = m_recordEndOffsets.find(id);
-        const std::uint64_t newestEnd = newest == m_recordEndOffsets.end() ? 0 : newest->second;
+        const auto newest = m_recordEnds.find(id);
+        const LogPosition newestEnd =
+            newest == m_recordEnds.end() ? LogPosition {} : newest->second;
         update.servers.emplace(id, newestEnd);
-        const auto change = m_changeEndOffsets.find(id);
-        if (change != m_changeEndOffsets.end() && change->second > endOffset)
+        const auto change = m_changeEnds.find(id);
+        if (change != m_changeEnds.end() && change->second > end)
             update.changed.push_back({server, newestEnd});
     }
     return update;
@@ -385,22 +448,25 @@
 
 void FleetView::adoptRegistrations(const RegistrationsUpdate &update, TimePoint asOf)
 {
-    if (update.age >= HostDigest::MaxAge || update.endOffset < m_serversEndOffset
+    if (update.age >= HostDigest::MaxAge || update.end < m_serversEnd
         || (m_serversKnown && asOf <= m_serversReadAt))
         return;
+    m_restored.noticeEra(update.end.era, m_serversKnown, m_timers.now());
     for (const RegistrationsUpdate::Entry &entry : update.changed)
-        onServer(entry.registration, entry.endOffset);
+        onServer(entry.registration, entry.end);
     std::vector<std::string> gone;
     for (const auto &[id, server] : m_registry.servers()) {
         const auto it = update.servers.find(id);
         if (it == update.servers.end())
             gone.push_back(id);
-        else if (advanceRecordOffset(id, it->second))
+        else if (advanceRecordEnd(id, it->second) && !m_restored.isFromCopy(it->second)) {
+            m_restored.recordRegistration(id);
             recordRenewal(server);
+        }
     }
     for (const std::string &id : gone)
-        onServerGone(id, update.endOffset);
-    onServersUpToDate(update.endOffset, asOf);
+        applyAbsence(id, update.end);
+    onServersUpToDate(update.end, asOf);
 }
 
 void FleetView::onServersSnapshotStarted()
--- a/src/gateway/fleet_view.h
+++ b/src/gateway/fleet_view.h
@@ -2,6 +2,7 @@
 
 #include "gateway/platform_interfaces.h"
 #include "gateway/registrations_update.h"
+#include "gateway/restored_registrations.h"
 
 #include <dogwoodvalve/host_table.h>
 #include <dogwoodvalve/server_health.h>
@@ -79,6 +80,9 @@
     /// newest, since its start.
     bool starting() const { return !m_configurationConfirmed || !m_serversKnown; }
 
+    /// Number of times that the store has come back from a copy since this host's start.
+    int storeRestores() const { return m_storeRestores; }
+
     /// Time since a server that was not registered before was added.
     Duration lastArrivalAge() const { return m_timers.now() - m_lastArrivalAt; }
 
@@ -114,8 +118,8 @@
     /// digest, which contains it.
     bool hasUrgentUpdate() const { return m_urgentUpdate; }
 
-    /// The update for another host that has read the servers' log up to this offset.
-    RegistrationsUpdate registrationsSince(std::uint64_t endOffset) const;
+    /// The update for another host that has read the servers' log up to this position.
+    RegistrationsUpdate registrationsSince(LogPosition end) const;
     /// Applies another host's registrations, which were complete at the given time. They are
     /// ignored if this host's own are newer.
     void adoptRegistrations(const RegistrationsUpdate &update, TimePoint asOf);
@@ -123,13 +127,18 @@
     void onConfiguration(FleetConfigurationPointer configuration,
                          std::string_view document) override;
     void onConfigurationConfirmed(TimePoint asOf) override;
-    void onServer(const ServerRegistration &registration, std::uint64_t endOffset) override;
-    void onServerGone(std::string_view id, std::uint64_t endOffset) override;
-    void onServersUpToDate(std::uint64_t endOffset, TimePoint asOf) override;
+    void onServer(const ServerRegistration &registration, LogPosition end) override;
+    void onServerGone(std::string_view id, LogPosition end) override;
+    void onServersUpToDate(LogPosition end, TimePoint asOf) override;
     void onServersSnapshotStarted() override;
+    void onStoreRestored() override { ++m_storeRestores; }
     Duration configurationAge() const override;
+    std::uint64_t configurationVersion() const override
+    {
+        return m_configuration ? m_configuration->version() : 0;
+    }
     Duration serversAge() const override;
-    std::uint64_t serversEndOffset() const override { return m_serversEndOffset; }
+    LogPosition serversEnd() const override { return m_serversEnd; }
 
 private:
     /// Layers by the server's own report, with when it was received.
@@ -140,14 +149,23 @@
         TimePoint at {};
     };
 
-    /// Returns whether a server's record is newer than the last known one, and remembers its offset
-    /// if so.
-    bool advanceRecordOffset(std::string_view id, std::uint64_t endOffset);
+    /// Returns whether a server's record is newer than the last known one, and remembers its
+    /// position if so.
+    bool advanceRecordEnd(std::string_view id, LogPosition end);
+    /// Applies a registration that a store's copy contained.
+    void applyCopied(const ServerRegistration &registration, LogPosition end);
+    void applyRegistration(const ServerRegistration &registration, LogPosition end);
+    /// The log up to this position does not contain the server.
+    void applyAbsence(const std::string &id, LogPosition end);
     /// A registered server has renewed its registration.
     void recordRenewal(const ServerRegistration &registration);
     /// Ejects servers that enough hosts report as unanswered, unless this host has had a sign of
     /// life from them.
     void applySuspicion(const std::string &server);
+    /// Notes the version that another host has in force.
+    void recordReportedVersion(std::uint64_t version);
+    /// Whether another host has reported a later configuration than the one in force.
+    bool behindOtherHosts() const { return m_reportedVersion > configurationVersion(); }
     /// Another host's confirmation of the same configuration version counts here too.
     void applyConfirmation(const HostDigest &digest, TimePoint sentAt);
 
@@ -160,19 +178,24 @@
     std::string m_document;
     TimePoint m_configurationConfirmedAt {};
     bool m_configurationConfirmed = false;
+    /// Highest version that another host has reported, and since when this host lacks a version
+    /// that another one has.
+    std::uint64_t m_reportedVersion = 0;
+    TimePoint m_behindSince {};
     ServerRegistry m_registry;
-    std::uint64_t m_serversEndOffset = 0;
+    LogPosition m_serversEnd;
     TimePoint m_serversReadAt {};
     bool m_serversKnown = false;
     TimePoint m_lastArrivalAt {};
     /// Ids of known servers that the snapshot in progress has not contained so far.
     std::vector<std::string> m_unconfirmedServers;
-    /// Offset just past the newest known record of each server. Removed servers keep theirs, so
+    /// Position just past the newest known record of each server. Removed servers keep theirs, so
     /// that an older record does not bring them back.
-    std::map<std::string, std::uint64_t, std::less<>> m_recordEndOffsets;
-    /// Offset just past the record by which each registered server's registration last changed, or
-    /// past a later one of the server.
-    std::map<std::string, std::uint64_t, std::less<>> m_changeEndOffsets;
+    std::map<std::string, LogPosition, std::less<>> m_recordEnds;
+    /// Position just past the record by which each registered server's registration last changed,
+    /// or past a later one of the server.
+    std::map<std::string, LogPosition, std::less<>> m_changeEnds;
+    RestoredRegistrations m_restored;
     ServerHealth m_health;
     HostTable m_hosts;
     std::map<std::string, std::shared_ptr<ServerLoad>, std::less<>> m_loads;
@@ -183,6 +206,7 @@
     std::map<std::string, TimePoint, std::less<>> m_answeredAt;
     std::function<void(const std::string &)> m_suspicionHandler;
     bool m_urgentUpdate = false;
+    int m_storeRestores = 0;
 };
 
 } // namespace dogwoodvalve
--- a/src/gateway/gateway_metrics.cpp
+++ b/src/gateway/gateway_metrics.cpp
@@ -38,6 +38,8 @@
     , m_servers(buildGauge(m_registry, "dogwoodvalve_servers", "Registered servers"))
     , m_serversAge(buildGauge(m_registry, "dogwoodvalve_servers_age_seconds",
                               "Time since the registrations of servers were read"))
+    , m_storeRestores(buildGauge(m_registry, "dogwoodvalve_store_restores",
+                                 "Times that the store came back from a copy since the start"))
     , m_liveHosts(
           buildGauge(m_registry, "dogwoodvalve_live_hosts", "Live hosts including this one"))
 { }
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -28,6 +28,7 @@
     void setWaitingRequests(std::size_t n) { m_waitingRequests.Set(static_cast<double>(n)); }
     void setConfiguration(std::uint64_t version, Duration age);
     void setServers(std::size_t n, Duration age);
+    void setStoreRestores(int n) { m_storeRestores.Set(n); }
     void setLiveHosts(int n) { m_liveHosts.Set(n); }
 
     /// All metrics in Prometheus' text format.
@@ -47,6 +48,7 @@
     prometheus::Gauge &m_configurationAge;
     prometheus::Gauge &m_servers;
     prometheus::Gauge &m_serversAge;
+    prometheus::Gauge &m_storeRestores;
     prometheus::Gauge &m_liveHosts;
 };
 
--- a/src/gateway/gateway_node.cpp
+++ b/src/gateway/gateway_node.cpp
@@ -125,6 +125,7 @@
     m_metrics.setConfiguration(configuration ? configuration->version() : 0,
                                m_view.configurationAge());
     m_metrics.setServers(m_view.registry().servers().size(), m_view.serversAge());
+    m_metrics.setStoreRestores(m_view.storeRestores());
     m_metrics.setLiveHosts(m_view.hosts().liveHosts(now()));
 }
 
--- a/src/gateway/host_digest_codec.cpp
+++ b/src/gateway/host_digest_codec.cpp
@@ -1,5 +1,7 @@
 #include "gateway/host_digest_codec.h"
 
+#include "gateway/log_position_json.h"
+
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
--- a/src/gateway/peer_reader.cpp
+++ b/src/gateway/peer_reader.cpp
@@ -163,9 +163,10 @@
 void PeerReader::pullRegistrations(const HostDigest &peer)
 {
     const TimePoint askedAt = m_node.now();
+    const LogPosition end = m_node.view().serversEnd();
     fetch(peer,
-          std::string(SupportApi::RegistrationsPath)
-              + "?after=" + std::to_string(m_node.view().serversEndOffset()),
+          std::string(SupportApi::RegistrationsPath) + "?era=" + std::to_string(end.era)
+              + "&after=" + std::to_string(end.offset),
           PullTimeout, m_registrationsPullInFlight,
           [this, askedAt](const std::string &body) -> Result<void> {
               const auto page = decodeRegistrations(body);
@@ -184,7 +185,7 @@
     if (digest.configurationVersion > (configuration ? configuration->version() : 0))
         pullConfiguration(configurationHolder(digest));
     // A host that has just started needs the servers as soon as some host can tell them.
-    if (m_node.view().serversAge() == Duration::max() && digest.registrationsEnd > 0)
+    if (m_node.view().serversAge() == Duration::max() && digest.registrationsEnd > LogPosition {})
         pullRegistrations(digest);
 }
 
--- a/src/gateway/platform_interfaces.h
+++ b/src/gateway/platform_interfaces.h
@@ -6,6 +6,7 @@
 #include <dogwoodvalve/event_stream.h>
 #include <dogwoodvalve/fleet_configuration.h>
 #include <dogwoodvalve/fleet_servers.h>
+#include <dogwoodvalve/log_position.h>
 #include <dogwoodvalve/path_selector.h>
 
 #include <cstdint>
@@ -34,22 +35,26 @@
                                  std::string_view document) = 0;
     /// At this time, the current configuration was the newest one in the store.
     virtual void onConfigurationConfirmed(TimePoint asOf) = 0;
-    /// A registration, with the log offset just past its record. It is ignored unless its offset is
-    /// higher than that of the server's last known record.
-    virtual void onServer(const ServerRegistration &registration, std::uint64_t endOffset) = 0;
-    /// A server's registration was removed, by a record that ends at this offset.
-    virtual void onServerGone(std::string_view id, std::uint64_t endOffset) = 0;
-    /// All records before the offset have been read; at this time, the log had no later ones.
-    virtual void onServersUpToDate(std::uint64_t endOffset, TimePoint asOf) = 0;
+    /// A registration, with the position just past its record. It is ignored unless this is after
+    /// the server's last known record.
+    virtual void onServer(const ServerRegistration &registration, LogPosition end) = 0;
+    /// A server's registration was removed, by a record that ends at this position.
+    virtual void onServerGone(std::string_view id, LogPosition end) = 0;
+    /// All records before the position have been read; at this time, the log had no later ones.
+    virtual void onServersUpToDate(LogPosition end, TimePoint asOf) = 0;
     /// A snapshot of all registrations follows, up to the next call of onServersUpToDate. Servers
     /// that it does not contain are gone.
     virtual void onServersSnapshotStarted() = 0;
+    /// The store has come back from a copy that may lack what was read from it before.
+    virtual void onStoreRestored() = 0;
     /// Time since the configuration was last known to be the newest; the maximum if it never was.
     virtual Duration configurationAge() const = 0;
+    /// Version of the configuration in force; 0 if there is none.
+    virtual std::uint64_t configurationVersion() const = 0;
     /// Time since all registrations were last known; the maximum if they never were.
     virtual Duration serversAge() const = 0;
-    /// All records of the servers' log before this offset are known.
-    virtual std::uint64_t serversEndOffset() const = 0;
+    /// All records of the servers' log before this position are known.
+    virtual LogPosition serversEnd() const = 0;
 };
 
 /// How often a host reads the platform's store. Calls are priced and rate limited, so a few hosts
--- a/src/gateway/registrations_update.cpp
+++ b/src/gateway/registrations_update.cpp
@@ -1,5 +1,7 @@
 #include "gateway/registrations_update.h"
 
+#include "gateway/log_position_json.h"
+
 #include <nlohmann/json.hpp>
 
 namespace dogwoodvalve {
@@ -13,7 +15,7 @@
     const ServerRegistration &server = entry.registration;
     return json::array({server.id, server.service, server.address, server.zone, server.kind,
                         server.slots, server.draining, server.startedAtMs, server.layers.first,
-                        server.layers.end, server.ordersBegun, entry.endOffset});
+                        server.layers.end, server.ordersBegun, entry.end});
 }
 
 /// Reads the values in the order in which encodeEntry writes them.
@@ -31,7 +33,7 @@
     server.startedAtMs = value.at(7);
     server.layers = {value.at(8), value.at(9)};
     server.ordersBegun = value.at(10);
-    entry.endOffset = value.at(11);
+    entry.end = value.at(11);
     return entry;
 }
 
@@ -42,7 +44,7 @@
     json changed = json::array();
     for (const RegistrationsUpdate::Entry &entry : update.changed)
         changed.push_back(encodeEntry(entry));
-    const json value = {{"e", update.endOffset},
+    const json value = {{"e", update.end},
                         {"a", update.age.count()},
                         {"i", update.servers},
                         {"c", std::move(changed)}};
@@ -56,10 +58,10 @@
     try {
         const json value = json::from_cbor(bytes);
         RegistrationsUpdate update;
-        update.endOffset = value.at("e");
+        update.end = value.at("e");
         update.age = Duration(value.at("a").get<Duration::rep>());
-        for (const auto &[id, endOffset] : value.at("i").items())
-            update.servers.emplace(id, endOffset.get<std::uint64_t>());
+        for (const auto &[id, end] : value.at("i").items())
+            update.servers.emplace(id, end.get<LogPosition>());
         for (const json &entry : value.at("c"))
             update.changed.push_back(decodeEntry(entry));
         return update;
--- a/src/gateway/registrations_update.h
+++ b/src/gateway/registrations_update.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <dogwoodvalve/fleet_servers.h>
+#include <dogwoodvalve/log_position.h>
 #include <dogwoodvalve/result.h>
 #include <dogwoodvalve/timer_service.h>
 
@@ -20,17 +21,17 @@
     struct Entry
     {
         ServerRegistration registration;
-        /// Log offset just past the server's newest record.
-        std::uint64_t endOffset = 0;
+        /// Position just past the server's newest record.
+        LogPosition end;
     };
 
-    /// All records of the servers' log before this offset are included.
-    std::uint64_t endOffset = 0;
+    /// All records of the servers' log before this position are included.
+    LogPosition end;
     /// Time since the log was known to have no later records.
     Duration age {};
-    /// All registered servers, with the log offset just past the newest record of each. Servers
+    /// All registered servers, with the position just past the newest record of each. Servers
     /// that are not listed are gone.
-    std::map<std::string, std::uint64_t, std::less<>> servers;
+    std::map<std::string, LogPosition, std::less<>> servers;
     /// Servers with a change that the other host has not read.
     std::vector<Entry> changed;
 };
--- a/src/gateway/support_api.cpp
+++ b/src/gateway/support_api.cpp
@@ -5,6 +5,7 @@
 #include "net/http_text.h"
 
 #include <charconv>
+#include <optional>
 #include <utility>
 
 namespace dogwoodvalve {
@@ -16,6 +17,17 @@
 const std::vector<HttpField> Zlib {{"Content-Type", "application/zlib"}};
 const std::vector<HttpField> Text {{"Content-Type", "text/plain; version=0.0.4"}};
 
+/// A number of the query, or 0 if it has no such parameter; nothing if the value is no number.
+std::optional<std::uint64_t> numberParameter(std::string_view target, std::string_view name)
+{
+    const std::string_view digits = queryParameter(target, name);
+    std::uint64_t number = 0;
+    const auto [end, ec] = std::from_chars(digits.begin(), digits.end(), number);
+    if (!digits.empty() && (ec != std::errc() || end != digits.end()))
+        return std::nullopt;
+    return number;
+}
+
 } // namespace
 
 void SupportApi::handle(const std::shared_ptr<HttpExchange> &exchange)
@@ -52,12 +64,12 @@
 
 void SupportApi::answerRegistrations(HttpExchange &exchange)
 {
-    const std::string_view digits = queryParameter(exchange.target(), "after");
-    std::uint64_t after = 0;
-    const auto [end, ec] = std::from_chars(digits.begin(), digits.end(), after);
-    if (!digits.empty() && (ec != std::errc() || end != digits.end()))
+    const auto era = numberParameter(exchange.target(), "era");
+    const auto after = numberParameter(exchange.target(), "after");
+    if (!era || !after)
         return exchange.respond(StatusBadRequest, Text, "");
-    exchange.respond(StatusOk, Cbor, encodeRegistrations(m_node.view().registrationsSince(after)));
+    exchange.respond(StatusOk, Cbor,
+                     encodeRegistrations(m_node.view().registrationsSince({*era, *after})));
 }
 
 void SupportApi::answerLookup(HttpExchange &exchange)
--- a/tests/simulation/gateway_test.cpp
+++ b/tests/simulation/gateway_test.cpp
@@ -482,11 +482,12 @@
         FleetView &view = world.hosts[0]->node.view();
         ServerRegistration older = *view.registry().find("p-1");
         older.draining = true;
-        view.onServer(older, 1);
+        const LogPosition end = view.serversEnd();
+        view.onServer(older, {end.era, 1});
         CPPUNIT_ASSERT(!view.registry().find("p-1")->draining);
-        view.onServerGone("p-1", 1);
+        view.onServerGone("p-1", {end.era, 1});
         CPPUNIT_ASSERT(view.registry().find("p-1") != nullptr);
-        view.onServer(older, view.serversEndOffset() + 1);
+        view.onServer(older, {end.era, end.offset + 1});
         CPPUNIT_ASSERT(view.registry().find("p-1")->draining);
     }
 
--- a/tests/simulation/relay_world.h
+++ b/tests/simulation/relay_world.h
@@ -170,7 +170,7 @@
             std::make_shared<FleetConfiguration>(1, std::vector<RouteRule> {},
                                                  std::vector<ServiceRule> {}),
             "{}");
-        host.node->view().onServersUpToDate(0, now());
+        host.node->view().onServersUpToDate({}, now());
     }
 
     /// Sends what is due, again and again while the process lives.
--- a/tests/simulation/store_feed_test.cpp
+++ b/tests/simulation/store_feed_test.cpp
@@ -48,7 +48,7 @@
         const FleetView &from = world.hosts[0]->node.view();
         host.view.onConfiguration(from.configuration(), from.configurationDocument());
         host.view.onConfigurationConfirmed(world.now());
-        host.view.adoptRegistrations(from.registrationsSince(0), world.now());
+        host.view.adoptRegistrations(from.registrationsSince({}), world.now());
     }
 
     void aDependentHostReadsNothingThatOthersDeliver()
--- a/tests/unit/registrations_update_test.cpp
+++ b/tests/unit/registrations_update_test.cpp
@@ -49,8 +49,8 @@
     {
         m_timers.advanceTo(TimePoint {} + 1h);
         for (int i = 0; i < Servers; ++i)
-            m_reader.onServer(engine(i), nextOffset());
-        m_reader.onServersUpToDate(m_offset, m_timers.now());
+            m_reader.onServer(engine(i), nextPosition());
+        m_reader.onServersUpToDate({1, m_offset}, m_timers.now());
         pass();
         CPPUNIT_ASSERT_EQUAL(std::size_t {Servers}, m_follower.registry().servers().size());
     }
@@ -63,8 +63,7 @@
         m_timers.advanceTo(m_timers.now() + 3s);
         CPPUNIT_ASSERT(!m_follower.health().usable(engine(0).id, 1, m_timers.now()));
         renewAll();
-        const RegistrationsUpdate update =
-            m_reader.registrationsSince(m_follower.serversEndOffset());
+        const RegistrationsUpdate update = m_reader.registrationsSince(m_follower.serversEnd());
         CPPUNIT_ASSERT(update.changed.empty());
         constexpr std::size_t MaxBytesPerServer = 20;
         CPPUNIT_ASSERT(encodeRegistrations(update).size() < Servers * MaxBytesPerServer);
@@ -76,9 +75,9 @@
     {
         ServerRegistration draining = engine(7);
         draining.draining = true;
-        m_reader.onServer(draining, nextOffset());
-        m_reader.onServer(draining, nextOffset());
-        m_reader.onServersUpToDate(m_offset, m_timers.now());
+        m_reader.onServer(draining, nextPosition());
+        m_reader.onServer(draining, nextPosition());
+        m_reader.onServersUpToDate({1, m_offset}, m_timers.now());
         m_timers.advanceTo(m_timers.now() + 1s);
         pass();
         CPPUNIT_ASSERT(m_follower.registry().find(draining.id)->draining);
@@ -86,7 +85,7 @@
 
     void removedServersAreGone()
     {
-        m_reader.onServerGone(engine(3).id, nextOffset());
+        m_reader.onServerGone(engine(3).id, nextPosition());
         renewAll();
         pass();
         CPPUNIT_ASSERT(!m_follower.registry().find(engine(3).id));
@@ -99,7 +98,7 @@
         FleetView starting(m_timers, identity("starting"), KeyRevocation);
         FleetView other(m_timers, identity("other"), KeyRevocation);
         const auto update =
-            decodeRegistrations(encodeRegistrations(starting.registrationsSince(0)));
+            decodeRegistrations(encodeRegistrations(starting.registrationsSince({})));
         CPPUNIT_ASSERT(update);
         other.adoptRegistrations(update.value(), m_timers.now() - update.value().age);
         CPPUNIT_ASSERT_EQUAL(Duration::max().count(), other.serversAge().count());
@@ -108,7 +107,7 @@
     }
 
 private:
-    std::uint64_t nextOffset() { return ++m_offset; }
+    LogPosition nextPosition() { return {1, ++m_offset}; }
 
     /// Reads a renewal of every registered server, a second later.
     void renewAll()
@@ -116,16 +115,16 @@
         m_timers.advanceTo(m_timers.now() + 1s);
         for (int i = 0; i < Servers; ++i) {
             if (m_reader.registry().find(engine(i).id))
-                m_reader.onServer(engine(i), nextOffset());
+                m_reader.onServer(engine(i), nextPosition());
         }
-        m_reader.onServersUpToDate(m_offset, m_timers.now());
+        m_reader.onServersUpToDate({1, m_offset}, m_timers.now());
     }
 
     /// Sends the follower what it does not know.
     void pass()
     {
         const auto update = decodeRegistrations(
-            encodeRegistrations(m_reader.registrationsSince(m_follower.serversEndOffset())));
+            encodeRegistrations(m_reader.registrationsSince(m_follower.serversEnd())));
         CPPUNIT_ASSERT(update);
         m_follower.adoptRegistrations(update.value(), m_timers.now());
     }
--- a/tools/testtool/log_store.cpp
+++ b/tools/testtool/log_store.cpp
@@ -52,7 +52,7 @@
 {
     ++m_calls;
     if (m_faults.refuseWith != 0)
-        return exchange->respond(m_faults.refuseWith, {}, "");
+        return exchange->respond(m_faults.refuseWith, eraField(), "");
     const std::string_view path = pathOf(exchange->target());
     if (path == "/v1/log-read")
         return read(exchange);
@@ -64,31 +64,36 @@
         return join(exchange);
     if (path == "/v1/log-leave")
         return leave(exchange);
-    exchange->respond(404, {}, "");
+    exchange->respond(404, eraField(), "");
+}
+
+std::vector<HttpField> LogStore::eraField() const
+{
+    if (!m_sendsEra)
+        return {};
+    return {{"Store-Era", std::to_string(m_era)}};
 }
 
 void LogStore::answer(const std::shared_ptr<HttpExchange> &exchange, int status,
                       const std::string &body)
 {
     if (m_faults.refuseWith != 0)
-        return exchange->respond(m_faults.refuseWith, {}, "");
+        return exchange->respond(m_faults.refuseWith, eraField(), "");
     if (m_faults.loseAnswers)
         return exchange->abort();
     if (m_faults.slowness == Duration::zero())
-        return exchange->respond(status, {}, body);
-    m_timers.schedule(m_timers.now() + m_faults.slowness,
-                      [exchange, status, body] { exchange->respond(status, {}, body); });
+        return exchange->respond(status, eraField(), body);
+    m_timers.schedule(
+        m_timers.now() + m_faults.slowness,
+        [exchange, status, body, fields = eraField()] { exchange->respond(status, fields, body); });
 }
 
 void LogStore::put(const std::string &topic, const std::string &key,
                    const std::optional<std::string> &value)
 {
     Topic &it = m_topics[topic];
-    if (value)
-        it.newest[key] = {it.end(), *value};
-    else
-        it.newest.erase(key);
-    it.records.push_back({key, value});
+    it.records.push_back({key, value, m_timers.now()});
+    applyRecord(it, it.end() - 1);
     std::vector<std::function<void()>> waiting;
     const auto range = m_waiting.equal_range(topic);
     for (auto reader = range.first; reader != range.second; ++reader)
@@ -98,12 +103,37 @@
         wake();
 }
 
+void LogStore::applyRecord(Topic &topic, std::uint64_t offset)
+{
+    const Record &record = topic.records[offset];
+    if (record.value)
+        topic.newest[record.key] = {offset, *record.value};
+    else
+        topic.newest.erase(record.key);
+}
+
 void LogStore::forgetHistory()
 {
-    for (auto &[name, topic] : m_topics) {
+    for (auto &[name, topic] : m_topics)
         topic.first = topic.end();
-        topic.records.clear();
+}
+
+void LogStore::restoreFromCopy(Duration age)
+{
+    const TimePoint copiedAt = m_timers.now() - age;
+    for (auto &[name, topic] : m_topics) {
+        while (!topic.records.empty() && topic.records.back().writtenAt > copiedAt)
+            topic.records.pop_back();
+        topic.first = std::min(topic.first, topic.end());
+        topic.newest.clear();
+        for (std::uint64_t offset = 0; offset < topic.end(); ++offset)
+            applyRecord(topic, offset);
     }
+    while (!m_groupHistory.empty() && m_groupHistory.back().first > copiedAt)
+        m_groupHistory.pop_back();
+    m_groups =
+        m_groupHistory.empty() ? std::map<std::string, Group> {} : m_groupHistory.back().second;
+    ++m_era;
 }
 
 std::string LogStore::encode(const Topic &topic, std::uint64_t from) const
@@ -112,7 +142,7 @@
     appendNumber(body, topic.end(), OffsetBytes);
     appendNumber(body, topic.first, OffsetBytes);
     for (std::uint64_t offset = std::max(from, topic.first); offset < topic.end(); ++offset) {
-        const Record &record = topic.records[offset - topic.first];
+        const Record &record = topic.records[offset];
         appendNumber(body, 1 + record.key.size() + record.value.value_or("").size(), LengthBytes);
         body += static_cast<char>(record.key.size());
         body += record.key + record.value.value_or("");
@@ -120,20 +150,27 @@
     return body;
 }
 
+void LogStore::answerRead(const std::shared_ptr<HttpExchange> &exchange, const std::string &name,
+                          std::uint64_t from)
+{
+    const Topic &topic = m_topics[name];
+    if (!topic.has(from))
+        return answer(exchange, StatusGone, json {{"First", topic.first}}.dump());
+    answer(exchange, 200, encode(topic, from));
+}
+
 void LogStore::read(const std::shared_ptr<HttpExchange> &exchange)
 {
     ++m_reads;
     const std::string name = topicOf(*exchange);
     const std::uint64_t from = numberIn(*exchange, "From");
     const Topic &topic = m_topics[name];
-    if (from < topic.first)
-        return answer(exchange, StatusGone, json {{"First", topic.first}}.dump());
     const auto wait = std::chrono::milliseconds(numberIn(*exchange, "WaitMs"));
-    if (topic.end() > from || wait == Duration::zero())
-        return answer(exchange, 200, encode(topic, from));
+    if (topic.end() != from || wait == Duration::zero())
+        return answerRead(exchange, name, from);
     const auto finish = [this, exchange, name, from] {
         if (!exchange->responded())
-            answer(exchange, 200, encode(m_topics[name], from));
+            answerRead(exchange, name, from);
     };
     m_waiting.emplace(name, finish);
     m_timers.schedule(m_timers.now() + wait, finish);
@@ -182,8 +219,10 @@
             members.emplace_back(member, until);
         else
             known->second = until;
-        if (known == members.end() || members.size() != before)
+        if (known == members.end() || members.size() != before) {
             ++group.generation;
+            m_groupHistory.emplace_back(now, m_groups);
+        }
         json parts = json::array();
         if (members.front().first == member)
             parts.push_back({request.at("Topics").at(0), 0, 0});
@@ -198,6 +237,7 @@
         const std::string member = request.at("Member");
         std::erase_if(group.members, [&](const auto &it) { return it.first == member; });
         ++group.generation;
+        m_groupHistory.emplace_back(m_timers.now(), m_groups);
         answer(exchange, 200, "{}");
     });
 }
--- a/tools/testtool/log_store.h
+++ b/tools/testtool/log_store.h
@@ -41,6 +41,11 @@
              const std::optional<std::string> &value);
     /// Drops all records but the newest of each key.
     void forgetHistory();
+    /// Comes back from a copy of this age: what was written since is gone, its offsets are given
+    /// out again, and the era rises. Reads that wait go on waiting.
+    void restoreFromCopy(Duration age);
+    /// Sends no era with the answers, as stores without copies do.
+    void omitEra() { m_sendsEra = false; }
     void setFaults(const LogStoreFaults &faults) { m_faults = faults; }
     int calls() const { return m_calls; }
     int reads() const { return m_reads; }
@@ -50,14 +55,18 @@
     {
         std::string key;
         std::optional<std::string> value;
+        TimePoint writtenAt {};
     };
     struct Topic
     {
+        /// Offset of the oldest record that can be read.
         std::uint64_t first = 0;
+        /// All records ever written, by offset.
         std::deque<Record> records;
         std::map<std::string, std::pair<std::uint64_t, std::string>> newest;
 
-        std::uint64_t end() const { return first + records.size(); }
+        std::uint64_t end() const { return records.size(); }
+        bool has(std::uint64_t from) const { return from >= first && from <= end(); }
     };
     struct Group
     {
@@ -67,6 +76,11 @@
     };
 
     void answer(const std::shared_ptr<HttpExchange> &exchange, int status, const std::string &body);
+    std::vector<HttpField> eraField() const;
+    static void applyRecord(Topic &topic, std::uint64_t offset);
+    /// Answers a read with what the topic has now.
+    void answerRead(const std::shared_ptr<HttpExchange> &exchange, const std::string &topic,
+                    std::uint64_t from);
     void read(const std::shared_ptr<HttpExchange> &exchange);
     void readNewest(const std::shared_ptr<HttpExchange> &exchange);
     void append(const std::shared_ptr<HttpExchange> &exchange);
@@ -77,6 +91,10 @@
     TimerService &m_timers;
     std::map<std::string, Topic> m_topics;
     std::map<std::string, Group> m_groups;
+    /// All states of the groups after each change of a generation.
+    std::vector<std::pair<TimePoint, std::map<std::string, Group>>> m_groupHistory;
+    std::uint64_t m_era = 1;
+    bool m_sendsEra = true;
     LogStoreFaults m_faults;
     /// Reads that wait, by topic and offset.
     std::multimap<std::string, std::function<void()>> m_waiting;
