--- a/tests/simulation/relay_world.h
+++ b/tests/simulation/relay_world.h
@@ -222,7 +222,7 @@
             std::make_shared<FleetConfiguration>(1, std::vector<RouteRule> {},
                                                  std::vector<ServiceRule> {}),
             "{}");
-        host.node->view().onServersUpToDate(0, now());
+        host.node->view().onServersUpToDate({}, now());
     }
 
     void startReading(RelayHost &host)
