Send nothing more to a server that announces that it is leaving

A server says in the header of any answer that it is leaving, while its registration may still say that it is ready, or the store may be away. Nothing read that, so requests, probes and orders went on to the server until the registration told of it.

The adapter decodes the field once, of requests, reports and orders. ServerHealth keeps it for this start of the server: it ends with a later start, neither with a registration that is older or comes back, nor with success or heartbeats. Choices of servers and paths, retries, probes, reports and orders all respect it, streams that run through the server go on. Digests and relay digests tell the other hosts at once, by id and start; digests without the member stay readable. An answer 421 says nothing, as it may be another server's.

--- a/include/dogwoodvalve/host_digest.h
+++ b/include/dogwoodvalve/host_digest.h
@@ -49,6 +49,9 @@
     /// Engines that recent probes by this host found slow: factor on their normal times, by server
     /// id.
     std::map<std::string, double> slowness;
+    /// Start, Unix time in ms, of registered servers that have announced that they are leaving, by
+    /// server id.
+    std::map<std::string, std::int64_t> leavingServers;
 };
 
 } // namespace dogwoodvalve
--- a/include/dogwoodvalve/server_health.h
+++ b/include/dogwoodvalve/server_health.h
@@ -55,16 +55,39 @@
     /// The server has renewed its registration. An unreachable server is not used until it does,
     /// since a dead server can't.
     void recordHeartbeat(std::string_view id, std::int64_t startedAtMs, TimePoint now);
+    /// The server has announced that it is leaving. Returns whether that was not known.
+    bool recordLeaving(std::string_view id, std::int64_t startedAtMs, TimePoint now);
+    /// Whether this start of the server has announced that it is leaving.
+    bool isLeaving(std::string_view id, std::int64_t startedAtMs) const;
     /// Whether new requests may be sent to the server.
     bool usable(std::string_view id, std::int64_t startedAtMs, TimePoint now) const;
-    /// Drops the records of servers for which the predicate is false.
+    /// Drops the records of servers for which the predicate is false. Announcements of leaving are
+    /// kept for a while, as the store may still return an old registration.
     template <class Predicate>
-    void retain(Predicate isRegistered)
+    void retain(Predicate isRegistered, TimePoint now)
     {
         std::erase_if(m_servers, [&](const auto &entry) { return !isRegistered(entry.first); });
+        for (auto &[id, departure] : m_departures) {
+            if (isRegistered(id))
+                departure.registeredAt = now;
+        }
+        std::erase_if(m_departures, [now](const auto &entry) {
+            return now - entry.second.registeredAt > DepartureRetention;
+        });
     }
 
 private:
+    /// How long an announcement of leaving outlasts the server's registration.
+    static constexpr Duration DepartureRetention = std::chrono::minutes(10);
+
+    /// An announcement of leaving. It holds for this start of the server and earlier ones.
+    struct Departure
+    {
+        std::int64_t startedAtMs = 0;
+        /// When the server was registered last, or when it made the announcement.
+        TimePoint registeredAt {};
+    };
+
     struct Record
     {
         std::int64_t startedAtMs = 0;
@@ -84,6 +107,7 @@
     Record *recordOf(std::string_view id, std::int64_t startedAtMs, bool create);
 
     std::map<std::string, Record, std::less<>> m_servers;
+    std::map<std::string, Departure, std::less<>> m_departures;
 };
 
 } // namespace dogwoodvalve
--- a/src/core/host_table.cpp
+++ b/src/core/host_table.cpp
@@ -38,6 +38,7 @@
     state.inFlight.clear();
     state.failedProbes.clear();
     state.slowness.clear();
+    state.leavingServers.clear();
     return state;
 }
 
@@ -142,6 +143,7 @@
     removeStaleFromTotals(now);
     RelayDigest digest;
     digest.relay = stateOf(self);
+    digest.leavingServers = self.leavingServers;
     addTotals(digest, self, toOwnZone);
     addReports(digest, self, now);
     for (const std::string &zone : rosterZones)
--- a/src/core/server_health.cpp
+++ b/src/core/server_health.cpp
@@ -146,8 +146,24 @@
         it->second.awaitsHeartbeat = false;
 }
 
+bool ServerHealth::recordLeaving(std::string_view id, std::int64_t startedAtMs, TimePoint now)
+{
+    if (isLeaving(id, startedAtMs))
+        return false;
+    m_departures[std::string(id)] = {startedAtMs, now};
+    return true;
+}
+
+bool ServerHealth::isLeaving(std::string_view id, std::int64_t startedAtMs) const
+{
+    const auto it = m_departures.find(id);
+    return it != m_departures.end() && startedAtMs <= it->second.startedAtMs;
+}
+
 bool ServerHealth::usable(std::string_view id, std::int64_t startedAtMs, TimePoint now) const
 {
+    if (isLeaving(id, startedAtMs))
+        return false;
     const auto it = m_servers.find(id);
     if (it == m_servers.end() || it->second.startedAtMs != startedAtMs)
         return true;
--- a/src/gateway/fleet_view.cpp
+++ b/src/gateway/fleet_view.cpp
@@ -98,6 +98,10 @@
         if (now - found.second <= SlownessTimeToLive)
             digest.slowness.emplace(id, found.first);
     }
+    for (const auto &[id, server] : m_registry.servers()) {
+        if (m_health.isLeaving(id, server.startedAtMs))
+            digest.leavingServers.emplace(id, server.startedAtMs);
+    }
     m_urgentUpdate = false;
     return digest;
 }
@@ -112,6 +116,7 @@
         LogEvent("host_discovered").field("host", digest.name).field("zone", digest.zone);
     for (const std::string &server : digest.failedProbes)
         applySuspicion(server);
+    applyDepartures(digest.leavingServers, digest.name);
     applyConfirmation(digest, now);
 }
 
@@ -128,6 +133,7 @@
             .field("known", m_hosts.peers().size());
     for (const auto &[server, hosts] : digest.failedProbes)
         applySuspicion(server);
+    applyDepartures(digest.leavingServers, digest.relay.name);
     applyConfirmation(digest.relay, now);
     for (const RelayedHost &host : digest.roster)
         applyConfirmation(host.state, now - host.age);
@@ -232,7 +238,7 @@
         return servers;
     const EngineProfile &profile = *service.engine;
     const TimePoint now = m_timers.now();
-    for (const ServerRegistration *server : m_registry.available(service.name)) {
+    for (const ServerRegistration *server : availableServers(service.name)) {
         const AcceleratorKind *kind = profile.findKind(server->kind);
         const LayerSpan layers = layersOf(*server);
         if (!kind || layers.empty() || !m_health.usable(server->id, server->startedAtMs, now))
@@ -360,7 +366,8 @@
     std::erase_if(m_answeredAt, [this](const auto &entry) {
         return m_timers.now() - entry.second > RecentAnswerWindow;
     });
-    m_health.retain([this](const std::string &id) { return m_registry.find(id) != nullptr; });
+    m_health.retain([this](const std::string &id) { return m_registry.find(id) != nullptr; },
+                    m_timers.now());
     std::erase_if(m_recordEndOffsets, [this](const auto &entry) {
         return entry.second + RemovedServerRetentionRecords < m_serversEndOffset
             && !m_registry.find(entry.first);
--- a/src/gateway/fleet_view.h
+++ b/src/gateway/fleet_view.h
@@ -103,6 +103,12 @@
     /// Usable servers for paths of a service, with the load of all hosts on each.
     std::vector<PathServer> pathServers(const ServiceRule &service);
 
+    /// Registered servers of a service that are neither draining nor known to leave.
+    std::vector<const ServerRegistration *> availableServers(std::string_view service) const;
+    /// Uses what a server has said in an answer. Returns whether it announced that it is leaving
+    /// and that was not known.
+    bool recordNotice(std::string_view id, std::int64_t startedAtMs, const ServerNotice &notice);
+
     /// An engine answered a probe of this host and reported this factor on its usual times.
     void recordProbeAnswer(const ServerRegistration &server, double slowness);
     /// An engine did not answer a probe of this host.
@@ -148,6 +154,8 @@
     /// Ejects servers that enough hosts report as unanswered, unless this host has had a sign of
     /// life from them.
     void applySuspicion(const std::string &server);
+    /// Another host knows that these servers are leaving.
+    void applyDepartures(const std::map<std::string, std::int64_t> &leaving, std::string_view host);
     /// Another host's confirmation of the same configuration version counts here too.
     void applyConfirmation(const HostDigest &digest, TimePoint sentAt);
 
--- a/src/gateway/gateway_metrics.cpp
+++ b/src/gateway/gateway_metrics.cpp
@@ -19,6 +19,8 @@
                                       "Attempts sent to servers by reason"))
     , m_layerOrders(buildCounterFamily(m_registry, "dogwoodvalve_layer_orders_total",
                                        "Orders to load layers by outcome"))
+    , m_serverNotices(buildCounterFamily(m_registry, "dogwoodvalve_server_notices_total",
+                                         "Announcements of servers in their answers by kind"))
     , m_firstByte(buildHistogram(m_registry, "dogwoodvalve_first_byte_seconds",
                                  "Time from arrival of a request to the first byte of its answer",
                                  LatencyBounds))
@@ -57,6 +59,11 @@
     m_layerOrders.Add({{"outcome", std::string(outcome)}}).Increment();
 }
 
+void GatewayMetrics::countServerNotice(std::string_view kind)
+{
+    m_serverNotices.Add({{"kind", std::string(kind)}}).Increment();
+}
+
 void GatewayMetrics::setConfiguration(std::uint64_t version, Duration age)
 {
     m_configurationVersion.Set(static_cast<double>(version));
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -21,6 +21,8 @@
     void countRequest(std::string_view outcome);
     void countDispatch(std::string_view reason);
     void countLayerOrder(std::string_view outcome);
+    /// Counts what servers newly announce in answers to this host. Kinds: leaving.
+    void countServerNotice(std::string_view kind);
     void observeFirstByte(Duration duration) { m_firstByte.Observe(inSeconds(duration)); }
     void observeEventGap(Duration duration) { m_eventGap.Observe(inSeconds(duration)); }
     void observeFailover(Duration duration) { m_failover.Observe(inSeconds(duration)); }
@@ -38,6 +40,7 @@
     prometheus::Family<prometheus::Counter> &m_requests;
     prometheus::Family<prometheus::Counter> &m_dispatches;
     prometheus::Family<prometheus::Counter> &m_layerOrders;
+    prometheus::Family<prometheus::Counter> &m_serverNotices;
     prometheus::Histogram &m_firstByte;
     prometheus::Histogram &m_eventGap;
     prometheus::Histogram &m_failover;
--- a/src/gateway/gateway_node.cpp
+++ b/src/gateway/gateway_node.cpp
@@ -55,6 +55,10 @@
     , m_random(stableHash(settings.name, static_cast<std::uint64_t>(startedAtMs)))
 {
     m_view.setSuspicionHandler([this](const std::string &server) { checkSuspicion(server); });
+    m_platform.engines->setNoticeHandler(
+        [this](std::string_view id, std::int64_t serverStartedAtMs, const ServerNotice &notice) {
+            recordNotice(id, serverStartedAtMs, notice);
+        });
 }
 
 void GatewayNode::checkSuspicion(const std::string &server)
@@ -95,6 +99,13 @@
     return retryBudget(service).tryAcquire(now(), m_view.hosts().liveHosts(now()));
 }
 
+void GatewayNode::recordNotice(std::string_view id, std::int64_t startedAtMs,
+                               const ServerNotice &notice)
+{
+    if (m_view.recordNotice(id, startedAtMs, notice))
+        m_metrics.countServerNotice("leaving");
+}
+
 void GatewayNode::sessionStarted(const std::shared_ptr<RequestSession> &session)
 {
     m_sessions.insert(session);
--- a/src/gateway/gateway_node.h
+++ b/src/gateway/gateway_node.h
@@ -44,6 +44,9 @@
     /// Takes one retry from the service's budget, which all hosts share. False if none is left.
     bool tryConsumeRetry(const std::string &service);
 
+    /// Uses and counts what a server has said in an answer to any request of this host.
+    void recordNotice(std::string_view id, std::int64_t startedAtMs, const ServerNotice &notice);
+
     void sessionStarted(const std::shared_ptr<RequestSession> &session);
     /// Forgets the session, and lets waiting requests use its capacity.
     void sessionEnded(const std::shared_ptr<RequestSession> &session);
--- a/src/gateway/generation_session.cpp
+++ b/src/gateway/generation_session.cpp
@@ -145,6 +145,8 @@
 void GenerationSession::onHead(int status, std::span<const HttpField> fields)
 {
     m_answer = m_node.dialect().decodeAnswer(status, fields, m_request.caller.id);
+    if (!m_parts.empty())
+        m_node.recordNotice(m_parts.front().server, m_parts.front().startedAtMs, m_answer.notice);
     m_streaming = status == StatusOk && m_answer.stamped && m_answer.idMatches && !m_answer.encoded;
     if (!m_streaming || !m_responded)
         m_answerFields = m_node.dialect().answerFields(fields);
--- a/src/gateway/host_digest_codec.cpp
+++ b/src/gateway/host_digest_codec.cpp
@@ -13,6 +13,7 @@
 
 /// A digest of a relay has this member, which no host's digest has.
 constexpr const char *RelayKey = "relay";
+constexpr const char *LeavingKey = "l";
 
 /// An age as it is sent, in ms.
 std::int64_t ageMillis(Duration age)
@@ -55,6 +56,14 @@
     return digest;
 }
 
+/// Starts of leaving servers. Hosts of earlier versions do not send them.
+std::map<std::string, std::int64_t> decodeLeaving(const json &value)
+{
+    const auto it = value.find(LeavingKey);
+    return it == value.end() ? std::map<std::string, std::int64_t> {}
+                             : it->get<std::map<std::string, std::int64_t>>();
+}
+
 Error unreadable(const json::exception &e)
 {
     return {ErrorKind::Malformed, std::string("unreadable digest: ") + e.what(),
@@ -73,6 +82,7 @@
     digest.failedProbes = value.at("u").get<std::vector<std::string>>();
     for (const auto &[server, factor] : value.at("w").items())
         digest.slowness.emplace(server, factor.get<double>());
+    digest.leavingServers = decodeLeaving(value);
     return digest;
 }
 
@@ -91,6 +101,7 @@
     }
     for (const json &host : value.at("o"))
         digest.roster.push_back({decodeState(host.at(0)), durationOf(host.at(1))});
+    digest.leavingServers = decodeLeaving(value);
     return digest;
 }
 
@@ -104,9 +115,10 @@
     json backlog = json::object();
     for (const auto &[server, ms] : digest.backlogMs)
         backlog[server] = std::llround(ms);
-    const json value = {{"n", encodeState(digest)}, {"k", std::move(commitments)},
-                        {"q", std::move(backlog)},  {"i", digest.inFlight},
-                        {"u", digest.failedProbes}, {"w", digest.slowness}};
+    const json value = {{"n", encodeState(digest)},         {"k", std::move(commitments)},
+                        {"q", std::move(backlog)},          {"i", digest.inFlight},
+                        {"u", digest.failedProbes},         {"w", digest.slowness},
+                        {LeavingKey, digest.leavingServers}};
     return json::to_cbor(value);
 }
 
@@ -133,7 +145,8 @@
                         {"t", std::move(totals)},
                         {"w", std::move(slowness)},
                         {"u", std::move(failedProbes)},
-                        {"o", std::move(roster)}};
+                        {"o", std::move(roster)},
+                        {LeavingKey, digest.leavingServers}};
     return json::to_cbor(value);
 }
 
--- a/src/gateway/placement_controller.cpp
+++ b/src/gateway/placement_controller.cpp
@@ -109,7 +109,7 @@
     FleetView &view = m_node.view();
     const TimePoint now = m_node.now();
     std::vector<PlannedServer> planned;
-    for (const ServerRegistration *server : view.registry().available(service.name)) {
+    for (const ServerRegistration *server : view.availableServers(service.name)) {
         PlannedServer it {server->id, server->zone, server->kind, view.layersOf(*server)};
         const auto order = m_orders.find(server->id);
         const bool ordered =
--- a/src/gateway/plain_session.cpp
+++ b/src/gateway/plain_session.cpp
@@ -23,7 +23,7 @@
     FleetView &view = m_node.view();
     const TimePoint now = m_node.now();
     std::vector<const ServerRegistration *> servers =
-        view.registry().available(m_request.service->name);
+        view.availableServers(m_request.service->name);
     std::erase_if(servers, [&](const ServerRegistration *server) {
         return !view.health().usable(server->id, server->startedAtMs, now);
     });
@@ -70,6 +70,7 @@
 void PlainSession::onHead(int status, std::span<const HttpField> fields)
 {
     m_answer = m_node.dialect().decodeAnswer(status, fields, m_request.caller.id);
+    m_node.recordNotice(m_server, m_serverStartedAtMs, m_answer.notice);
     m_answerFields = m_node.dialect().answerFields(fields);
 }
 
--- a/src/gateway/platform_interfaces.h
+++ b/src/gateway/platform_interfaces.h
@@ -7,6 +7,7 @@
 #include <dogwoodvalve/fleet_configuration.h>
 #include <dogwoodvalve/fleet_servers.h>
 #include <dogwoodvalve/path_selector.h>
+#include <dogwoodvalve/server_notice.h>
 
 #include <cstdint>
 #include <functional>
@@ -153,7 +154,13 @@
 class EngineControl
 {
 public:
+    /// Receives what a server, by its id and start, says in an answer to one of these calls.
+    using NoticeHandler = std::function<void(std::string_view id, std::int64_t startedAtMs,
+                                             const ServerNotice &notice)>;
+
     virtual ~EngineControl() = default;
+    /// The handler is called for each answer, before its outcome is delivered.
+    virtual void setNoticeHandler(NoticeHandler handler) = 0;
     virtual void orderLayers(const ServerRegistration &server, LayerSpan layers,
                              std::uint64_t fencingToken,
                              std::function<void(OrderOutcome)> done) = 0;
@@ -215,6 +222,8 @@
     std::string faultyAddress;
     /// The body has a content coding, that was not asked for.
     bool encoded = false;
+    /// Nothing in an answer of another server than the one asked.
+    ServerNotice notice;
 };
 
 /// Encodes and decodes the platform's header fields between callers, entry hosts and servers.
--- a/tests/simulation/gateway_soak.cpp
+++ b/tests/simulation/gateway_soak.cpp
@@ -2,6 +2,7 @@
 
 #include <gflags/gflags.h>
 
+#include <algorithm>
 #include <cstdio>
 
 DEFINE_uint64(seed, 1, "first seed");
@@ -19,6 +20,9 @@
 constexpr Duration Recovery = 15s;
 constexpr Duration KeyRevocation = 5s;
 constexpr Duration CallInterval = 30ms;
+/// Requests that were sent before a host knew that an engine is leaving have arrived after this
+/// time.
+constexpr Duration LeavingSlack = 500ms;
 
 /// A call with what is needed to check its answer.
 struct SentCall
@@ -51,14 +55,16 @@
         callRepeatedly();
         injectFaultsRepeatedly();
         watchVersions();
+        watchLeavingEngine();
         m_world.run(FaultTime);
         stopFaults();
         m_world.run(Recovery);
         checkServing();
         checkAnswers();
-        std::printf("seed=%llu calls=%zu whole=%d refused=%d broken=%d violations=%d\n",
+        std::printf("seed=%llu calls=%zu whole=%d refused=%d broken=%d leaving_checks=%d "
+                    "violations=%d\n",
                     static_cast<unsigned long long>(m_seed), m_sent.size(), m_complete, m_refused,
-                    m_incomplete, m_violations);
+                    m_incomplete, m_leavingChecks, m_violations);
         return m_violations;
     }
 
@@ -111,7 +117,7 @@
         const std::string name = "host-" + std::to_string(host + 1);
         const Duration time(500'000 + static_cast<Duration::rep>(random().below(5'000'000)));
         SimProcess &process = *m_world.hosts[static_cast<std::size_t>(host)]->process;
-        switch (random().below(8)) {
+        switch (random().below(9)) {
         case 0:
             m_world.endHost(host);
             return undoLater(time, [this, host] { m_world.restartHost(host); });
@@ -139,6 +145,8 @@
             return m_world.store.forgetHistory();
         case 5:
             return changeConfiguration();
+        case 6:
+            return announceLeaving(time);
         default:
             return breakEngine(time);
         }
@@ -160,6 +168,63 @@
         });
     }
 
+    /// An engine announces in its answers that it is leaving, and is another one later.
+    void announceLeaving(Duration time)
+    {
+        if (m_leavingEngine)
+            return;
+        const int i = static_cast<int>(random().below(Engines));
+        m_leavingEngine = i;
+        m_allKnowSince.reset();
+        m_world.engines[static_cast<std::size_t>(i)]->setExtraFields({{"Server-Leaving", "1"}});
+        undoLater(time, [this] { restartLeavingEngine(); });
+    }
+
+    void restartLeavingEngine()
+    {
+        if (!m_leavingEngine)
+            return;
+        m_world.engines[static_cast<std::size_t>(*m_leavingEngine)]->setExtraFields({});
+        m_world.restartEngine(*m_leavingEngine);
+        m_leavingEngine.reset();
+    }
+
+    bool allHostsKnowOfTheLeavingEngine() const
+    {
+        const std::string id = "e-" + std::to_string(*m_leavingEngine + 1);
+        return std::all_of(m_world.hosts.begin(), m_world.hosts.end(), [&id](const auto &host) {
+            if (!host->process->alive())
+                return true;
+            FleetView &view = host->node.view();
+            const ServerRegistration *server = view.registry().find(id);
+            return !host->process->frozen() && server
+                && view.health().isLeaving(id, server->startedAtMs);
+        });
+    }
+
+    /// Checks that an engine gets nothing more once all hosts know that it is leaving.
+    void watchLeavingEngine()
+    {
+        if (!m_leavingEngine || !allHostsKnowOfTheLeavingEngine()) {
+            m_allKnowSince.reset();
+        } else {
+            const int received =
+                m_world.engines[static_cast<std::size_t>(*m_leavingEngine)]->received();
+            if (!m_allKnowSince)
+                m_allKnowSince = m_world.now();
+            else if (m_world.now() - *m_allKnowSince <= LeavingSlack)
+                m_receivedWhileLeaving = received;
+            else if (received > m_receivedWhileLeaving) {
+                reportViolation("a leaving engine got a request");
+                m_receivedWhileLeaving = received;
+            } else {
+                ++m_leavingChecks;
+            }
+        }
+        if (m_world.now() < m_end)
+            m_world.after(100ms, [this] { watchLeavingEngine(); });
+    }
+
     /// Adds a temporary key and revokes it, in turn.
     void changeConfiguration()
     {
@@ -194,6 +259,7 @@
     void stopFaults()
     {
         m_faultsStopped = true;
+        restartLeavingEngine();
         m_world.network().healAll();
         m_world.store.setFaults({});
         for (const auto &engine : m_world.engines) {
@@ -269,6 +335,11 @@
     std::string m_temporaryKey;
     std::optional<TimePoint> m_revokedAt;
     bool m_faultsStopped = false;
+    std::optional<int> m_leavingEngine;
+    std::optional<TimePoint> m_allKnowSince;
+    int m_receivedWhileLeaving = 0;
+    /// Number of times that a leaving engine was found to have got nothing.
+    int m_leavingChecks = 0;
     int m_complete = 0;
     int m_refused = 0;
     int m_incomplete = 0;
--- a/tests/simulation/gateway_world.h
+++ b/tests/simulation/gateway_world.h
@@ -49,13 +49,16 @@
             seenTenants.emplace_back("key passed on");
         if (aborts)
             return exchange->abort();
-        const std::vector<HttpField> fields {
-            {"X-Request-Id", std::string(exchange->header("X-Request-Id"))},
-            {"X-Server-Stamp", "plain"}};
-        if (refuses)
-            return exchange->respond(503, std::vector<HttpField> {{"X-Not-Run", "1"}}, "");
-        exchange->respond(
-            status, status == 200 && !stampsAnswers ? std::vector<HttpField> {} : fields, "done");
+        std::vector<HttpField> fields = extraFields;
+        if (refuses) {
+            fields.push_back({"X-Not-Run", "1"});
+            return exchange->respond(503, fields, "");
+        }
+        if (status != 200 || stampsAnswers) {
+            fields.push_back({"X-Request-Id", std::string(exchange->header("X-Request-Id"))});
+            fields.push_back({"X-Server-Stamp", "plain"});
+        }
+        exchange->respond(status, fields, "done");
     }
 
     /// Number of times that a request has reached the server, by its id.
@@ -73,6 +76,8 @@
     bool refuses = false;
     /// Successful answers carry the server's stamp.
     bool stampsAnswers = true;
+    /// Header fields that all answers have besides.
+    std::vector<HttpField> extraFields;
     /// The tenant of each request, and a text for each request that still held the caller's key.
     std::vector<std::string> seenTenants;
 
--- /dev/null
+++ b/tests/unit/server_notice_test.cpp
@@ -0,0 +1,154 @@
+#include "gateway/fleet_view.h"
+#include "gateway/host_digest_codec.h"
+#include "platform/header_dialect.h"
+
+#include <dogwoodvalve/server_health.h>
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <nlohmann/json.hpp>
+
+using namespace dogwoodvalve;
+
+namespace {
+
+constexpr int StatusMisdirected = 421;
+constexpr Duration KeyRevocation = 5s;
+
+TimePoint at(Duration sinceStart)
+{
+    return TimePoint {} + 1h + sinceStart;
+}
+
+bool never(const std::string &)
+{
+    return false;
+}
+
+HostDigest identity(const char *name)
+{
+    HostDigest digest;
+    digest.name = name;
+    digest.startedAtMs = 1;
+    return digest;
+}
+
+ServerRegistration registration(std::int64_t startedAtMs)
+{
+    ServerRegistration server;
+    server.id = "s";
+    server.service = "web";
+    server.startedAtMs = startedAtMs;
+    return server;
+}
+
+} // namespace
+
+/// Unit tests of what servers say in their answers about further requests.
+class ServerNoticeTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(ServerNoticeTest);
+    CPPUNIT_TEST(leavingIsDecodedFromAnyAnswerOfTheServerAsked);
+    CPPUNIT_TEST(leavingHoldsForThisLifeOnly);
+    CPPUNIT_TEST(aLateAnswerOfAnEarlierLifeSaysNothingOfTheNewOne);
+    CPPUNIT_TEST(leavingOutlastsTheRegistration);
+    CPPUNIT_TEST(digestsCarryLeavingServers);
+    CPPUNIT_TEST(aDigestWithoutLeavingServersIsReadable);
+    CPPUNIT_TEST(aRelayPassesLeavingServersOn);
+    CPPUNIT_TEST_SUITE_END();
+
+    void leavingIsDecodedFromAnyAnswerOfTheServerAsked()
+    {
+        const std::vector<HttpField> fields {{"server-leaving", "1"}};
+        for (const int status : {200, 202, 409, 500, 503})
+            CPPUNIT_ASSERT(platform::decodeNotice(status, fields).leaving);
+        CPPUNIT_ASSERT(!platform::decodeNotice(StatusMisdirected, fields).leaving);
+        CPPUNIT_ASSERT(!platform::decodeNotice(200, {}).leaving);
+        const std::vector<HttpField> no {{"Server-Leaving", "0"}};
+        CPPUNIT_ASSERT(!platform::decodeNotice(200, no).leaving);
+        CPPUNIT_ASSERT(platform::HeaderDialect().decodeAnswer(503, fields, "r").notice.leaving);
+    }
+
+    void leavingHoldsForThisLifeOnly()
+    {
+        ServerHealth health;
+        CPPUNIT_ASSERT(health.recordLeaving("s", 5, at(0s)));
+        CPPUNIT_ASSERT(!health.recordLeaving("s", 5, at(1s)));
+        CPPUNIT_ASSERT(!health.usable("s", 5, at(1h)));
+        CPPUNIT_ASSERT(!health.usable("s", 4, at(1s)));
+        CPPUNIT_ASSERT(health.usable("s", 6, at(1s)));
+        CPPUNIT_ASSERT(health.usable("t", 5, at(1s)));
+        // Neither success nor heartbeats end it.
+        health.recordEvidence("s", 5, ServerEvidence::Served, at(1s));
+        health.recordEvidence("s", 5, ServerEvidence::ProbeSucceeded, at(1s));
+        health.recordHeartbeat("s", 5, at(5s));
+        CPPUNIT_ASSERT(!health.usable("s", 5, at(5s)));
+    }
+
+    void aLateAnswerOfAnEarlierLifeSaysNothingOfTheNewOne()
+    {
+        ServerHealth health;
+        health.recordLeaving("s", 5, at(0s));
+        health.recordLeaving("s", 7, at(1s));
+        CPPUNIT_ASSERT(!health.recordLeaving("s", 6, at(2s)));
+        CPPUNIT_ASSERT(!health.usable("s", 7, at(2s)));
+        CPPUNIT_ASSERT(health.usable("s", 8, at(2s)));
+    }
+
+    void leavingOutlastsTheRegistration()
+    {
+        ServerHealth health;
+        health.recordLeaving("s", 5, at(0s));
+        health.retain(never, at(1min));
+        CPPUNIT_ASSERT(!health.usable("s", 5, at(1min)));
+        health.retain(never, at(1h));
+        CPPUNIT_ASSERT(health.usable("s", 5, at(1h)));
+    }
+
+    void digestsCarryLeavingServers()
+    {
+        FleetView view(m_timers, identity("a"), KeyRevocation);
+        view.onServer(registration(5), 1);
+        view.recordNotice("s", 5, {true});
+        CPPUNIT_ASSERT(view.hasUrgentUpdate());
+        const auto decoded = decodeDigest(encodeDigest(view.nextDigest()));
+        CPPUNIT_ASSERT(decoded);
+        FleetView other(m_timers, identity("b"), KeyRevocation);
+        other.onServer(registration(5), 1);
+        CPPUNIT_ASSERT_EQUAL(std::size_t {1}, other.availableServers("web").size());
+        other.applyDigest(std::get<HostDigest>(decoded.value()));
+        CPPUNIT_ASSERT(other.availableServers("web").empty());
+        other.onServer(registration(6), 2);
+        CPPUNIT_ASSERT_EQUAL(std::size_t {1}, other.availableServers("web").size());
+        CPPUNIT_ASSERT(other.nextDigest().leavingServers.empty());
+    }
+
+    void aDigestWithoutLeavingServersIsReadable()
+    {
+        nlohmann::json value = nlohmann::json::from_cbor(encodeDigest(identity("a")));
+        CPPUNIT_ASSERT_EQUAL(std::size_t {1}, value.erase("l"));
+        CPPUNIT_ASSERT(decodeDigest(nlohmann::json::to_cbor(value)));
+    }
+
+    void aRelayPassesLeavingServersOn()
+    {
+        FleetView relay(m_timers, identity("relay"), KeyRevocation);
+        relay.onServer(registration(5), 1);
+        HostDigest member = identity("member");
+        member.sequence = 1;
+        member.leavingServers = {{"s", 5}};
+        relay.hosts().setExchangeMode(ExchangeMode::Relay);
+        relay.applyDigest(member);
+        CPPUNIT_ASSERT(relay.hosts().takeChanges());
+        const auto decoded = decodeDigest(encodeRelayDigest(
+            relay.hosts().makeRelayDigest(relay.nextDigest(), true, {}, m_timers.now())));
+        CPPUNIT_ASSERT(decoded);
+        FleetView other(m_timers, identity("other"), KeyRevocation);
+        other.onServer(registration(5), 1);
+        other.applyRelayDigest(std::get<RelayDigest>(decoded.value()));
+        CPPUNIT_ASSERT(other.availableServers("web").empty());
+    }
+
+    ManualTimerService m_timers;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ServerNoticeTest);
--- a/tools/testtool/forwarding_engine.cpp
+++ b/tools/testtool/forwarding_engine.cpp
@@ -100,13 +100,10 @@
     const std::string_view expected = exchange->header("X-Expect-Instance");
     if (!expected.empty() && expected != m_id)
         return exchange->respond(421, {}, "");
+    ++m_received;
     const std::string_view path = pathOf(exchange->target());
     if (path == "/v1/report")
-        return respondJson(exchange, 200,
-                           {{"Layers", {{"From", m_layers.first}, {"Target", m_layers.end}}},
-                            {"Busy", false},
-                            {"Seq", m_orders},
-                            {"pace", m_slowness}});
+        return report(exchange);
     if (path == "/v1/order")
         return takeOrder(exchange);
     exchange->readBody(MaxBody, [this, exchange](const Result<std::string> &body) {
@@ -115,19 +112,30 @@
     });
 }
 
+void ForwardingEngine::report(const std::shared_ptr<HttpExchange> &exchange) const
+{
+    std::vector<HttpField> fields = m_extraFields;
+    fields.push_back({"Content-Type", "application/json"});
+    const json body = {{"Layers", {{"From", m_layers.first}, {"Target", m_layers.end}}},
+                       {"Busy", false},
+                       {"Seq", m_orders},
+                       {"pace", m_slowness}};
+    exchange->respond(200, fields, body.dump());
+}
+
 void ForwardingEngine::takeOrder(const std::shared_ptr<HttpExchange> &exchange)
 {
     withJsonBody(exchange, [this, exchange](const json &order) {
         const std::uint64_t fence = order.value("Fence", std::uint64_t {0});
         if (fence < m_fence)
-            return exchange->respond(412, {}, "");
+            return exchange->respond(412, m_extraFields, "");
         m_fence = fence;
         const LayerSpan layers {order.at("From").get<int>(), order.at("Target").get<int>()};
         if (layers == m_layers)
-            return exchange->respond(200, {}, "");
+            return exchange->respond(200, m_extraFields, "");
         m_layers = layers;
         ++m_orders;
-        exchange->respond(202, {}, "");
+        exchange->respond(202, m_extraFields, "");
     });
 }
 
@@ -146,7 +154,8 @@
 void ForwardingEngine::run(const std::shared_ptr<HttpExchange> &exchange)
 {
     const std::string request(exchange->header("X-Request-Id"));
-    std::vector<HttpField> fields {{"X-Request-Id", request}};
+    std::vector<HttpField> fields = m_extraFields;
+    fields.push_back({"X-Request-Id", request});
     int status = 0;
     const std::string path(exchange->header("X-Hop-Count"));
     const std::string broken = brokenPart(path, status);
--- a/tools/testtool/forwarding_engine.h
+++ b/tools/testtool/forwarding_engine.h
@@ -9,6 +9,7 @@
 #include <functional>
 #include <map>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace dogwoodvalve::testtool {
@@ -52,6 +53,8 @@
     void handle(const std::shared_ptr<HttpExchange> &exchange) override;
 
     void setFault(EngineFault fault);
+    /// Header fields that all answers have besides.
+    void setExtraFields(std::vector<HttpField> fields) { m_extraFields = std::move(fields); }
     void setLayers(LayerSpan layers) { m_layers = layers; }
     LayerSpan layers() const { return m_layers; }
     /// What the engine reports as factor on its usual times.
@@ -62,6 +65,8 @@
     /// Runs begun, by the caller's request id.
     const std::map<std::string, int> &runs() const { return m_runs; }
     int orders() const { return m_orders; }
+    /// Requests of all kinds that were meant for this engine and that it has read.
+    int received() const { return m_received; }
     std::uint64_t fence() const { return m_fence; }
 
     static std::string eventOf(const std::string &request, int number);
@@ -71,6 +76,7 @@
 private:
     struct Stream;
 
+    void report(const std::shared_ptr<HttpExchange> &exchange) const;
     void takeOrder(const std::shared_ptr<HttpExchange> &exchange);
     void run(const std::shared_ptr<HttpExchange> &exchange);
     /// The address of a part that can't be run, or nothing.
@@ -89,6 +95,8 @@
     std::map<std::string, int> m_runs;
     std::uint64_t m_fence = 0;
     int m_orders = 0;
+    int m_received = 0;
+    std::vector<HttpField> m_extraFields;
     double m_slowness = 1;
 };
 
