Send a server that refuses with Retry-After nothing until its time is over

A server's Retry-After on 503 was not read: requests, probes and orders went there again after 0.1 s, and callers waited for servers that had asked for time.

From the head of the answer on, ServerHealth keeps the pause for this start of the server, two minutes at most and one second if the value can't be read (text, dates, negative). Choices of servers and paths, retries, probes, reports and orders respect it. After its end one request is sent, and others when it is accepted or after a second. If paused servers are the only reason why a service can't be served, requests whose useful wait ends earlier are refused at once with the earliest end, spread by a quarter, as Retry-After; so are those that wait when the last server pauses. A server that a refusal names as its cause pauses as the one that answered. Pauses are not told to other hosts.

The check took hosts that had learned of another start of the engine, asked it and heard of its leaving between two checks for ones that knew all along; it now compares the starts.

--- a/include/dogwoodvalve/server_health.h
+++ b/include/dogwoodvalve/server_health.h
@@ -59,6 +59,23 @@
     bool recordLeaving(std::string_view id, std::int64_t startedAtMs, TimePoint now);
     /// Whether this start of the server has announced that it is leaving.
     bool isLeaving(std::string_view id, std::int64_t startedAtMs) const;
+    /// The server wants no request for a time from now on. Returns the time that is granted, which
+    /// is bounded. When it is over, one request shows whether the server accepts more.
+    Duration recordPause(std::string_view id, std::int64_t startedAtMs,
+                         std::optional<Duration> asked, TimePoint now);
+    /// A request is being sent to the server, or along a path through it.
+    void recordDispatch(std::string_view id, std::int64_t startedAtMs, TimePoint now);
+    /// The server has answered a request without asking for a pause.
+    void recordAccepted(std::string_view id, std::int64_t startedAtMs, TimePoint now);
+    /// The end of the server's pause, if it is in one.
+    std::optional<TimePoint> pausedUntil(std::string_view id, std::int64_t startedAtMs,
+                                         TimePoint now) const;
+    /// Whether a request of any kind may be sent to the server: it is not leaving and wants no
+    /// pause.
+    bool acceptsCalls(std::string_view id, std::int64_t startedAtMs, TimePoint now) const
+    {
+        return !isLeaving(id, startedAtMs) && !pausedUntil(id, startedAtMs, now);
+    }
     /// Whether new requests may be sent to the server.
     bool usable(std::string_view id, std::int64_t startedAtMs, TimePoint now) const;
     /// Drops the records of servers for which the predicate is false. Announcements of leaving are
@@ -74,6 +91,9 @@
         std::erase_if(m_departures, [now](const auto &entry) {
             return now - entry.second.registeredAt > DepartureRetention;
         });
+        std::erase_if(m_pauses, [&](const auto &entry) {
+            return entry.second.until <= now && !isRegistered(entry.first);
+        });
     }
 
 private:
@@ -88,6 +108,18 @@
         TimePoint registeredAt {};
     };
 
+    /// A time without requests that a server has asked for. After it, requests are sent one at a
+    /// time until one is accepted.
+    struct Pause
+    {
+        std::int64_t startedAtMs = 0;
+        TimePoint until {};
+        /// When the last request after the pause was sent.
+        std::optional<TimePoint> trialAt;
+    };
+
+    const Pause *findPause(std::string_view id, std::int64_t startedAtMs) const;
+
     struct Record
     {
         std::int64_t startedAtMs = 0;
@@ -108,6 +140,7 @@
 
     std::map<std::string, Record, std::less<>> m_servers;
     std::map<std::string, Departure, std::less<>> m_departures;
+    std::map<std::string, Pause, std::less<>> m_pauses;
 };
 
 } // namespace dogwoodvalve
--- a/src/core/server_health.cpp
+++ b/src/core/server_health.cpp
@@ -1,3 +1,5 @@
+#include "core/mutation.h"
+
 #include <dogwoodvalve/server_health.h>
 
 #include <algorithm>
@@ -27,6 +29,14 @@
 /// because the store is down.
 constexpr Duration MaxHeartbeatWait = 6s;
 
+/// The longest pause that a server is granted. After it, one request shows whether the server still
+/// wants none.
+constexpr Duration MaxPause = 2min;
+/// Granted to a server that asks for a pause of unreadable length.
+constexpr Duration UnreadablePause = 1s;
+/// The first request after a pause may be answered late. The next one is sent after this time.
+constexpr Duration TrialTimeout = 1s;
+
 } // namespace
 
 std::string_view toString(ServerEvidence evidence)
@@ -160,9 +170,58 @@
     return it != m_departures.end() && startedAtMs <= it->second.startedAtMs;
 }
 
+Duration ServerHealth::recordPause(std::string_view id, std::int64_t startedAtMs,
+                                   std::optional<Duration> asked, TimePoint now)
+{
+    const Duration granted =
+        std::clamp<Duration>(asked.value_or(UnreadablePause), Duration::zero(), MaxPause);
+    auto it = m_pauses.find(id);
+    if (it == m_pauses.end())
+        it = m_pauses.emplace(std::string(id), Pause {}).first;
+    Pause &pause = it->second;
+    if (startedAtMs < pause.startedAtMs)
+        return Duration::zero();
+    const TimePoint until = startedAtMs == pause.startedAtMs ? pause.until : TimePoint {};
+    pause = {startedAtMs, std::max(until, now + granted), {}};
+    return granted;
+}
+
+const ServerHealth::Pause *ServerHealth::findPause(std::string_view id,
+                                                   std::int64_t startedAtMs) const
+{
+    const auto it = m_pauses.find(id);
+    return it == m_pauses.end() || startedAtMs != it->second.startedAtMs ? nullptr : &it->second;
+}
+
+std::optional<TimePoint> ServerHealth::pausedUntil(std::string_view id, std::int64_t startedAtMs,
+                                                   TimePoint now) const
+{
+    const Pause *pause = findPause(id, startedAtMs);
+    return pause && now < pause->until ? std::optional(pause->until) : std::nullopt;
+}
+
+void ServerHealth::recordDispatch(std::string_view id, std::int64_t startedAtMs, TimePoint now)
+{
+    const auto it = m_pauses.find(id);
+    if (it != m_pauses.end() && it->second.startedAtMs == startedAtMs && it->second.until <= now)
+        it->second.trialAt = now;
+}
+
+void ServerHealth::recordAccepted(std::string_view id, std::int64_t startedAtMs, TimePoint now)
+{
+    // The answer to a request from before the pause says nothing about requests after it.
+    const Pause *pause = findPause(id, startedAtMs);
+    if (pause && pause->until <= now && pause->trialAt)
+        m_pauses.erase(m_pauses.find(id));
+}
+
 bool ServerHealth::usable(std::string_view id, std::int64_t startedAtMs, TimePoint now) const
 {
-    if (isLeaving(id, startedAtMs))
+    if (!acceptsCalls(id, startedAtMs, now))
+        return false;
+    const Pause *pause = findPause(id, startedAtMs);
+    if (pause && pause->trialAt && now - *pause->trialAt < TrialTimeout
+        && !mutated("gateway-all-at-once-after-a-pause"))
         return false;
     const auto it = m_servers.find(id);
     if (it == m_servers.end() || it->second.startedAtMs != startedAtMs)
--- a/src/gateway/engine_prober.cpp
+++ b/src/gateway/engine_prober.cpp
@@ -65,7 +65,7 @@
 void EngineProber::probe(const ServerRegistration &server)
 {
     const TimePoint now = m_node.now();
-    if (m_node.view().health().isLeaving(server.id, server.startedAtMs))
+    if (!m_node.view().health().acceptsCalls(server.id, server.startedAtMs, now))
         return;
     const auto probed = m_probedAt.find(server.id);
     if (probed != m_probedAt.end() && now - probed->second < MinProbeInterval)
--- a/src/gateway/fleet_view.h
+++ b/src/gateway/fleet_view.h
@@ -9,6 +9,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -105,8 +106,11 @@
 
     /// Registered servers of a service that are neither draining nor known to leave.
     std::vector<const ServerRegistration *> availableServers(std::string_view service) const;
-    /// Uses what a server has said in an answer. Returns whether it announced that it is leaving
-    /// and that was not known.
+    /// When the service can be served again, if servers that want a pause are the only reason why
+    /// it can't be served now.
+    std::optional<TimePoint> servesAgainAt(const ServiceRule &service) const;
+    /// Uses what a server has said in an answer to a request. Returns whether that has changed
+    /// which servers requests may be sent to.
     bool recordNotice(std::string_view id, std::int64_t startedAtMs, const ServerNotice &notice);
 
     /// An engine answered a probe of this host and reported this factor on its usual times.
--- a/src/gateway/fleet_view_notices.cpp
+++ b/src/gateway/fleet_view_notices.cpp
@@ -2,6 +2,8 @@
 #include "daemon/log.h"
 #include "gateway/fleet_view.h"
 
+#include <algorithm>
+
 /// What the view knows from the answers of servers about further requests to them.
 
 namespace dogwoodvalve {
@@ -15,12 +17,49 @@
     return servers;
 }
 
+std::optional<TimePoint> FleetView::servesAgainAt(const ServiceRule &service) const
+{
+    const TimePoint now = m_timers.now();
+    // A plain service counts as one with a single layer that all its servers hold.
+    const std::size_t layers =
+        service.isLayered() ? static_cast<std::size_t>(service.engine->layers) : 1;
+    std::vector<std::optional<TimePoint>> heldFrom(layers);
+    for (const ServerRegistration *server : availableServers(service.name)) {
+        const LayerSpan held = service.isLayered() ? layersOf(*server) : LayerSpan {0, 1};
+        const TimePoint from =
+            m_health.pausedUntil(server->id, server->startedAtMs, now).value_or(now);
+        for (int layer = std::max(0, held.first);
+             layer < std::min(held.end, static_cast<int>(layers)); ++layer) {
+            auto &earliest = heldFrom[static_cast<std::size_t>(layer)];
+            earliest = std::min(earliest.value_or(from), from);
+        }
+    }
+    TimePoint latest = now;
+    for (const auto &from : heldFrom) {
+        if (!from)
+            return std::nullopt;
+        latest = std::max(latest, *from);
+    }
+    return latest > now ? std::optional(latest) : std::nullopt;
+}
+
 bool FleetView::recordNotice(std::string_view id, std::int64_t startedAtMs,
                              const ServerNotice &notice)
 {
+    const TimePoint now = m_timers.now();
+    if (!notice.asksForPause())
+        m_health.recordAccepted(id, startedAtMs, now);
+    const bool pauses = notice.asksForPause() && !mutated("gateway-ignore-pauses");
+    if (pauses) {
+        const Duration granted = m_health.recordPause(id, startedAtMs, notice.pause, now);
+        LogEvent::decision("server_pause")
+            .field("server", id)
+            .field("granted_ms", granted.count() / 1000)
+            .field("unreadable", notice.pauseUnreadable);
+    }
     if (!notice.leaving || mutated("gateway-ignore-leaving")
-        || !m_health.recordLeaving(id, startedAtMs, m_timers.now()))
-        return false;
+        || !m_health.recordLeaving(id, startedAtMs, now))
+        return pauses;
     LogEvent::decision("server_leaving")
         .field("server", id)
         .field("started_ms", startedAtMs)
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -21,7 +21,8 @@
     void countRequest(std::string_view outcome);
     void countDispatch(std::string_view reason);
     void countLayerOrder(std::string_view outcome);
-    /// Counts what servers newly announce in answers to this host. Kinds: leaving.
+    /// Counts what servers announce in answers to this host. Kinds: leaving (once for each start
+    /// of a server), pause.
     void countServerNotice(std::string_view kind);
     void observeFirstByte(Duration duration) { m_firstByte.Observe(inSeconds(duration)); }
     void observeEventGap(Duration duration) { m_eventGap.Observe(inSeconds(duration)); }
--- a/src/gateway/gateway_node.cpp
+++ b/src/gateway/gateway_node.cpp
@@ -102,8 +102,16 @@
 void GatewayNode::recordNotice(std::string_view id, std::int64_t startedAtMs,
                                const ServerNotice &notice)
 {
-    if (m_view.recordNotice(id, startedAtMs, notice))
-        m_metrics.countServerNotice("leaving");
+    if (!m_view.recordNotice(id, startedAtMs, notice))
+        return;
+    m_metrics.countServerNotice(notice.leaving ? "leaving" : "pause");
+    if (!notice.asksForPause())
+        return;
+    m_loop.post([this] {
+        const auto sessions = m_sessions;
+        for (const auto &session : sessions)
+            session->refuseIfServersPause();
+    });
 }
 
 void GatewayNode::sessionStarted(const std::shared_ptr<RequestSession> &session)
--- a/src/gateway/gateway_node.h
+++ b/src/gateway/gateway_node.h
@@ -44,7 +44,8 @@
     /// Takes one retry from the service's budget, which all hosts share. False if none is left.
     bool tryConsumeRetry(const std::string &service);
 
-    /// Uses and counts what a server has said in an answer to any request of this host.
+    /// Uses and counts what a server has said in an answer to any request of this host. Waiting
+    /// requests that can't be served in time because of it are ended.
     void recordNotice(std::string_view id, std::int64_t startedAtMs, const ServerNotice &notice);
 
     void sessionStarted(const std::shared_ptr<RequestSession> &session);
--- a/src/gateway/generation_session.cpp
+++ b/src/gateway/generation_session.cpp
@@ -89,6 +89,7 @@
         reserved.load->committed += reserved.committed;
         reserved.load->backlogMs += reserved.backlogMs;
         ++reserved.load->streams;
+        view.health().recordDispatch(reserved.server, reserved.startedAtMs, m_node.now());
         m_parts.push_back(std::move(reserved));
         parts.push_back({registration->address, part.layers});
     }
@@ -145,13 +146,25 @@
 void GenerationSession::onHead(int status, std::span<const HttpField> fields)
 {
     m_answer = m_node.dialect().decodeAnswer(status, fields, m_request.caller.id);
-    if (!m_parts.empty())
-        m_node.recordNotice(m_parts.front().server, m_parts.front().startedAtMs, m_answer.notice);
+    recordNotices();
     m_streaming = status == StatusOk && m_answer.stamped && m_answer.idMatches && !m_answer.encoded;
     if (!m_streaming || !m_responded)
         m_answerFields = m_node.dialect().answerFields(fields);
 }
 
+void GenerationSession::recordNotices()
+{
+    for (const ReservedPart &part : m_parts) {
+        if (&part == &m_parts.front())
+            m_node.recordNotice(part.server, part.startedAtMs, m_answer.notice);
+        else if (part.address == m_answer.faultyAddress)
+            m_node.recordNotice(part.server, part.startedAtMs,
+                                {false, m_answer.notice.pause, m_answer.notice.pauseUnreadable});
+        else if (m_answer.status == StatusOk)
+            m_node.recordNotice(part.server, part.startedAtMs, {});
+    }
+}
+
 void GenerationSession::onBody(std::string_view part)
 {
     if (!m_streaming) {
--- a/src/gateway/generation_session.h
+++ b/src/gateway/generation_session.h
@@ -60,6 +60,8 @@
     /// Closes the attempt and resumes the stream on another path, or ends the request if it may not
     /// be retried. A request that may have run is retried only on a route for resumable requests.
     void failOver(std::string_view reason, bool ran);
+    /// Uses what the answer says about the engines of the path.
+    void recordNotices();
     /// Excludes the server from this request and reports the evidence to the health checks.
     void recordFailure(const ReservedPart &part, ServerEvidence evidence);
 
--- a/src/gateway/placement_controller.cpp
+++ b/src/gateway/placement_controller.cpp
@@ -146,6 +146,8 @@
 
 void PlacementController::orderLayers(const ServerRegistration &server, LayerSpan layers)
 {
+    if (!m_node.view().health().acceptsCalls(server.id, server.startedAtMs, m_node.now()))
+        return;
     m_orders[server.id] = {server.startedAtMs, layers, m_node.now(), {}, false};
     LogEvent("layers_ordered")
         .field("server", server.id)
@@ -171,6 +173,8 @@
 
 void PlacementController::requestReport(const ServerRegistration &server)
 {
+    if (!m_node.view().health().acceptsCalls(server.id, server.startedAtMs, m_node.now()))
+        return;
     Order &order = m_orders[server.id];
     if (order.reportPending)
         return;
--- a/src/gateway/platform_interfaces.h
+++ b/src/gateway/platform_interfaces.h
@@ -159,7 +159,7 @@
                                              const ServerNotice &notice)>;
 
     virtual ~EngineControl() = default;
-    /// The handler is called for each answer, before its outcome is delivered.
+    /// The handler is called for each answer that says anything, before its outcome is delivered.
     virtual void setNoticeHandler(NoticeHandler handler) = 0;
     virtual void orderLayers(const ServerRegistration &server, LayerSpan layers,
                              std::uint64_t fencingToken,
--- a/src/gateway/request_session.cpp
+++ b/src/gateway/request_session.cpp
@@ -24,6 +24,9 @@
 /// Predictions can be too short: a queued request is refused only after this many times its longest
 /// useful wait.
 constexpr int WaitTimeoutFactor = 2;
+/// Callers that are refused because all servers pause are told to return within this fraction of
+/// the time left after the end of the pause.
+constexpr double PauseRetrySpread = 0.25;
 
 } // namespace
 
@@ -64,7 +67,7 @@
     m_isWaiting = false;
     if ((atFront || queue.empty()) && tryStart())
         return;
-    if (m_ended)
+    if (m_ended || endIfServersPauseLonger(atFront ? maxFailoverWait() : maxUsefulWait()))
         return;
     m_isWaiting = true;
     if (atFront) {
@@ -91,9 +94,28 @@
            decision.retryAfter);
 }
 
+bool RequestSession::endIfServersPauseLonger(Duration longestWait)
+{
+    const auto at = m_node.view().servesAgainAt(*m_request.service);
+    const Duration wait = at ? *at - m_node.now() : Duration::zero();
+    if (!at || m_responded || (wait <= longestWait && wait < timeLeft())
+        || mutated("gateway-wait-out-pauses"))
+        return false;
+    giveUp({ErrorKind::Overloaded, "all servers have asked for a pause", "send it again later"},
+           scaled(wait, 1 + PauseRetrySpread * m_node.random().fraction()));
+    return true;
+}
+
+void RequestSession::refuseIfServersPause()
+{
+    if (isWaiting())
+        endIfServersPauseLonger(m_waitEndsAt - m_node.now());
+}
+
 void RequestSession::startWaitTimer(Duration time)
 {
-    m_waitTimer = m_node.timers().schedule(m_node.now() + time, [weak = weak_from_this()] {
+    m_waitEndsAt = m_node.now() + time;
+    m_waitTimer = m_node.timers().schedule(m_waitEndsAt, [weak = weak_from_this()] {
         if (const auto session = weak.lock())
             session->onWaitTimeout();
     });
@@ -122,6 +144,7 @@
     m_node.timers().cancel(std::exchange(m_waitTimer, 0));
     ++m_attempts;
     m_mayHaveRun = true;
+    m_node.view().health().recordDispatch(server.id, server.startedAtMs, m_node.now());
     m_node.metrics().countDispatch(reason);
     LogEvent::decision("dispatch")
         .field("request", m_request.caller.id)
--- a/src/gateway/request_session.h
+++ b/src/gateway/request_session.h
@@ -42,6 +42,9 @@
     void start();
 
     bool isWaiting() const override { return m_isWaiting && !m_ended; }
+    /// Ends a waiting request if its wait is over before the servers that want a pause can serve
+    /// it.
+    void refuseIfServersPause();
 
 protected:
     /// Time until the deadline of the request.
@@ -99,10 +102,14 @@
     void onDeadline();
     void onCallerDisconnected();
     void startWaitTimer(Duration time);
+    /// As refuseIfServersPause(), for a request that may wait for this time. Returns whether it
+    /// ended the request.
+    bool endIfServersPauseLonger(Duration longestWait);
     void onWaitTimeout();
 
     TimerId m_deadlineTimer = 0;
     TimerId m_waitTimer = 0;
+    TimePoint m_waitEndsAt {};
 };
 
 /// Creates a GenerationSession for a generation on a layered service, and a PlainSession otherwise.
--- a/tests/simulation/gateway_soak.cpp
+++ b/tests/simulation/gateway_soak.cpp
@@ -117,7 +117,7 @@
         const std::string name = "host-" + std::to_string(host + 1);
         const Duration time(500'000 + static_cast<Duration::rep>(random().below(5'000'000)));
         SimProcess &process = *m_world.hosts[static_cast<std::size_t>(host)]->process;
-        switch (random().below(9)) {
+        switch (random().below(10)) {
         case 0:
             m_world.endHost(host);
             return undoLater(time, [this, host] { m_world.restartHost(host); });
@@ -147,6 +147,8 @@
             return changeConfiguration();
         case 6:
             return announceLeaving(time);
+        case 7:
+            return askForPause(time);
         default:
             return breakEngine(time);
         }
@@ -171,9 +173,9 @@
     /// An engine announces in its answers that it is leaving, and is another one later.
     void announceLeaving(Duration time)
     {
-        if (m_leavingEngine)
-            return;
         const int i = static_cast<int>(random().below(Engines));
+        if (m_leavingEngine || m_pausingEngine == i)
+            return;
         m_leavingEngine = i;
         m_allKnowSince.reset();
         m_world.engines[static_cast<std::size_t>(i)]->setExtraFields({{"Server-Leaving", "1"}});
@@ -189,23 +191,57 @@
         m_leavingEngine.reset();
     }
 
-    bool allHostsKnowOfTheLeavingEngine() const
+    /// An engine refuses all requests and asks for a pause, and is another one later.
+    void askForPause(Duration time)
+    {
+        static constexpr const char *Pauses[] {"0.3", "2", "3600", "-1", "soon"};
+        const int i = static_cast<int>(random().below(Engines));
+        const char *pause = Pauses[random().below(std::size(Pauses))];
+        if (m_pausingEngine || m_leavingEngine == i)
+            return;
+        m_pausingEngine = i;
+        ForwardingEngine &engine = *m_world.engines[static_cast<std::size_t>(i)];
+        engine.setExtraFields({{"Retry-After", pause}});
+        engine.setFault(EngineFault::Refuses);
+        undoLater(time, [this] { restartPausingEngine(); });
+    }
+
+    void restartPausingEngine()
+    {
+        if (!m_pausingEngine)
+            return;
+        ForwardingEngine &engine = *m_world.engines[static_cast<std::size_t>(*m_pausingEngine)];
+        engine.setExtraFields({});
+        engine.setFault(EngineFault::None);
+        m_world.restartEngine(*m_pausingEngine);
+        m_pausingEngine.reset();
+    }
+
+    /// The starts of the leaving engine that running hosts know to be leaving, or nothing if one
+    /// of them does not know.
+    std::optional<std::vector<std::int64_t>> knownLeavingStarts() const
     {
         const std::string id = "e-" + std::to_string(*m_leavingEngine + 1);
-        return std::all_of(m_world.hosts.begin(), m_world.hosts.end(), [&id](const auto &host) {
+        std::vector<std::int64_t> starts;
+        for (const auto &host : m_world.hosts) {
             if (!host->process->alive())
-                return true;
+                continue;
             FleetView &view = host->node.view();
             const ServerRegistration *server = view.registry().find(id);
-            return !host->process->frozen() && server
-                && view.health().isLeaving(id, server->startedAtMs);
-        });
+            if (host->process->frozen() || !server
+                || !view.health().isLeaving(id, server->startedAtMs))
+                return std::nullopt;
+            starts.push_back(server->startedAtMs);
+        }
+        return starts;
     }
 
     /// Checks that an engine gets nothing more once all hosts know that it is leaving.
     void watchLeavingEngine()
     {
-        if (!m_leavingEngine || !allHostsKnowOfTheLeavingEngine()) {
+        const auto starts = m_leavingEngine ? knownLeavingStarts() : std::nullopt;
+        // A host may learn of another start, ask the engine and hear of its leaving between checks.
+        if (!starts || starts != std::exchange(m_knownStarts, starts)) {
             m_allKnowSince.reset();
         } else {
             const int received =
@@ -260,6 +296,7 @@
     {
         m_faultsStopped = true;
         restartLeavingEngine();
+        restartPausingEngine();
         m_world.network().healAll();
         m_world.store.setFaults({});
         for (const auto &engine : m_world.engines) {
@@ -336,7 +373,9 @@
     std::optional<TimePoint> m_revokedAt;
     bool m_faultsStopped = false;
     std::optional<int> m_leavingEngine;
+    std::optional<int> m_pausingEngine;
     std::optional<TimePoint> m_allKnowSince;
+    std::optional<std::vector<std::int64_t>> m_knownStarts;
     int m_receivedWhileLeaving = 0;
     /// Number of times that a leaving engine was found to have got nothing.
     int m_leavingChecks = 0;
--- /dev/null
+++ b/tests/simulation/paused_servers_test.cpp
@@ -0,0 +1,236 @@
+#include "simulation/gateway_world.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace dogwoodvalve;
+using namespace dogwoodvalve::simulation;
+using namespace dogwoodvalve::testtool;
+
+namespace {
+
+/// Shorter than the shortest pause in these tests.
+constexpr Duration Margin = 50ms;
+
+std::vector<HttpField> retryAfter(const std::string &value)
+{
+    return {{"Retry-After", value}};
+}
+
+std::string describe(const Answer &answer)
+{
+    return std::to_string(answer.status) + ' ' + answer.error + ' ' + answer.body.substr(0, 200);
+}
+
+double secondsIn(const Answer &answer)
+{
+    for (const HttpField &field : answer.fields) {
+        if (field.name == "Retry-After")
+            return std::stod(field.value);
+    }
+    return 0;
+}
+
+} // namespace
+
+/// Servers that refuse a request and want no other for a time.
+class PausedServersTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(PausedServersTest);
+    CPPUNIT_TEST(aServerGetsNothingUntilItsPauseIsOver);
+    CPPUNIT_TEST(aFractionOfASecondCounts);
+    CPPUNIT_TEST(unreadablePausesAreShort);
+    CPPUNIT_TEST(aLaterShorterPauseDoesNotEndALongerOne);
+    CPPUNIT_TEST(requestsAreRefusedAtOnceWhenAllServersPauseForLong);
+    CPPUNIT_TEST(aShortPauseIsWaitedFor);
+    CPPUNIT_TEST(waitingRequestsDoNotAllArriveAsThePauseEnds);
+    CPPUNIT_TEST(waitingRequestsAreRefusedWhenTheLastServerPauses);
+    CPPUNIT_TEST(aPausedEngineGetsNoProbesOrdersOrStreams);
+    CPPUNIT_TEST_SUITE_END();
+
+    /// Sends requests until the first plain server has refused one.
+    static void readUntilRefused(GatewayWorld &world)
+    {
+        world.plain.refuses = true;
+        const int before = world.plain.runs;
+        for (int i = 0; i < 50 && world.plain.runs == before; ++i) {
+            world.call("GET", "/read/x");
+            world.run(20ms);
+        }
+        CPPUNIT_ASSERT_EQUAL(before + 1, world.plain.runs);
+    }
+
+    /// Sends requests for a time, and returns how many have reached the first plain server.
+    static int arrivalsDuring(GatewayWorld &world, Duration time)
+    {
+        const int before = world.plain.runs;
+        for (Duration elapsed {}; elapsed < time; elapsed += 20ms) {
+            world.call("GET", "/read/x");
+            world.run(20ms);
+        }
+        return world.plain.runs - before;
+    }
+
+    void aServerGetsNothingUntilItsPauseIsOver()
+    {
+        GatewayWorld world;
+        FakePlainServer other;
+        world.addPlainServer(other);
+        world.settle();
+        world.plain.extraFields = retryAfter("3");
+        readUntilRefused(world);
+        world.plain.refuses = false;
+        CPPUNIT_ASSERT_EQUAL(0, arrivalsDuring(world, 3s - Margin));
+        CPPUNIT_ASSERT(arrivalsDuring(world, 1s) > 0);
+    }
+
+    void aFractionOfASecondCounts()
+    {
+        GatewayWorld world;
+        FakePlainServer other;
+        world.addPlainServer(other);
+        world.settle();
+        world.plain.extraFields = retryAfter("0.75");
+        readUntilRefused(world);
+        CPPUNIT_ASSERT_EQUAL(0, arrivalsDuring(world, 750ms - Margin));
+        CPPUNIT_ASSERT(arrivalsDuring(world, 500ms) > 0);
+    }
+
+    void unreadablePausesAreShort()
+    {
+        for (const char *value : {"soon", "-3", "Fri, 04 Dec 2026 08:00:00 GMT", "3s"}) {
+            GatewayWorld world;
+            FakePlainServer other;
+            world.addPlainServer(other);
+            world.settle();
+            world.plain.extraFields = retryAfter(value);
+            readUntilRefused(world);
+            world.plain.refuses = false;
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(value, 0, arrivalsDuring(world, 1s - Margin));
+            CPPUNIT_ASSERT_MESSAGE(value, arrivalsDuring(world, 1s) > 0);
+        }
+    }
+
+    void aLaterShorterPauseDoesNotEndALongerOne()
+    {
+        GatewayWorld world;
+        FakePlainServer other;
+        world.addPlainServer(other);
+        world.settle();
+        const FleetView &view = world.hosts[0]->node.view();
+        const std::int64_t startedAtMs = view.registry().find("p-1")->startedAtMs;
+        GatewayNode &node = world.hosts[0]->node;
+        node.recordNotice("p-1", startedAtMs, {false, Duration(3s), false});
+        node.recordNotice("p-1", startedAtMs, {false, Duration(1s), false});
+        node.recordNotice("p-1", startedAtMs, {});
+        CPPUNIT_ASSERT_EQUAL(0, arrivalsDuring(world, 3s - Margin));
+        CPPUNIT_ASSERT(arrivalsDuring(world, 1s) > 0);
+    }
+
+    void requestsAreRefusedAtOnceWhenAllServersPauseForLong()
+    {
+        GatewayWorld world;
+        world.settle();
+        world.plain.extraFields = retryAfter("3");
+        readUntilRefused(world);
+        for (int i = 0; i < 5; ++i) {
+            const TimePoint sentAt = world.now();
+            const auto call = world.call("GET", "/read/x");
+            world.run(500ms);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(describe(call->answer), 503, call->answer.status);
+            CPPUNIT_ASSERT(call->answer.body.find("\"not_run\"") != std::string::npos);
+            CPPUNIT_ASSERT(call->answer.endedAt - sentAt < 50ms);
+            const double left = 3 - 0.02 - 0.5 * i;
+            CPPUNIT_ASSERT(secondsIn(call->answer) > left - 0.1);
+            CPPUNIT_ASSERT(secondsIn(call->answer) < left * 1.25 + 0.1);
+        }
+        CPPUNIT_ASSERT_EQUAL(1, world.plain.runs);
+    }
+
+    void aShortPauseIsWaitedFor()
+    {
+        GatewayWorld world;
+        world.settle();
+        // The rate of completions decides how many requests may wait.
+        arrivalsDuring(world, 3s);
+        world.plain.extraFields = retryAfter("0.2");
+        readUntilRefused(world);
+        const int before = world.plain.runs;
+        const auto call = world.call("GET", "/read/x");
+        world.run(100ms);
+        CPPUNIT_ASSERT_EQUAL(before, world.plain.runs);
+        world.plain.refuses = false;
+        world.run(200ms);
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(describe(call->answer), 200, call->answer.status);
+        CPPUNIT_ASSERT_EQUAL(before + 1, world.plain.runs);
+    }
+
+    void waitingRequestsDoNotAllArriveAsThePauseEnds()
+    {
+        GatewayWorld world;
+        world.settle();
+        // The rate of completions decides how many requests may wait.
+        arrivalsDuring(world, 3s);
+        world.plain.extraFields = retryAfter("0.25");
+        readUntilRefused(world);
+        const int before = world.plain.runs;
+        for (int i = 0; i < 6; ++i)
+            world.call("GET", "/read/x");
+        world.run(200ms);
+        CPPUNIT_ASSERT_EQUAL(before, world.plain.runs);
+        world.run(100ms);
+        CPPUNIT_ASSERT_EQUAL(before + 1, world.plain.runs);
+    }
+
+    void waitingRequestsAreRefusedWhenTheLastServerPauses()
+    {
+        GatewayWorld world;
+        world.settle();
+        arrivalsDuring(world, 3s);
+        world.plain.extraFields = retryAfter("0.25");
+        readUntilRefused(world);
+        std::vector<std::shared_ptr<Call>> waiting;
+        for (int i = 0; i < 6; ++i)
+            waiting.push_back(world.call("GET", "/read/x"));
+        world.run(100ms);
+        world.plain.extraFields = retryAfter("5");
+        const TimePoint before = world.now();
+        world.run(2s);
+        for (const auto &call : waiting) {
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(describe(call->answer), 503, call->answer.status);
+            CPPUNIT_ASSERT(call->answer.endedAt - before < 250ms);
+        }
+    }
+
+    void aPausedEngineGetsNoProbesOrdersOrStreams()
+    {
+        GatewayWorld world(1, 6);
+        world.settle();
+        const std::string id = world.probeFirstEngine(0);
+        ForwardingEngine &engine = world.engine(id);
+        engine.setExtraFields(retryAfter("4"));
+        engine.setFault(EngineFault::Refuses);
+        const auto &health = world.hosts[0]->node.view().health();
+        const std::int64_t startedAtMs =
+            world.hosts[0]->node.view().registry().find(id)->startedAtMs;
+        for (int i = 0; i < 100 && !health.pausedUntil(id, startedAtMs, world.now()); ++i) {
+            world.generate();
+            world.run(20ms);
+        }
+        const auto until = health.pausedUntil(id, startedAtMs, world.now());
+        CPPUNIT_ASSERT(until);
+        engine.setFault(EngineFault::None);
+        const int received = engine.received();
+        while (world.now() < *until - Margin) {
+            world.generate();
+            world.run(50ms);
+        }
+        CPPUNIT_ASSERT_EQUAL(received, engine.received());
+        for (int i = 0; i < 40; ++i) {
+            world.generate();
+            world.run(50ms);
+        }
+        CPPUNIT_ASSERT(engine.received() > received);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(PausedServersTest);
--- a/tests/unit/server_notice_test.cpp
+++ b/tests/unit/server_notice_test.cpp
@@ -54,8 +54,114 @@
     CPPUNIT_TEST(digestsCarryLeavingServers);
     CPPUNIT_TEST(aDigestWithoutLeavingServersIsReadable);
     CPPUNIT_TEST(aRelayPassesLeavingServersOn);
+    CPPUNIT_TEST(aPauseIsReadInWholeAndFractionalSeconds);
+    CPPUNIT_TEST(unreadablePausesAreTold);
+    CPPUNIT_TEST(onlyARefusalAsksForAPause);
+    CPPUNIT_TEST(aHugePauseIsBounded);
+    CPPUNIT_TEST(aPauseHoldsForThisLifeOnly);
+    CPPUNIT_TEST(afterAPauseOneRequestIsSentUntilItIsAccepted);
+    CPPUNIT_TEST(aServiceIsServedAgainAtTheEarliestEnd);
     CPPUNIT_TEST_SUITE_END();
 
+    static ServerNotice noticeOf(const char *retryAfter, int status = 503)
+    {
+        const std::vector<HttpField> fields {{"Retry-After", retryAfter}};
+        return platform::decodeNotice(status, fields);
+    }
+
+    void aPauseIsReadInWholeAndFractionalSeconds()
+    {
+        CPPUNIT_ASSERT(*noticeOf("2").pause == 2s);
+        CPPUNIT_ASSERT(*noticeOf("0.25").pause == 250ms);
+        CPPUNIT_ASSERT(*noticeOf("0").pause == 0s);
+        CPPUNIT_ASSERT(*noticeOf("1e3000").pause >= 0s || noticeOf("1e3000").pauseUnreadable);
+        for (const std::string &huge :
+             {std::string("99999999999999999999"), std::string(500, '9')}) {
+            CPPUNIT_ASSERT(noticeOf(huge.c_str()).pause);
+            CPPUNIT_ASSERT(*noticeOf(huge.c_str()).pause > 24h);
+        }
+    }
+
+    void unreadablePausesAreTold()
+    {
+        for (const char *value : {"soon", "-1", "-0.5", "nan", "inf", "-inf", "3s", "1 2", "+1",
+                                  "Fri, 04 Dec 2026 08:00:00 GMT"}) {
+            CPPUNIT_ASSERT_MESSAGE(value, noticeOf(value).pauseUnreadable);
+            CPPUNIT_ASSERT_MESSAGE(value, !noticeOf(value).pause);
+        }
+    }
+
+    void onlyARefusalAsksForAPause()
+    {
+        for (const int status : {200, 202, 421, 429, 500})
+            CPPUNIT_ASSERT(!noticeOf("2", status).asksForPause());
+        CPPUNIT_ASSERT(!platform::decodeNotice(503, {}).asksForPause());
+    }
+
+    void aHugePauseIsBounded()
+    {
+        ServerHealth health;
+        CPPUNIT_ASSERT(health.recordPause("s", 5, noticeOf("1000000000").pause, at(0s)) <= 10min);
+        CPPUNIT_ASSERT(health.pausedUntil("s", 5, at(1min)));
+        CPPUNIT_ASSERT(!health.pausedUntil("s", 5, at(11min)));
+        CPPUNIT_ASSERT(health.recordPause("t", 5, Duration(-5s), at(0s)) == 0s);
+        CPPUNIT_ASSERT(health.recordPause("u", 5, std::nullopt, at(0s)) > 0s);
+        CPPUNIT_ASSERT(health.recordPause("v", 5, Duration::max(), at(0s)) <= 10min);
+    }
+
+    void aPauseHoldsForThisLifeOnly()
+    {
+        ServerHealth health;
+        health.recordPause("s", 5, 3s, at(0s));
+        health.retain(never, at(1s));
+        CPPUNIT_ASSERT(!health.usable("s", 5, at(2s)));
+        CPPUNIT_ASSERT(!health.acceptsCalls("s", 5, at(2s)));
+        CPPUNIT_ASSERT(health.usable("s", 6, at(2s)));
+        health.recordPause("s", 6, 1s, at(2s));
+        health.recordPause("s", 5, 60s, at(2s));
+        CPPUNIT_ASSERT(health.usable("s", 6, at(4s)));
+    }
+
+    void afterAPauseOneRequestIsSentUntilItIsAccepted()
+    {
+        ServerHealth health;
+        health.recordPause("s", 5, 3s, at(0s));
+        // The answer to a request from before the pause.
+        health.recordAccepted("s", 5, at(1s));
+        CPPUNIT_ASSERT(!health.usable("s", 5, at(2999ms)));
+        CPPUNIT_ASSERT(health.usable("s", 5, at(3s)));
+        health.recordDispatch("s", 5, at(3s));
+        CPPUNIT_ASSERT(!health.usable("s", 5, at(3100ms)));
+        CPPUNIT_ASSERT(health.acceptsCalls("s", 5, at(3100ms)));
+        health.recordAccepted("s", 5, at(3200ms));
+        CPPUNIT_ASSERT(health.usable("s", 5, at(3200ms)));
+        health.recordDispatch("s", 5, at(3200ms));
+        CPPUNIT_ASSERT(health.usable("s", 5, at(3201ms)));
+        // A trial without an answer does not block the server.
+        health.recordPause("s", 5, 1s, at(4s));
+        health.recordDispatch("s", 5, at(5s));
+        CPPUNIT_ASSERT(!health.usable("s", 5, at(5500ms)));
+        CPPUNIT_ASSERT(health.usable("s", 5, at(7s)));
+    }
+
+    void aServiceIsServedAgainAtTheEarliestEnd()
+    {
+        FleetView view(m_timers, identity("a"), KeyRevocation);
+        ServiceRule service;
+        service.name = "web";
+        CPPUNIT_ASSERT(!view.servesAgainAt(service));
+        ServerRegistration other = registration(5);
+        other.id = "t";
+        view.onServer(registration(5), 1);
+        view.onServer(other, 2);
+        view.recordNotice("s", 5, {false, Duration(3s), false});
+        CPPUNIT_ASSERT(!view.servesAgainAt(service));
+        view.recordNotice("t", 5, {false, Duration(2s), false});
+        CPPUNIT_ASSERT(view.servesAgainAt(service) == m_timers.now() + 2s);
+        view.recordNotice("t", 5, {true, std::nullopt, false});
+        CPPUNIT_ASSERT(view.servesAgainAt(service) == m_timers.now() + 3s);
+    }
+
     void leavingIsDecodedFromAnyAnswerOfTheServerAsked()
     {
         const std::vector<HttpField> fields {{"server-leaving", "1"}};
@@ -108,7 +214,7 @@
     {
         FleetView view(m_timers, identity("a"), KeyRevocation);
         view.onServer(registration(5), 1);
-        view.recordNotice("s", 5, {true});
+        view.recordNotice("s", 5, {true, std::nullopt, false});
         CPPUNIT_ASSERT(view.hasUrgentUpdate());
         const auto decoded = decodeDigest(encodeDigest(view.nextDigest()));
         CPPUNIT_ASSERT(decoded);
