Merge servers that announce their leaving or ask for a pause

Both are read from any answer of a server and respected by every choice of one. Merged with attempts of their own: a request with an open attempt is not refused because the servers pause.

--- a/src/gateway/fleet_view.h
+++ b/src/gateway/fleet_view.h
@@ -10,6 +10,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -107,6 +108,15 @@
     /// Usable servers for paths of a service, with the load of all hosts on each.
     std::vector<PathServer> pathServers(const ServiceRule &service);
 
+    /// Registered servers of a service that are neither draining nor known to leave.
+    std::vector<const ServerRegistration *> availableServers(std::string_view service) const;
+    /// When the service can be served again, if servers that want a pause are the only reason why
+    /// it can't be served now.
+    std::optional<TimePoint> servesAgainAt(const ServiceRule &service) const;
+    /// Uses what a server has said in an answer to a request. Returns whether that has changed
+    /// which servers requests may be sent to.
+    bool recordNotice(std::string_view id, std::int64_t startedAtMs, const ServerNotice &notice);
+
     /// An engine answered a probe of this host and reported this factor on its usual times.
     void recordProbeAnswer(const ServerRegistration &server, double slowness);
     /// An engine did not answer a probe of this host.
@@ -166,6 +176,8 @@
     void recordReportedVersion(std::uint64_t version);
     /// Whether another host has reported a later configuration than the one in force.
     bool behindOtherHosts() const { return m_reportedVersion > configurationVersion(); }
+    /// Another host knows that these servers are leaving.
+    void applyDepartures(const std::map<std::string, std::int64_t> &leaving, std::string_view host);
     /// Another host's confirmation of the same configuration version counts here too.
     void applyConfirmation(const HostDigest &digest, TimePoint sentAt);
 
--- a/src/gateway/generation_attempt.cpp
+++ b/src/gateway/generation_attempt.cpp
@@ -32,6 +32,7 @@
         part.load->committed += part.committed;
         part.load->backlogMs += part.backlogMs;
         ++part.load->streams;
+        node.view().health().recordDispatch(part.server, part.startedAtMs, node.now());
     }
 }
 
@@ -64,10 +65,24 @@
 void GenerationAttempt::onHead(int status, std::span<const HttpField> fields)
 {
     m_answer = m_node.dialect().decodeAnswer(status, fields, m_requestId);
+    recordNotices();
     m_isStream = status == StatusOk && m_answer.stamped && m_answer.idMatches && !m_answer.encoded;
     m_answerFields = m_node.dialect().answerFields(fields);
 }
 
+void GenerationAttempt::recordNotices()
+{
+    for (const ReservedPart &part : m_parts) {
+        if (&part == &m_parts.front())
+            m_node.recordNotice(part.server, part.startedAtMs, m_answer.notice);
+        else if (part.address == m_answer.faultyAddress)
+            m_node.recordNotice(part.server, part.startedAtMs,
+                                {false, m_answer.notice.pause, m_answer.notice.pauseUnreadable});
+        else if (m_answer.status == StatusOk)
+            m_node.recordNotice(part.server, part.startedAtMs, {});
+    }
+}
+
 void GenerationAttempt::onBody(std::string_view part)
 {
     if (!m_isStream) {
--- a/src/gateway/generation_attempt.h
+++ b/src/gateway/generation_attempt.h
@@ -98,6 +98,8 @@
 
 private:
     void releaseBacklog();
+    /// Uses what the answer says about the engines of the path.
+    void recordNotices();
 
     GatewayNode &m_node;
     GenerationAttemptObserver &m_observer;
--- a/src/gateway/request_session.cpp
+++ b/src/gateway/request_session.cpp
@@ -1,6 +1,7 @@
 #include "gateway/request_session.h"
 
 #include "core/duration_math.h"
+#include "core/mutation.h"
 #include "gateway/generation_session.h"
 #include "gateway/plain_session.h"
 #include "net/endpoint.h"
@@ -23,6 +24,9 @@
 /// Predictions can be too short: a queued request is refused only after this many times its longest
 /// useful wait.
 constexpr int WaitTimeoutFactor = 2;
+/// Callers that are refused because all servers pause are told to return within this fraction of
+/// the time left after the end of the pause.
+constexpr double PauseRetrySpread = 0.25;
 
 } // namespace
 
@@ -63,7 +67,7 @@
     m_isWaiting = false;
     if ((atFront || !queue.blocksArrivals()) && tryStart())
         return;
-    if (m_ended)
+    if (m_ended || endIfServersPauseLonger(atFront ? maxFailoverWait() : maxUsefulWait()))
         return;
     m_isWaiting = true;
     if (atFront) {
@@ -90,10 +94,29 @@
            decision.retryAfter);
 }
 
+bool RequestSession::endIfServersPauseLonger(Duration longestWait)
+{
+    const auto at = m_node.view().servesAgainAt(*m_request.service);
+    const Duration wait = at ? *at - m_node.now() : Duration::zero();
+    if (!at || m_responded || attemptOpen() || (wait <= longestWait && wait < timeLeft())
+        || mutated("gateway-wait-out-pauses"))
+        return false;
+    giveUp({ErrorKind::Overloaded, "all servers have asked for a pause", "send it again later"},
+           scaled(wait, 1 + PauseRetrySpread * m_node.random().fraction()));
+    return true;
+}
+
+void RequestSession::refuseIfServersPause()
+{
+    if (isWaiting())
+        endIfServersPauseLonger(m_waitEndsAt - m_node.now());
+}
+
 void RequestSession::startWaitTimer(Duration time)
 {
     m_node.timers().cancel(m_waitTimer);
-    m_waitTimer = m_node.timers().schedule(m_node.now() + time, [weak = weak_from_this()] {
+    m_waitEndsAt = m_node.now() + time;
+    m_waitTimer = m_node.timers().schedule(m_waitEndsAt, [weak = weak_from_this()] {
         if (const auto session = weak.lock())
             session->onWaitTimeout();
     });
@@ -132,6 +155,7 @@
     ++m_attempts;
     m_retryTaken = false;
     m_mayHaveRun = true;
+    m_node.view().health().recordDispatch(server.id, server.startedAtMs, m_node.now());
     m_node.metrics().countDispatch(reason);
     LogEvent::decision("dispatch")
         .field("request", m_request.caller.id)
--- a/src/gateway/request_session.h
+++ b/src/gateway/request_session.h
@@ -40,6 +40,9 @@
     void start();
 
     bool isWaiting() const override { return m_isWaiting && !m_ended; }
+    /// Ends a waiting request if its wait is over before the servers that want a pause can serve
+    /// it.
+    void refuseIfServersPause();
 
 protected:
     /// Time until the deadline of the request.
@@ -96,12 +99,16 @@
 private:
     void onDeadline();
     void onCallerDisconnected();
+    /// As refuseIfServersPause(), for a request that may wait for this time. Returns whether it
+    /// ended the request.
+    bool endIfServersPauseLonger(Duration longestWait);
     void onWaitTimeout();
 
     TimerId m_deadlineTimer = 0;
     TimerId m_waitTimer = 0;
     /// The next attempt was taken from the retry budget and is not sent yet.
     bool m_retryTaken = false;
+    TimePoint m_waitEndsAt {};
 };
 
 /// Creates a GenerationSession for a generation on a layered service, and a PlainSession otherwise.
--- a/tests/simulation/gateway_soak.cpp
+++ b/tests/simulation/gateway_soak.cpp
@@ -3,6 +3,7 @@
 
 #include <gflags/gflags.h>
 
+#include <algorithm>
 #include <cstdio>
 
 DEFINE_uint64(seed, 1, "first seed");
@@ -25,6 +26,9 @@
 /// What generate() names as the caller's deadline. Answers may end at the deadline.
 constexpr Duration CallerDeadline = 8s;
 constexpr Duration DeadlineTolerance = 100ms;
+/// Requests that were sent before a host knew that an engine is leaving have arrived after this
+/// time.
+constexpr Duration LeavingSlack = 500ms;
 
 /// A call with what is needed to check its answer.
 struct SentCall
@@ -60,14 +64,16 @@
         callRepeatedly();
         injectFaultsRepeatedly();
         watchVersions();
+        watchLeavingEngine();
         m_world.run(FaultTime);
         stopFaults();
         m_world.run(Recovery);
         checkServing();
         checkAnswers();
-        std::printf("seed=%llu calls=%zu whole=%d refused=%d broken=%d violations=%d\n",
+        std::printf("seed=%llu calls=%zu whole=%d refused=%d broken=%d leaving_checks=%d "
+                    "violations=%d\n",
                     static_cast<unsigned long long>(m_seed), m_sent.size(), m_complete, m_refused,
-                    m_incomplete, m_violations);
+                    m_incomplete, m_leavingChecks, m_violations);
         return m_violations;
     }
 
@@ -121,7 +127,7 @@
         const std::string name = "host-" + std::to_string(host + 1);
         const Duration time(500'000 + static_cast<Duration::rep>(random().below(5'000'000)));
         SimProcess &process = *m_world.hosts[static_cast<std::size_t>(host)]->process;
-        switch (random().below(9)) {
+        switch (random().below(11)) {
         case 0:
             m_world.endHost(host);
             hostLog(host).begin(m_world.now());
@@ -149,6 +155,10 @@
             return changeConfiguration();
         case 6:
             return silenceEngines();
+        case 7:
+            return announceLeaving(time);
+        case 8:
+            return askForPause(time);
         default:
             return breakEngine(time);
         }
@@ -229,6 +239,96 @@
         undoLater(time, [this, i] { setEngineFault(i, EngineFault::None); });
     }
 
+    /// An engine announces in its answers that it is leaving, and is another one later.
+    void announceLeaving(Duration time)
+    {
+        const int i = static_cast<int>(random().below(Engines));
+        if (m_leavingEngine || m_pausingEngine == i)
+            return;
+        m_leavingEngine = i;
+        m_allKnowSince.reset();
+        m_world.engines[static_cast<std::size_t>(i)]->setExtraFields({{"Server-Leaving", "1"}});
+        undoLater(time, [this] { restartLeavingEngine(); });
+    }
+
+    void restartLeavingEngine()
+    {
+        if (!m_leavingEngine)
+            return;
+        m_engineLogs[static_cast<std::size_t>(*m_leavingEngine)].note(m_world.now());
+        m_world.engines[static_cast<std::size_t>(*m_leavingEngine)]->setExtraFields({});
+        m_world.restartEngine(*m_leavingEngine);
+        m_leavingEngine.reset();
+    }
+
+    /// An engine refuses all requests and asks for a pause, and is another one later.
+    void askForPause(Duration time)
+    {
+        static constexpr const char *Pauses[] {"0.3", "2", "3600", "-1", "soon"};
+        const int i = static_cast<int>(random().below(Engines));
+        const char *pause = Pauses[random().below(std::size(Pauses))];
+        if (m_pausingEngine || m_leavingEngine == i)
+            return;
+        m_pausingEngine = i;
+        m_world.engines[static_cast<std::size_t>(i)]->setExtraFields({{"Retry-After", pause}});
+        setEngineFault(i, EngineFault::Refuses);
+        undoLater(time, [this] { restartPausingEngine(); });
+    }
+
+    void restartPausingEngine()
+    {
+        if (!m_pausingEngine)
+            return;
+        m_world.engines[static_cast<std::size_t>(*m_pausingEngine)]->setExtraFields({});
+        setEngineFault(*m_pausingEngine, EngineFault::None);
+        m_world.restartEngine(*m_pausingEngine);
+        m_pausingEngine.reset();
+    }
+
+    /// The starts of the leaving engine that running hosts know to be leaving, or nothing if one
+    /// of them does not know.
+    std::optional<std::vector<std::int64_t>> knownLeavingStarts() const
+    {
+        const std::string id = "e-" + std::to_string(*m_leavingEngine + 1);
+        std::vector<std::int64_t> starts;
+        for (const auto &host : m_world.hosts) {
+            if (!host->process->alive())
+                continue;
+            FleetView &view = host->node.view();
+            const ServerRegistration *server = view.registry().find(id);
+            if (host->process->frozen() || !server
+                || !view.health().isLeaving(id, server->startedAtMs))
+                return std::nullopt;
+            starts.push_back(server->startedAtMs);
+        }
+        return starts;
+    }
+
+    /// Checks that an engine gets nothing more once all hosts know that it is leaving.
+    void watchLeavingEngine()
+    {
+        const auto starts = m_leavingEngine ? knownLeavingStarts() : std::nullopt;
+        // A host may learn of another start, ask the engine and hear of its leaving between checks.
+        if (!starts || starts != std::exchange(m_knownStarts, starts)) {
+            m_allKnowSince.reset();
+        } else {
+            const int received =
+                m_world.engines[static_cast<std::size_t>(*m_leavingEngine)]->received();
+            if (!m_allKnowSince)
+                m_allKnowSince = m_world.now();
+            else if (m_world.now() - *m_allKnowSince <= LeavingSlack)
+                m_receivedWhileLeaving = received;
+            else if (received > m_receivedWhileLeaving) {
+                reportViolation("a leaving engine got a request");
+                m_receivedWhileLeaving = received;
+            } else {
+                ++m_leavingChecks;
+            }
+        }
+        if (m_world.now() < m_end)
+            m_world.after(100ms, [this] { watchLeavingEngine(); });
+    }
+
     /// Adds a temporary key and revokes it, in turn.
     void changeConfiguration()
     {
@@ -263,6 +363,8 @@
     void stopFaults()
     {
         m_faultsStopped = true;
+        restartLeavingEngine();
+        restartPausingEngine();
         m_world.network().healAll();
         m_world.store.setFaults({});
         for (int i = 0; i < Engines; ++i) {
@@ -366,6 +468,13 @@
     std::string m_temporaryKey;
     std::optional<TimePoint> m_revokedAt;
     bool m_faultsStopped = false;
+    std::optional<int> m_leavingEngine;
+    std::optional<int> m_pausingEngine;
+    std::optional<TimePoint> m_allKnowSince;
+    std::optional<std::vector<std::int64_t>> m_knownStarts;
+    int m_receivedWhileLeaving = 0;
+    /// Number of times that a leaving engine was found to have got nothing.
+    int m_leavingChecks = 0;
     int m_complete = 0;
     int m_refused = 0;
     int m_incomplete = 0;
