--- a/tools/testtool/forwarding_engine.cpp
+++ b/tools/testtool/forwarding_engine.cpp
@@ -86,21 +86,25 @@
     if (standsStill())
         return;
     for (const auto &exchange : std::exchange(m_unread, {}))
-        handle(exchange);
+        serve(exchange);
 }
 
 void ForwardingEngine::handle(const std::shared_ptr<HttpExchange> &exchange)
 {
     if (dark())
         return;
-    if (standsStill()) {
-        m_unread.push_back(exchange);
-        return;
-    }
     const std::string_view expected = exchange->header("X-Expect-Instance");
-    if (!expected.empty() && expected != m_id)
+    const bool meant = expected.empty() || expected == m_id;
+    m_received += meant ? 1 : 0;
+    if (standsStill())
+        return m_unread.push_back(exchange);
+    if (!meant)
         return exchange->respond(421, {}, "");
-    ++m_received;
+    serve(exchange);
+}
+
+void ForwardingEngine::serve(const std::shared_ptr<HttpExchange> &exchange)
+{
     const std::string_view path = pathOf(exchange->target());
     if (path == "/v1/report")
         return report(exchange);
--- a/tools/testtool/forwarding_engine.h
+++ b/tools/testtool/forwarding_engine.h
@@ -78,6 +78,7 @@
     struct Stream;
 
     void report(const std::shared_ptr<HttpExchange> &exchange) const;
+    void serve(const std::shared_ptr<HttpExchange> &exchange);
     void takeOrder(const std::shared_ptr<HttpExchange> &exchange);
     void run(const std::shared_ptr<HttpExchange> &exchange);
     /// The address of a part that can't be run, or nothing.
