Count runs that were closed, let suspicions expire, and answer what is open at exit

An attempt that was sent and then closed, as the silent one went on, was not counted as run, so that an engine that fell silent again and again could get a request run on more servers than the route allows. The servers that stalled a request were excluded from it for good, so that a silence of all of them left none; they are now for 2 s, and the health checks decide afterwards. A retry that was taken from the budget and not sent was kept for later, when the budget had forgotten it. Interrupted streams that can't start no longer block new requests in the queue. A host at the end of its grace period closed the connections of requests that were still open; it now gives them a final answer first.

--- a/src/gateway/gateway_node.cpp
+++ b/src/gateway/gateway_node.cpp
@@ -125,6 +125,13 @@
     m_loop.post([this] { admitWaitingRequests(); });
 }
 
+void GatewayNode::endSessionsAtExit()
+{
+    const std::set<std::shared_ptr<RequestSession>> sessions = m_sessions;
+    for (const auto &session : sessions)
+        session->endAtExit();
+}
+
 void GatewayNode::admitWaitingRequests()
 {
     for (auto &[service, queue] : m_queues) {
--- a/src/gateway/gateway_node.h
+++ b/src/gateway/gateway_node.h
@@ -51,6 +51,8 @@
     void sessionStarted(const std::shared_ptr<RequestSession> &session);
     /// Forgets the session, and lets waiting requests use its capacity.
     void sessionEnded(const std::shared_ptr<RequestSession> &session);
+    /// Ends all open requests with a final answer, shortly before the process exits.
+    void endSessionsAtExit();
     std::size_t openSessions() const { return m_sessions.size(); }
 
     /// Starts the waiting requests of all services for which servers have capacity.
--- a/src/gateway/gateway_process.cpp
+++ b/src/gateway/gateway_process.cpp
@@ -31,6 +31,8 @@
 constexpr Duration MinDrainTime = 2500ms;
 /// The process exits this long before the platform would kill it.
 constexpr Duration GraceMargin = 400ms;
+/// Time to send the final answers of requests that are open at the end of the grace period.
+constexpr Duration FinalAnswerTime = 100ms;
 /// Must exceed the limit in the configuration for which callers' connections may be idle.
 constexpr Duration CallerIdleTimeout = 120s;
 
@@ -205,8 +207,13 @@
     {
         const Duration elapsed = m_node.now() - m_drainStarted;
         const bool empty = m_node.openSessions() == 0 && m_front.exchangesInFlight() == 0;
-        if ((empty && elapsed >= MinDrainTime) || elapsed >= m_node.settings().grace - GraceMargin)
+        if (empty && elapsed >= MinDrainTime)
             return m_loop.stop();
+        if (elapsed >= m_node.settings().grace - GraceMargin - FinalAnswerTime) {
+            m_node.endSessionsAtExit();
+            m_services.timers().schedule(m_node.now() + FinalAnswerTime, [this] { m_loop.stop(); });
+            return;
+        }
         m_services.timers().schedule(m_node.now() + DrainPollInterval, [this] { pollDrainEnd(); });
     }
 
--- a/src/gateway/generation_session.cpp
+++ b/src/gateway/generation_session.cpp
@@ -16,6 +16,9 @@
 constexpr Duration MaxStallTimeout = 1300ms;
 /// An engine that delivered an event of any stream within this time is not dead.
 constexpr Duration RecentProgressWindow = 700ms;
+/// A server that stalled the request is not chosen again for this long. After that, the health
+/// checks decide.
+constexpr Duration SuspicionTime = 2s;
 constexpr Duration RetryAfterRefusal = 500ms;
 /// Engines have ten levels of urgency and admit 0 first; the middle one stands for routes of
 /// rank 1.
@@ -59,7 +62,10 @@
     const EngineProfile &profile = *m_request.service->engine;
     std::vector<PathServer> servers = m_node.view().pathServers(*m_request.service);
     std::erase_if(servers, [this](const PathServer &server) {
-        return m_excludedServers.count(std::string(server.id)) > 0;
+        const auto suspected = m_suspectedAt.find(server.id);
+        return m_excludedServers.count(std::string(server.id)) > 0
+            || (suspected != m_suspectedAt.end()
+                && m_node.now() - suspected->second < SuspicionTime);
     });
     const PathSelector selector(profile.layers, profile.stepsPerPass, HopCosts {});
     auto path = selector.selectFromSample(servers, m_size, m_node.random());
@@ -166,8 +172,10 @@
 {
     const std::vector<std::shared_ptr<GenerationAttempt>> open = m_open;
     for (const auto &it : open) {
-        if (it.get() != &attempt)
-            closeAttempt(*it);
+        if (it.get() == &attempt)
+            continue;
+        countRun(*it, it->anyByteSent());
+        closeAttempt(*it);
     }
     leaveQueue();
     if (std::exchange(attempt.silent, false)) {
@@ -176,7 +184,7 @@
             .field("path", attempt.pathText())
             .field("silent_ms", attempt.silence().count() / 1000);
         for (const ReservedPart &part : attempt.parts()) {
-            m_excludedServers.erase(part.server);
+            m_suspectedAt.erase(part.server);
             m_node.view().health().recordEvidence(part.server, part.startedAtMs,
                                                   ServerEvidence::ProbeSucceeded, m_node.now());
         }
@@ -263,9 +271,9 @@
     // With several stalled engines any of them may be the dead one, so a failure is recorded only
     // if there is one.
     if (stalled.size() == 1)
-        recordFailure(*stalled.front(), ServerEvidence::Unreachable);
+        reportEvidence(*stalled.front(), ServerEvidence::Unreachable);
     for (const ReservedPart *part : stalled) {
-        m_excludedServers.insert(part->server);
+        m_suspectedAt[part->server] = m_node.now();
         m_node.survey().probeNow(part->server);
     }
 }
@@ -292,6 +300,11 @@
     m_excludedServers.insert(part.server);
     if (evidence == ServerEvidence::Unreachable)
         m_node.survey().probeNow(part.server);
+    reportEvidence(part, evidence);
+}
+
+void GenerationSession::reportEvidence(const ReservedPart &part, ServerEvidence evidence)
+{
     m_node.view().health().recordEvidence(part.server, part.startedAtMs, evidence, m_node.now());
     LogEvent::decision("server_failure")
         .field("request", m_request.caller.id)
--- a/src/gateway/generation_session.h
+++ b/src/gateway/generation_session.h
@@ -3,6 +3,7 @@
 #include "gateway/generation_attempt.h"
 #include "gateway/request_session.h"
 
+#include <map>
 #include <set>
 
 namespace dogwoodvalve {
@@ -23,7 +24,6 @@
 
     bool tryStart() override;
     double work() const override { return m_size.total(); }
-    bool attemptOpen() const override { return !m_open.empty(); }
 
     void onStreamData(GenerationAttempt &attempt) override;
     void onAnswerEnd(GenerationAttempt &attempt) override;
@@ -32,6 +32,7 @@
 protected:
     Duration maxFailoverWait() const override;
     void closeAttempts() override;
+    bool attemptOpen() const override { return !m_open.empty(); }
     void addOutcomeFields(LogEvent &event) const override;
 
 private:
@@ -47,7 +48,7 @@
 
     void scheduleStallCheck(GenerationAttempt &attempt, TimePoint at);
     void checkStall(GenerationAttempt &attempt);
-    /// Excludes the servers that may be lost, and has them probed.
+    /// Excludes the servers that may be lost for a while, and has them probed.
     void suspectLoss(GenerationAttempt &attempt, std::span<const ReservedPart *const> stalled);
     /// Starts or queues another attempt beside the silent ones, if there may be one.
     void resumeBesideSilentAttempts();
@@ -64,14 +65,17 @@
     void countRun(GenerationAttempt &attempt, bool ran);
     /// Excludes the server from this request and reports the evidence to the health checks.
     void recordFailure(const ReservedPart &part, ServerEvidence evidence);
+    void reportEvidence(const ReservedPart &part, ServerEvidence evidence);
 
     SequenceSize m_size;
     std::vector<std::shared_ptr<GenerationAttempt>> m_open;
     /// Expectations of the last path.
     Duration m_expectedFirstEvent {};
     Duration m_expectedStep {};
-    /// Servers that failed this request or stalled it; no further attempt uses them.
+    /// Servers that failed this request; no further attempt uses them.
     std::set<std::string> m_excludedServers;
+    /// When servers stalled this request.
+    std::map<std::string, TimePoint, std::less<>> m_suspectedAt;
     EventOrderChecker m_eventOrder;
     int m_deliveredEvents = 0;
     Duration m_timeToFirstEvent {};
--- a/src/gateway/plain_session.h
+++ b/src/gateway/plain_session.h
@@ -15,7 +15,6 @@
 
     bool tryStart() override;
     double work() const override { return 1; }
-    bool attemptOpen() const override { return m_client != nullptr; }
 
     void onHead(int status, std::span<const HttpField> fields) override;
     void onBody(std::string_view part) override;
@@ -25,6 +24,7 @@
 protected:
     Duration maxFailoverWait() const override;
     void closeAttempts() override;
+    bool attemptOpen() const override { return m_client != nullptr; }
 
 private:
     /// Closes the attempt and retries the request, or ends it if it may not be retried.
--- a/src/gateway/request_session.cpp
+++ b/src/gateway/request_session.cpp
@@ -125,6 +125,7 @@
 void RequestSession::leaveQueue()
 {
     m_isWaiting = false;
+    m_retryTaken = false;
     m_node.timers().cancel(std::exchange(m_waitTimer, 0));
 }
 
@@ -153,7 +154,6 @@
     const auto endpoint = parseEndpoint(server.address);
     leaveQueue();
     ++m_attempts;
-    m_retryTaken = false;
     m_mayHaveRun = true;
     m_node.view().health().recordDispatch(server.id, server.startedAtMs, m_node.now());
     m_node.metrics().countDispatch(reason);
@@ -263,6 +263,14 @@
         std::nullopt);
 }
 
+void RequestSession::endAtExit()
+{
+    const Error error {ErrorKind::Unavailable, "this host exits", "use another address"};
+    if (m_mayHaveRun || m_responded)
+        return fail(StatusBadGateway, error);
+    refuse(StatusUnavailable, error, Duration::zero());
+}
+
 void RequestSession::onCallerDisconnected()
 {
     finish("caller_left", "the caller closed its connection");
--- a/src/gateway/request_session.h
+++ b/src/gateway/request_session.h
@@ -40,6 +40,9 @@
     void start();
 
     bool isWaiting() const override { return m_isWaiting && !m_ended; }
+    bool isInterrupted() const override { return m_responded || attemptOpen(); }
+    /// Gives the request its final answer because the process exits before its deadline.
+    void endAtExit();
     /// Ends a waiting request if its wait is over before the servers that want a pause can serve
     /// it.
     void refuseIfServersPause();
@@ -54,6 +57,8 @@
     virtual void addOutcomeFields(LogEvent &event) const;
     /// Releases what open attempts have reserved on servers and closes their connections.
     virtual void closeAttempts() = 0;
+    /// Whether a server may still answer.
+    virtual bool attemptOpen() const = 0;
 
     /// How long a request whose attempt failed may wait for another server.
     virtual Duration maxFailoverWait() const = 0;
@@ -106,7 +111,8 @@
 
     TimerId m_deadlineTimer = 0;
     TimerId m_waitTimer = 0;
-    /// The next attempt was taken from the retry budget and is not sent yet.
+    /// The next attempt was taken from the retry budget and waits to be sent. It is not kept for
+    /// later, when the budget may count it no more.
     bool m_retryTaken = false;
     TimePoint m_waitEndsAt {};
 };
--- a/src/gateway/wait_queue.cpp
+++ b/src/gateway/wait_queue.cpp
@@ -12,7 +12,7 @@
 bool blocksOthers(const std::weak_ptr<WaitingRequest> &waiting)
 {
     const auto request = waiting.lock();
-    return request && request->isWaiting() && !request->attemptOpen();
+    return request && request->isWaiting() && !request->isInterrupted();
 }
 
 } // namespace
@@ -26,13 +26,13 @@
     std::deque<std::weak_ptr<WaitingRequest>> previous;
     previous.swap(m_waiting);
     std::deque<std::weak_ptr<WaitingRequest>> remaining;
-    int missesWithAttempt = 0;
-    int missesWithoutAttempt = 0;
+    int missesOfInterrupted = 0;
+    int missesOfNew = 0;
     for (const auto &it : previous) {
         const auto request = it.lock();
         if (!request || !request->isWaiting())
             continue;
-        int &misses = request->attemptOpen() ? missesWithAttempt : missesWithoutAttempt;
+        int &misses = request->isInterrupted() ? missesOfInterrupted : missesOfNew;
         if (misses > LookAhead || !request->tryStart()) {
             ++misses;
             remaining.push_back(it);
--- a/src/gateway/wait_queue.h
+++ b/src/gateway/wait_queue.h
@@ -15,15 +15,16 @@
     /// Starts the request if a server has capacity now; returns whether it started.
     virtual bool tryStart() = 0;
     virtual bool isWaiting() const = 0;
-    /// Whether a server may still answer the request, so that it only waits for a better one.
-    virtual bool attemptOpen() const = 0;
+    /// Whether the request's answer has begun or may still come from a server. Such a request is
+    /// tried first, but doesn't block new ones.
+    virtual bool isInterrupted() const = 0;
     /// The request's work, in the unit of the queue's predictor.
     virtual double work() const = 0;
 };
 
 /// The waiting requests of one service, in order of arrival. If the first one is too large for the
-/// free capacity, a few behind it are tried, so that small requests can use the capacity. Requests
-/// with an open attempt don't block others.
+/// free capacity, a few behind it are tried, so that small requests can use the capacity.
+/// Interrupted requests don't block others.
 class WaitQueue
 {
 public:
@@ -37,9 +38,9 @@
     void admitWaiting();
     bool empty() const { return m_waiting.empty(); }
     std::size_t size() const { return m_waiting.size(); }
-    /// Whether a new request must queue behind one that no server may still answer.
+    /// Whether a new request must queue behind others.
     bool blocksArrivals() const;
-    /// Sum of the work of the waiting requests that no server may still answer.
+    /// Sum of the work of the waiting requests, without interrupted ones.
     double waitingWork() const;
 
     WaitPredictor &predictor() { return m_predictor; }
--- a/tests/simulation/silence_test.cpp
+++ b/tests/simulation/silence_test.cpp
@@ -28,6 +28,7 @@
     CPPUNIT_TEST(aStreamThatMayNotBeResumedGoesOn);
     CPPUNIT_TEST(aSilenceBeforeTheFirstEventIsWaitedFor);
     CPPUNIT_TEST(aSecondSilenceIsWaitedForWhenTheAttemptsAreUsedUp);
+    CPPUNIT_TEST(aRequestThatIsOpenAtTheExitGetsAnAnswer);
     CPPUNIT_TEST(aSilenceIsWaitedForWhenTheRetryBudgetIsSpent);
     CPPUNIT_TEST(noAnswerIsCutBesideAChangeOfTheConfiguration);
     CPPUNIT_TEST_SUITE_END();
@@ -103,6 +104,21 @@
         }
         world.run(5s);
         expectWhole(*call, id);
+        CPPUNIT_ASSERT_LESSEQUAL(2, world.runsOf(id));
+    }
+
+    void aRequestThatIsOpenAtTheExitGetsAnAnswer()
+    {
+        GatewayWorld world;
+        world.settle();
+        setFaults(world, EngineFault::Silent);
+        const auto sent = world.generate();
+        world.run(100ms);
+        world.hosts[0]->node.endSessionsAtExit();
+        world.run(100ms);
+        CPPUNIT_ASSERT(sent->answer.complete);
+        CPPUNIT_ASSERT_EQUAL(502, sent->answer.status);
+        CPPUNIT_ASSERT_EQUAL(std::size_t {0}, world.hosts[0]->node.openSessions());
     }
 
     void aSilenceIsWaitedForWhenTheRetryBudgetIsSpent()
