Ask the socket before a caller is taken for disconnected

What callers saw: a connection closed without an answer, or in the middle of one, a few milliseconds after the request was read; the log said that the caller had left.

Cause: the server waits for the socket to become readable and took a socket without bytes for one that its peer has closed. After a pause of the event loop, a readiness event can arrive for bytes that a read without a wait has taken already.

Change: the peer's state is read from the socket; a quiet one is waited for again. A caller that still is there keeps its request.

--- a/src/net/http_connection.cpp
+++ b/src/net/http_connection.cpp
@@ -1,6 +1,9 @@
 #include "net/http_connection.h"
 
 #include <boost/asio/write.hpp>
+#include <sys/socket.h>
+
+#include <cerrno>
 
 namespace dogwoodvalve {
 
@@ -28,6 +31,17 @@
 
 } // namespace
 
+PeerState peerState(int socket)
+{
+    char byte = 0;
+    const ssize_t n = ::recv(socket, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    if (n > 0)
+        return PeerState::HasSent;
+    if (n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR))
+        return PeerState::Quiet;
+    return PeerState::Closed;
+}
+
 void HttpConnection::readHead()
 {
     m_parser.emplace();
@@ -281,9 +295,10 @@
                              });
 }
 
-/// Detects that the peer disconnects before its response is complete. The wait of one exchange may
-/// outlast it and wake up on the bytes of the next request. As the parser may have read these
-/// already, an empty socket does not mean a disconnect then.
+/// Detects that the peer disconnects before its response is complete. A socket can be reported as
+/// readable when it is not, after its bytes were read without a wait, so the state is asked. The
+/// wait of one exchange may outlast it and wake up on the bytes of the next request. As the parser
+/// may have read these already, an empty socket does not mean a disconnect then.
 void HttpConnection::watchPeer()
 {
     if (m_closed)
@@ -302,9 +317,14 @@
                                     self->watchPeer();
                                 return;
                             }
-                            error_code availableError;
-                            if (self->m_socket.available(availableError) == 0 || availableError)
-                                self->close();
+                            switch (peerState(self->m_socket.native_handle())) {
+                            case PeerState::Closed:
+                                return self->close();
+                            case PeerState::Quiet:
+                                return self->watchPeer();
+                            case PeerState::HasSent:
+                                return;
+                            }
                         });
 }
 
--- a/src/net/http_connection.h
+++ b/src/net/http_connection.h
@@ -20,6 +20,19 @@
     std::atomic<int> exchangesInFlight {0};
 };
 
+/// What the peer of a connected socket has done.
+enum class PeerState {
+    /// Nothing that was not read yet.
+    Quiet,
+    /// It has sent bytes that were not read yet.
+    HasSent,
+    /// It has closed the connection or reset it.
+    Closed,
+};
+
+/// The state of a socket's peer. Reads nothing and never blocks.
+PeerState peerState(int socket);
+
 /// One connection; it is also the exchange of its current request.
 class HttpConnection : public HttpExchange, public std::enable_shared_from_this<HttpConnection>
 {
--- a/tests/unit/http_server_test.cpp
+++ b/tests/unit/http_server_test.cpp
@@ -1,4 +1,5 @@
 #include "net/asio_timer_service.h"
+#include "net/http_connection.h"
 #include "net/http_server.h"
 
 #include <boost/asio/connect.hpp>
@@ -7,8 +8,11 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 #include <cppunit/extensions/HelperMacros.h>
+#include <sys/socket.h>
 
+#include <array>
 #include <thread>
+#include <unistd.h>
 
 using namespace dogwoodvalve;
 namespace asio = boost::asio;
@@ -197,6 +201,7 @@
     CPPUNIT_TEST(buffersStayBoundedForSlowReaders);
     CPPUNIT_TEST(detectsADisconnectDuringARequest);
     CPPUNIT_TEST(misbehavingClientsDoNotAffectOthers);
+    CPPUNIT_TEST(aQuietPeerIsNotTakenForADisconnectedOne);
     CPPUNIT_TEST_SUITE_END();
 
     static std::string sendAndReadAll(RunningServer &server, std::string_view request)
@@ -455,6 +460,21 @@
             sendAndReadAll(server, "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\n\r\nhello");
         expectStatus(answer, "200", "good client among bad ones");
     }
+
+    void aQuietPeerIsNotTakenForADisconnectedOne()
+    {
+        std::array<int, 2> sockets {};
+        CPPUNIT_ASSERT_EQUAL(0, ::socketpair(AF_UNIX, SOCK_STREAM, 0, sockets.data()));
+        CPPUNIT_ASSERT(peerState(sockets[0]) == PeerState::Quiet);
+        CPPUNIT_ASSERT_EQUAL(ssize_t {1}, ::send(sockets[1], "x", 1, 0));
+        CPPUNIT_ASSERT(peerState(sockets[0]) == PeerState::HasSent);
+        char byte = 0;
+        CPPUNIT_ASSERT_EQUAL(ssize_t {1}, ::recv(sockets[0], &byte, 1, 0));
+        CPPUNIT_ASSERT(peerState(sockets[0]) == PeerState::Quiet);
+        ::close(sockets[1]);
+        CPPUNIT_ASSERT(peerState(sockets[0]) == PeerState::Closed);
+        ::close(sockets[0]);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(HttpServerTest);
