--- a/src/gateway/host_digest_codec.cpp
+++ b/src/gateway/host_digest_codec.cpp
@@ -31,11 +31,11 @@
 /// The state of a host without its load and its reports.
 json encodeState(const HostDigest &digest)
 {
-    return json::array({digest.name, digest.zone, digest.callerAddress, digest.peerAddress,
-                        std::llround(digest.linkMbps), digest.startedAtMs, digest.sequence,
-                        digest.ready, digest.leaving, digest.configurationVersion,
-                        ageMillis(digest.configurationAge), digest.registrationsEnd,
-                        ageMillis(digest.registrationsAge)});
+    return json::array(
+        {digest.name, digest.zone, digest.callerAddress, digest.peerAddress,
+         std::llround(digest.linkMbps), digest.startedAtMs, digest.sequence, digest.ready,
+         digest.leaving, digest.configurationVersion, ageMillis(digest.configurationAge),
+         encodeLogPosition(digest.registrationsEnd), ageMillis(digest.registrationsAge)});
 }
 
 /// Reads the values in the order in which encodeState writes them.
@@ -53,7 +53,7 @@
     digest.leaving = value.at(8);
     digest.configurationVersion = value.at(9);
     digest.configurationAge = durationOf(value.at(10));
-    digest.registrationsEnd = value.at(11);
+    digest.registrationsEnd = decodeLogPosition(value.at(11));
     digest.registrationsAge = durationOf(value.at(12));
     return digest;
 }
--- a/src/gateway/log_position_json.h
+++ b/src/gateway/log_position_json.h
@@ -7,14 +7,15 @@
 namespace dogwoodvalve {
 
 /// A position as hosts send it to one another: an array of its era and its offset.
-inline void to_json(nlohmann::json &value, const LogPosition &position)
+inline nlohmann::json encodeLogPosition(const LogPosition &position)
 {
-    value = nlohmann::json::array({position.era, position.offset});
+    return nlohmann::json::array({position.era, position.offset});
 }
 
-inline void from_json(const nlohmann::json &value, LogPosition &position)
+/// Throws nlohmann::json::exception if the value is no position.
+inline LogPosition decodeLogPosition(const nlohmann::json &value)
 {
-    position = {value.at(0).get<std::uint64_t>(), value.at(1).get<std::uint64_t>()};
+    return {value.at(0).get<std::uint64_t>(), value.at(1).get<std::uint64_t>()};
 }
 
 } // namespace dogwoodvalve
--- a/src/gateway/registrations_update.cpp
+++ b/src/gateway/registrations_update.cpp
@@ -15,7 +15,7 @@
     const ServerRegistration &server = entry.registration;
     return json::array({server.id, server.service, server.address, server.zone, server.kind,
                         server.slots, server.draining, server.startedAtMs, server.layers.first,
-                        server.layers.end, server.ordersBegun, entry.end});
+                        server.layers.end, server.ordersBegun, encodeLogPosition(entry.end)});
 }
 
 /// Reads the values in the order in which encodeEntry writes them.
@@ -33,7 +33,7 @@
     server.startedAtMs = value.at(7);
     server.layers = {value.at(8), value.at(9)};
     server.ordersBegun = value.at(10);
-    entry.end = value.at(11);
+    entry.end = decodeLogPosition(value.at(11));
     return entry;
 }
 
@@ -44,9 +44,12 @@
     json changed = json::array();
     for (const RegistrationsUpdate::Entry &entry : update.changed)
         changed.push_back(encodeEntry(entry));
-    const json value = {{"e", update.end},
+    json servers = json::object();
+    for (const auto &[id, end] : update.servers)
+        servers[id] = encodeLogPosition(end);
+    const json value = {{"e", encodeLogPosition(update.end)},
                         {"a", update.age.count()},
-                        {"i", update.servers},
+                        {"i", std::move(servers)},
                         {"c", std::move(changed)}};
     std::string bytes;
     json::to_cbor(value, bytes);
@@ -58,10 +61,10 @@
     try {
         const json value = json::from_cbor(bytes);
         RegistrationsUpdate update;
-        update.end = value.at("e");
+        update.end = decodeLogPosition(value.at("e"));
         update.age = Duration(value.at("a").get<Duration::rep>());
         for (const auto &[id, end] : value.at("i").items())
-            update.servers.emplace(id, end.get<LogPosition>());
+            update.servers.emplace(id, decodeLogPosition(end));
         for (const json &entry : value.at("c"))
             update.changed.push_back(decodeEntry(entry));
         return update;
