--- a/tests/process/soak_faults.cpp
+++ b/tests/process/soak_faults.cpp
@@ -47,6 +47,7 @@
 std::vector<std::string> SoakFaults::storeAddresses(int hosts, int firstPort)
 {
     std::vector<std::string> addresses;
+    addresses.reserve(static_cast<std::size_t>(hosts));
     for (int i = 0; i < hosts; ++i)
         addresses.push_back("127.0.0.1:" + std::to_string(firstPort + 200 + i));
     return addresses;
--- a/tests/simulation/paused_servers_test.cpp
+++ b/tests/simulation/paused_servers_test.cpp
@@ -188,8 +188,10 @@
         arrivalsDuring(world, 3s);
         world.plain.extraFields = retryAfter("0.25");
         readUntilRefused(world);
+        constexpr int Waiting = 6;
         std::vector<std::shared_ptr<Call>> waiting;
-        for (int i = 0; i < 6; ++i)
+        waiting.reserve(Waiting);
+        for (int i = 0; i < Waiting; ++i)
             waiting.push_back(world.call("GET", "/read/x"));
         world.run(100ms);
         world.plain.extraFields = retryAfter("5");
