Record dispatches and look at waiting requests once

The first server of a path was recorded as dispatched to twice, by the attempt and by the session: the kinds of request now record what they send. A waiting request was locked twice to add its work. The version in force has a function of its own.

--- a/src/gateway/peer_reader.cpp
+++ b/src/gateway/peer_reader.cpp
@@ -104,7 +104,7 @@
 bool PeerReader::fallenBehind()
 {
     const FleetView &view = m_node.view();
-    const std::uint64_t version = view.configuration() ? view.configuration()->version() : 0;
+    const std::uint64_t version = view.configurationVersion();
     std::uint64_t newest = version;
     if (view.configurationAge() >= MaxConfigurationLag && !mutated("gateway-stay-behind")) {
         for (const auto &[name, peer] : view.hosts().peers()) {
--- a/src/gateway/plain_session.cpp
+++ b/src/gateway/plain_session.cpp
@@ -51,6 +51,7 @@
     request.server = &server;
     request.workspace = m_request.workspace;
     request.timeLeft = timeLeft();
+    view.health().recordDispatch(server.id, server.startedAtMs, now);
     m_client = dispatch(server, request, m_attempts == 0 ? "least_outstanding" : "retry", *this);
     return true;
 }
--- a/src/gateway/request_session.cpp
+++ b/src/gateway/request_session.cpp
@@ -155,7 +155,6 @@
     leaveQueue();
     ++m_attempts;
     m_mayHaveRun = true;
-    m_node.view().health().recordDispatch(server.id, server.startedAtMs, m_node.now());
     m_node.metrics().countDispatch(reason);
     LogEvent::decision("dispatch")
         .field("request", m_request.caller.id)
--- a/src/gateway/wait_queue.cpp
+++ b/src/gateway/wait_queue.cpp
@@ -9,10 +9,11 @@
 /// How many requests that do not fit are passed over behind the first one.
 constexpr int LookAhead = 4;
 
-bool blocksOthers(const std::weak_ptr<WaitingRequest> &waiting)
+/// The request if it still waits and new ones must queue behind it, or nullptr.
+std::shared_ptr<WaitingRequest> lockIfBlocking(const std::weak_ptr<WaitingRequest> &waiting)
 {
-    const auto request = waiting.lock();
-    return request && request->isWaiting() && !request->isInterrupted();
+    auto request = waiting.lock();
+    return request && request->isWaiting() && !request->isInterrupted() ? request : nullptr;
 }
 
 } // namespace
@@ -44,15 +45,16 @@
 
 bool WaitQueue::blocksArrivals() const
 {
-    return std::any_of(m_waiting.begin(), m_waiting.end(), blocksOthers);
+    return std::any_of(m_waiting.begin(), m_waiting.end(),
+                       [](const auto &it) { return lockIfBlocking(it) != nullptr; });
 }
 
 double WaitQueue::waitingWork() const
 {
     double work = 0;
     for (const auto &it : m_waiting) {
-        if (blocksOthers(it))
-            work += it.lock()->work();
+        if (const auto request = lockIfBlocking(it))
+            work += request->work();
     }
     return work;
 }
