--- a/src/gateway/platform_interfaces.h
+++ b/src/gateway/platform_interfaces.h
@@ -194,6 +194,8 @@
     std::optional<std::uint64_t> lastEventId;
     /// Expected size in tokens. Absent if the request states no prompt size.
     std::optional<SequenceSize> size;
+    /// Ids of the parts of the prompt that other requests may share, in order.
+    std::vector<std::string> sharedPromptParts;
 };
 
 /// The values that a dispatch adds to a caller's request or replaces in it.
