--- a/tests/simulation/gateway_world.h
+++ b/tests/simulation/gateway_world.h
@@ -20,6 +20,7 @@
 namespace dogwoodvalve::simulation {
 
 using nlohmann::json;
+using testtool::EngineFault;
 using testtool::EngineMap;
 using testtool::ForwardingEngine;
 using testtool::LogStore;
@@ -33,6 +34,8 @@
 inline constexpr Duration CallerConnectTimeout = 1s;
 /// Time until engines have loaded their layers and all hosts know of them.
 inline constexpr Duration SettleTime = 6s;
+/// Time from an engine's crash to its next start.
+inline constexpr Duration EngineDowntime = 3s;
 /// Slack of the hosts' retry budgets, in attempts.
 inline constexpr double RetrySlack = 50;
 
@@ -359,6 +362,24 @@
         return send(head, "", addressOf(host, "81"));
     }
 
+    /// Lets engines crash that begin to answer a request with this part. A crashed engine starts
+    /// again after a while, without layers.
+    void setCrashingPart(const std::string &part)
+    {
+        for (std::size_t i = 0; i < engines.size(); ++i)
+            engines[i]->setCrashingPart(part, [this, i] { onEngineCrash(static_cast<int>(i)); });
+    }
+
+    /// Sends a generation whose prompt has these parts, and one of its own.
+    std::shared_ptr<Call> generateWith(const std::string &parts, int host = 0)
+    {
+        return call("POST", "/gen/x",
+                    {{"X-Token-Usage", "100,60"},
+                     {"X-Deadline-Ms", "8000"},
+                     {"X-Prompt-Prefix", parts + ",f" + std::to_string(m_calls) + ":20"}},
+                    host);
+    }
+
     std::shared_ptr<Call> generate(int host = 0, const std::string &key = "good-key")
     {
         return call("POST", "/gen/x", {{"X-Token-Usage", "100,60"}, {"X-Deadline-Ms", "8000"}},
@@ -413,6 +434,15 @@
         return call;
     }
 
+    void onEngineCrash(int i)
+    {
+        crashes.push_back(now());
+        m_clock.after(EngineDowntime, [this, i] {
+            restartEngine(i);
+            engines[static_cast<std::size_t>(i)]->setFault(EngineFault::None);
+        });
+    }
+
     void sendHeartbeats()
     {
         for (std::size_t i = 0; i < engines.size(); ++i) {
@@ -461,6 +491,8 @@
     FakePlainServer plain;
     std::vector<std::unique_ptr<SimGateway>> hosts;
     std::vector<std::shared_ptr<Call>> calls;
+    /// When engines crashed because of the crashing part.
+    std::vector<TimePoint> crashes;
 
     SimNetwork &network() { return m_network; }
     Random &random() { return m_random; }
--- a/tools/testtool/forwarding_engine.cpp
+++ b/tools/testtool/forwarding_engine.cpp
@@ -18,6 +18,7 @@
 constexpr Duration EventInterval = 20ms;
 constexpr int SkippedEvent = 7;
 constexpr int BrokenEvent = 5;
+constexpr Duration CrashDelay = 50ms;
 constexpr std::size_t MaxBody = 1U << 20;
 
 struct Part
@@ -93,6 +94,8 @@
 {
     if (dark())
         return;
+    if (m_fault == EngineFault::Ended)
+        return exchange->abort();
     const std::string_view expected = exchange->header("X-Expect-Instance");
     const bool meant = expected.empty() || expected == m_id;
     m_received += meant ? 1 : 0;
@@ -184,7 +187,29 @@
     });
     fields.push_back({"Content-Type", "text/event-stream"});
     exchange->beginStream(200, fields);
-    emit(stream);
+    std::erase_if(m_streams, [](const auto &it) { return it.expired(); });
+    m_streams.push_back(stream);
+    const bool crashes = !m_crashingPart.empty()
+        && exchange->header("X-Prompt-Prefix").find(m_crashingPart) != std::string_view::npos;
+    if (!crashes)
+        return emit(stream);
+    m_timers.schedule(m_timers.now() + CrashDelay, [this, stream] {
+        if (!stream->closed && !standsStill())
+            crash();
+    });
+}
+
+void ForwardingEngine::crash()
+{
+    m_fault = EngineFault::Ended;
+    for (const auto &it : std::exchange(m_streams, {})) {
+        const auto stream = it.lock();
+        if (!stream || std::exchange(stream->closed, true))
+            continue;
+        stream->exchange->abort();
+    }
+    if (m_onCrash)
+        m_onCrash();
 }
 
 /// A path stands still while one of its engines does.
--- a/tools/testtool/forwarding_engine.h
+++ b/tools/testtool/forwarding_engine.h
@@ -31,6 +31,8 @@
     Refuses,
     /// Fails each request with its own error.
     Fails,
+    /// Closes each connection without an answer, as a process that has ended.
+    Ended,
 };
 
 class ForwardingEngine;
@@ -58,11 +60,23 @@
     void setExtraFields(std::vector<HttpField> fields) { m_extraFields = std::move(fields); }
     void setLayers(LayerSpan layers) { m_layers = layers; }
     LayerSpan layers() const { return m_layers; }
+    /// The engine crashes soon after it has begun to answer a request whose prompt has this part.
+    /// The handler is called when it does.
+    void setCrashingPart(std::string part, std::function<void()> onCrash)
+    {
+        m_crashingPart = std::move(part);
+        m_onCrash = std::move(onCrash);
+    }
+    /// Ends all streams without their end, and every request until the fault is removed.
+    void crash();
     /// What the engine reports as factor on its usual times.
     void setSlowness(double factor) { m_slowness = factor; }
     bool dark() const { return m_fault == EngineFault::Dark; }
     /// Answers nothing and sends nothing now.
-    bool standsStill() const { return dark() || m_fault == EngineFault::Silent; }
+    bool standsStill() const
+    {
+        return dark() || m_fault == EngineFault::Silent || m_fault == EngineFault::Ended;
+    }
     /// Runs begun, by the caller's request id.
     const std::map<std::string, int> &runs() const { return m_runs; }
     int orders() const { return m_orders; }
@@ -100,6 +114,9 @@
     int m_received = 0;
     std::vector<HttpField> m_extraFields;
     double m_slowness = 1;
+    std::string m_crashingPart;
+    std::function<void()> m_onCrash;
+    std::vector<std::weak_ptr<Stream>> m_streams;
 };
 
 } // namespace dogwoodvalve::testtool
