--- /dev/null
+++ b/include/dogwoodvalve/crash_report.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include <dogwoodvalve/timer_service.h>
+
+#include <map>
+#include <string>
+
+namespace dogwoodvalve {
+
+/// What speaks for a part of a prompt that was in a request on a server when the server crashed.
+/// When hosts merge their reports, the highest value counts.
+enum class PartStanding {
+    /// No answer to a request with the part is known to have gone on past its beginning.
+    Unproven,
+    /// There was such an answer before the crash.
+    ServedBefore,
+    /// There was one that began after the crash, so the part did not cause it.
+    Cleared,
+};
+
+/// A part of a prompt that may have caused a crash.
+struct SuspectedPart
+{
+    PartStanding standing = PartStanding::Unproven;
+    /// Position in the prompt. More requests share the first parts than later ones.
+    int position = 0;
+    /// The server had begun an answer to a prompt with the part and not delivered any of it.
+    bool undelivered = false;
+
+    bool operator==(const SuspectedPart &other) const = default;
+};
+
+/// The crash of one start of a server.
+struct CrashReport
+{
+    /// Time since the crash.
+    Duration age {};
+    /// The parts of prompts that the server had just begun to answer, by id.
+    std::map<std::string, SuspectedPart> parts;
+};
+
+/// Crash reports by server and its start.
+using CrashReports = std::map<std::string, CrashReport>;
+
+} // namespace dogwoodvalve
--- a/include/dogwoodvalve/host_digest.h
+++ b/include/dogwoodvalve/host_digest.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <dogwoodvalve/crash_report.h>
 #include <dogwoodvalve/log_position.h>
 #include <dogwoodvalve/timer_service.h>
 
@@ -54,6 +55,8 @@
     /// Start, Unix time in ms, of registered servers that have announced that they are leaving, by
     /// server id.
     std::map<std::string, std::int64_t> leavingServers;
+    /// Crashes of servers that the host knows of, its own findings and those of others.
+    CrashReports crashes;
 };
 
 } // namespace dogwoodvalve
--- /dev/null
+++ b/include/dogwoodvalve/prompt_quarantine.h
@@ -0,0 +1,123 @@
+#pragma once
+
+#include <dogwoodvalve/crash_report.h>
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <span>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace dogwoodvalve {
+
+/// A part of a prompt with which no request is sent to a server, and until when.
+struct QuarantinedPart
+{
+    std::string id;
+    TimePoint until {};
+};
+
+/// Finds parts of prompts that crash the servers that answer them.
+///
+/// A crash speaks against the parts of the requests whose answers the server had just begun, and an
+/// answer that goes on past its beginning speaks for its parts. If no event had been delivered of
+/// one of these answers, the crash speaks only against its parts; hosts learn of one another's
+/// answers within a moment. Requests that merely were on the server share a crash with the one that
+/// caused it, but seldom a second one. So a part is quarantined after two crashes; after three at
+/// different times if it has been answered before, which also a crash of many servers at once could
+/// explain. A crash that a quarantined part explains speaks against no other part.
+///
+/// Hosts exchange their reports and merge them; the result does not depend on the order.
+class PromptQuarantine
+{
+public:
+    /// How long a crash speaks against a part.
+    static constexpr Duration CrashRetention = std::chrono::minutes(10);
+    /// An answer that goes on for this long after its beginning speaks for its parts. A server that
+    /// crashes earlier may have crashed because of them.
+    static constexpr Duration BeginningTime = std::chrono::milliseconds(500);
+    static constexpr std::size_t MaxCrashes = 64;
+    static constexpr std::size_t MaxPartsPerCrash = 16;
+    /// Crashes in one message to other hosts.
+    static constexpr std::size_t MaxReportedCrashes = 16;
+    /// Bound of the memory of answered parts, which callers choose.
+    static constexpr std::size_t MaxServedParts = 16'384;
+
+    /// A start of a server has crashed while it began to answer a prompt with these shared parts,
+    /// in their order. `undelivered` tells that no event of that answer had been delivered.
+    void recordCrash(std::string_view server, std::int64_t startedAtMs,
+                     std::span<const std::string> parts, bool undelivered, TimePoint crashedAt,
+                     TimePoint now);
+    /// An answer to a prompt with these parts, which began at the given time, has gone on past its
+    /// beginning.
+    void recordServed(std::span<const std::string> parts, TimePoint begunAt, TimePoint now);
+    /// Adds what another host reports.
+    void merge(const CrashReports &reports, TimePoint now);
+
+    /// Lets crashes count whose reports by other hosts have had the time to arrive, and forgets
+    /// old ones. To be called regularly.
+    void refresh(TimePoint now);
+
+    /// What other hosts need to know.
+    CrashReports reports(TimePoint now) const;
+    /// The first of these parts that is in quarantine.
+    std::optional<QuarantinedPart> find(std::span<const std::string> parts, TimePoint now) const;
+    /// Whether no answer to a prompt with one of these parts is known here to have gone on past its
+    /// beginning.
+    bool anyUnproven(std::span<const std::string> parts) const;
+    /// Parts that came into quarantine, and those that left it, since the last call.
+    struct Changes
+    {
+        std::vector<QuarantinedPart> added;
+        std::vector<std::string> removed;
+    };
+    Changes takeChanges();
+    /// Whether the reports have changed since the last call.
+    bool takeReportsChanged() { return std::exchange(m_reportsChanged, false); }
+    std::size_t quarantinedParts() const { return m_quarantined.size(); }
+
+private:
+    struct Crash
+    {
+        TimePoint at {};
+        std::map<std::string, SuspectedPart> parts;
+
+        bool anyUndelivered() const;
+    };
+    /// The crashes that speak against a part, and what speaks for it.
+    struct Evidence
+    {
+        std::vector<const Crash *> crashes;
+        PartStanding standing = PartStanding::Unproven;
+        int position = 0;
+    };
+
+    PartStanding standingOf(const std::string &part, TimePoint crashedAt) const;
+    std::optional<TimePoint> servedAt(const std::string &part) const;
+    /// Adds a suspected part to a crash, or raises its standing. Returns whether that changed
+    /// anything.
+    bool addPart(Crash &crash, const std::string &part, SuspectedPart suspected);
+    void dropOldCrashes(TimePoint now);
+    void evaluate(TimePoint now);
+    std::map<std::string, Evidence> evidence(TimePoint now) const;
+    /// The part with the strongest evidence among the crashes that are not explained yet, if it is
+    /// enough.
+    static const std::string *strongest(const std::map<std::string, Evidence> &evidence,
+                                        const std::set<const Crash *> &explained);
+
+    std::map<std::string, Crash> m_crashes;
+    std::map<std::string, TimePoint> m_quarantined;
+    /// When the latest answer with a part that went on had begun. The older half is dropped when
+    /// the newer one is full.
+    std::map<std::string, TimePoint> m_served;
+    std::map<std::string, TimePoint> m_servedEarlier;
+    TimePoint m_evaluatedAt {};
+    Changes m_changes;
+    bool m_reportsChanged = false;
+};
+
+} // namespace dogwoodvalve
--- a/include/dogwoodvalve/relay_digest.h
+++ b/include/dogwoodvalve/relay_digest.h
@@ -56,6 +56,8 @@
     std::map<std::string, std::map<std::string, Duration>> failedProbes;
     /// Starts of servers that have announced that they are leaving, by server id.
     std::map<std::string, std::int64_t> leavingServers;
+    /// Crashes of servers that the relay knows of.
+    CrashReports crashes;
     /// Hosts that the relay knows. Sent less often than the loads, as hosts change rarely.
     std::vector<RelayedHost> roster;
 };
--- a/src/core/host_table.cpp
+++ b/src/core/host_table.cpp
@@ -39,6 +39,7 @@
     state.failedProbes.clear();
     state.slowness.clear();
     state.leavingServers.clear();
+    state.crashes.clear();
     return state;
 }
 
@@ -144,6 +145,7 @@
     RelayDigest digest;
     digest.relay = stateOf(self);
     digest.leavingServers = self.leavingServers;
+    digest.crashes = self.crashes;
     addTotals(digest, self, toOwnZone);
     addReports(digest, self, now);
     for (const std::string &zone : rosterZones)
--- /dev/null
+++ b/src/core/prompt_quarantine.cpp
@@ -0,0 +1,302 @@
+#include "core/mutation.h"
+
+#include <dogwoodvalve/prompt_quarantine.h>
+
+#include <algorithm>
+#include <tuple>
+#include <utility>
+
+namespace dogwoodvalve {
+
+namespace {
+
+/// Servers that fail together are noticed within this time of one another.
+constexpr Duration SimultaneousTime = 20ms;
+/// Crashes because of one disturbance of many servers may be spread over this time.
+constexpr Duration DisturbanceTime = 100ms;
+constexpr int CrashesAgainstUnproven = 2;
+constexpr int CrashesAgainstServed = 3;
+/// Time in which all hosts report on a crash.
+constexpr Duration ReportTime = 1s;
+/// A crash that speaks against no part any more is reported for this long, so that all hosts learn
+/// what has cleared its parts.
+constexpr Duration ClearedReportTime = 30s;
+
+/// The number of crashes that are at least `gap` later than the one counted before.
+int countSeparate(std::vector<TimePoint> times, Duration gap)
+{
+    std::sort(times.begin(), times.end());
+    int n = 0;
+    TimePoint last {};
+    for (const TimePoint time : times) {
+        if (n > 0 && time - last < gap)
+            continue;
+        last = time;
+        ++n;
+    }
+    return n;
+}
+
+bool speaksAgainst(const SuspectedPart &part)
+{
+    return part.standing != PartStanding::Cleared;
+}
+
+/// How likely a part has caused a crash. All hosts keep the same parts if there are too many.
+auto suspicion(const std::string &part, const SuspectedPart &suspected)
+{
+    return std::tuple(speaksAgainst(suspected), suspected.undelivered,
+                      suspected.standing == PartStanding::Unproven, suspected.position, part);
+}
+
+} // namespace
+
+bool PromptQuarantine::Crash::anyUndelivered() const
+{
+    return std::any_of(parts.begin(), parts.end(), [](const auto &part) {
+        return part.second.undelivered && speaksAgainst(part.second);
+    });
+}
+
+void PromptQuarantine::recordCrash(std::string_view server, std::int64_t startedAtMs,
+                                   std::span<const std::string> parts, bool undelivered,
+                                   TimePoint crashedAt, TimePoint now)
+{
+    if (parts.empty() || mutated("gateway-forget-crashes"))
+        return;
+    const std::string key = std::string(server) + ':' + std::to_string(startedAtMs);
+    Crash &crash = m_crashes.try_emplace(key, Crash {crashedAt, {}}).first->second;
+    bool changed = false;
+    for (std::size_t i = 0; i < parts.size(); ++i) {
+        const SuspectedPart suspected {standingOf(parts[i], crash.at), static_cast<int>(i),
+                                       undelivered};
+        changed = addPart(crash, parts[i], suspected) || changed;
+    }
+    if (changed)
+        evaluate(now);
+}
+
+bool PromptQuarantine::addPart(Crash &crash, const std::string &part, SuspectedPart suspected)
+{
+    const auto known = crash.parts.find(part);
+    if (known == crash.parts.end()) {
+        if (crash.parts.size() >= MaxPartsPerCrash) {
+            const auto least = std::min_element(
+                crash.parts.begin(), crash.parts.end(), [](const auto &l, const auto &r) {
+                    return suspicion(l.first, l.second) < suspicion(r.first, r.second);
+                });
+            if (suspicion(part, suspected) < suspicion(least->first, least->second))
+                return false;
+            crash.parts.erase(least);
+        }
+        crash.parts.emplace(part, suspected);
+        m_reportsChanged = true;
+        return true;
+    }
+    const SuspectedPart merged {std::max(known->second.standing, suspected.standing),
+                                std::max(known->second.position, suspected.position),
+                                known->second.undelivered || suspected.undelivered};
+    if (merged == known->second)
+        return false;
+    known->second = merged;
+    m_reportsChanged = true;
+    return true;
+}
+
+void PromptQuarantine::recordServed(std::span<const std::string> parts, TimePoint begunAt,
+                                    TimePoint now)
+{
+    if (m_served.size() >= MaxServedParts / 2) {
+        m_servedEarlier = std::move(m_served);
+        m_served.clear();
+    }
+    bool cleared = false;
+    for (const std::string &part : parts) {
+        TimePoint &served = m_served[part];
+        served = std::max(served, begunAt);
+        for (auto &[key, crash] : m_crashes) {
+            const auto it = crash.parts.find(part);
+            if (it == crash.parts.end() || begunAt < crash.at || !speaksAgainst(it->second)
+                || mutated("gateway-clear-no-parts"))
+                continue;
+            it->second.standing = PartStanding::Cleared;
+            cleared = true;
+        }
+    }
+    if (!cleared)
+        return;
+    m_reportsChanged = true;
+    evaluate(now);
+}
+
+std::optional<TimePoint> PromptQuarantine::servedAt(const std::string &part) const
+{
+    for (const auto *served : {&m_served, &m_servedEarlier}) {
+        const auto it = served->find(part);
+        if (it != served->end())
+            return it->second;
+    }
+    return std::nullopt;
+}
+
+PartStanding PromptQuarantine::standingOf(const std::string &part, TimePoint crashedAt) const
+{
+    const auto served = servedAt(part);
+    if (!served)
+        return PartStanding::Unproven;
+    return *served >= crashedAt ? PartStanding::Cleared : PartStanding::ServedBefore;
+}
+
+void PromptQuarantine::merge(const CrashReports &reports, TimePoint now)
+{
+    if (reports.empty() || mutated("gateway-ignore-reported-crashes"))
+        return;
+    bool changed = false;
+    for (const auto &[key, report] : reports) {
+        if (report.age >= CrashRetention)
+            continue;
+        // The first time that is known stays, or ages would grow less with each host that passes
+        // the report on.
+        Crash &crash = m_crashes.try_emplace(key, Crash {now - report.age, {}}).first->second;
+        for (const auto &[part, reported] : report.parts) {
+            const PartStanding standing = std::max(reported.standing, standingOf(part, crash.at));
+            changed = addPart(crash, part, {standing, reported.position, reported.undelivered})
+                || changed;
+        }
+    }
+    if (changed)
+        evaluate(now);
+}
+
+CrashReports PromptQuarantine::reports(TimePoint now) const
+{
+    std::vector<std::tuple<bool, TimePoint, const std::string *>> order;
+    for (const auto &[key, crash] : m_crashes) {
+        const bool open = std::any_of(crash.parts.begin(), crash.parts.end(),
+                                      [](const auto &part) { return speaksAgainst(part.second); });
+        if (now - crash.at < (open ? CrashRetention : Duration(ClearedReportTime)))
+            order.emplace_back(open, crash.at, &key);
+    }
+    std::sort(order.rbegin(), order.rend());
+    order.resize(std::min(order.size(), MaxReportedCrashes));
+    CrashReports reports;
+    for (const auto &[open, at, key] : order)
+        reports[*key] = {std::max<Duration>(now - at, Duration::zero()), m_crashes.at(*key).parts};
+    return reports;
+}
+
+std::optional<QuarantinedPart> PromptQuarantine::find(std::span<const std::string> parts,
+                                                      TimePoint now) const
+{
+    for (const std::string &part : parts) {
+        const auto it = m_quarantined.find(part);
+        if (it != m_quarantined.end() && it->second > now)
+            return QuarantinedPart {part, it->second};
+    }
+    return std::nullopt;
+}
+
+bool PromptQuarantine::anyUnproven(std::span<const std::string> parts) const
+{
+    return std::any_of(parts.begin(), parts.end(),
+                       [this](const std::string &part) { return !servedAt(part); });
+}
+
+PromptQuarantine::Changes PromptQuarantine::takeChanges()
+{
+    return std::exchange(m_changes, {});
+}
+
+void PromptQuarantine::dropOldCrashes(TimePoint now)
+{
+    std::erase_if(m_crashes,
+                  [now](const auto &entry) { return now - entry.second.at >= CrashRetention; });
+    while (m_crashes.size() > MaxCrashes)
+        m_crashes.erase(
+            std::min_element(m_crashes.begin(), m_crashes.end(), [](const auto &l, const auto &r) {
+                return l.second.at < r.second.at;
+            }));
+}
+
+void PromptQuarantine::refresh(TimePoint now)
+{
+    const bool due = std::any_of(m_crashes.begin(), m_crashes.end(), [&](const auto &entry) {
+        const TimePoint reported = entry.second.at + ReportTime;
+        return (m_evaluatedAt < reported && reported <= now)
+            || now - entry.second.at >= CrashRetention;
+    });
+    if (due)
+        evaluate(now);
+}
+
+std::map<std::string, PromptQuarantine::Evidence> PromptQuarantine::evidence(TimePoint now) const
+{
+    std::map<std::string, Evidence> evidence;
+    for (const auto &[key, crash] : m_crashes) {
+        const bool anyUndelivered = crash.anyUndelivered();
+        if (!anyUndelivered && now - crash.at < ReportTime)
+            continue;
+        for (const auto &[part, suspected] : crash.parts) {
+            if (!speaksAgainst(suspected) || (anyUndelivered && !suspected.undelivered))
+                continue;
+            Evidence &against = evidence[part];
+            against.crashes.push_back(&crash);
+            against.standing = std::max(against.standing, suspected.standing);
+            against.position = std::max(against.position, suspected.position);
+        }
+    }
+    return evidence;
+}
+
+const std::string *PromptQuarantine::strongest(const std::map<std::string, Evidence> &evidence,
+                                               const std::set<const Crash *> &explained)
+{
+    const std::string *best = nullptr;
+    std::tuple<bool, int, int> bestRank;
+    for (const auto &[part, against] : evidence) {
+        std::vector<TimePoint> times;
+        for (const Crash *crash : against.crashes) {
+            if (explained.count(crash) == 0)
+                times.push_back(crash->at);
+        }
+        const bool unproven = against.standing == PartStanding::Unproven;
+        const int crashes =
+            countSeparate(std::move(times), unproven ? SimultaneousTime : DisturbanceTime);
+        if (crashes < (unproven ? CrashesAgainstUnproven : CrashesAgainstServed))
+            continue;
+        const std::tuple rank {unproven, crashes, against.position};
+        if (best && rank <= bestRank)
+            continue;
+        best = &part;
+        bestRank = rank;
+    }
+    return best;
+}
+
+void PromptQuarantine::evaluate(TimePoint now)
+{
+    dropOldCrashes(now);
+    m_evaluatedAt = now;
+    const std::map<std::string, Evidence> all = evidence(now);
+    std::set<const Crash *> explained;
+    std::map<std::string, TimePoint> quarantined;
+    while (const std::string *part = strongest(all, explained)) {
+        TimePoint until {};
+        for (const Crash *crash : all.at(*part).crashes) {
+            explained.insert(crash);
+            until = std::max(until, crash->at + CrashRetention);
+        }
+        quarantined[*part] = until;
+    }
+    for (const auto &[part, until] : quarantined) {
+        if (m_quarantined.count(part) == 0)
+            m_changes.added.push_back({part, until});
+    }
+    for (const auto &[part, until] : m_quarantined) {
+        if (quarantined.count(part) == 0)
+            m_changes.removed.push_back(part);
+    }
+    m_quarantined = std::move(quarantined);
+}
+
+} // namespace dogwoodvalve
--- /dev/null
+++ b/src/gateway/crash_inquiry.cpp
@@ -0,0 +1,95 @@
+#include "gateway/crash_inquiry.h"
+
+#include "gateway/gateway_node.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace dogwoodvalve {
+
+namespace {
+
+constexpr Duration CheckInterval = 100ms;
+/// A server that crashed has started again, or its registration has expired, by then.
+constexpr Duration MaxInquiryTime = 10s;
+constexpr std::size_t MaxCases = 64;
+constexpr std::size_t MaxPromptsPerCase = 16;
+
+} // namespace
+
+void CrashInquiry::open(const std::string &server, std::int64_t startedAtMs, StoppedPrompt prompt,
+                        AnswerLoss loss)
+{
+    const bool known = m_cases.count(server) > 0;
+    if (prompt.sharedParts.empty() || (!known && m_cases.size() >= MaxCases))
+        return;
+    Case &opened = m_cases[server];
+    if (!known || opened.startedAtMs != startedAtMs)
+        opened = {startedAtMs, m_node.now(), false, {}};
+    opened.connectionEnded = opened.connectionEnded || loss == AnswerLoss::ConnectionEnded;
+    if (opened.prompts.size() < MaxPromptsPerCase)
+        opened.prompts.push_back(std::move(prompt));
+    if (loss == AnswerLoss::ConnectionEnded)
+        m_node.survey().probeUnlessSince(server, opened.openedAt);
+    scheduleCheck();
+}
+
+void CrashInquiry::scheduleCheck()
+{
+    if (m_timer != 0)
+        return;
+    m_timer = m_node.timers().schedule(m_node.now() + CheckInterval,
+                                       [this, alive = std::weak_ptr(m_alive)] {
+                                           if (!alive.expired())
+                                               check();
+                                       });
+}
+
+void CrashInquiry::check()
+{
+    m_timer = 0;
+    const TimePoint now = m_node.now();
+    const FleetView &view = m_node.view();
+    for (auto it = m_cases.begin(); it != m_cases.end();) {
+        const auto &[server, opened] = *it;
+        const ServerRegistration *registered = view.registry().find(server);
+        const bool crashed = !registered || registered->startedAtMs != opened.startedAtMs;
+        if (crashed)
+            report(server, opened);
+        if (crashed || now - opened.openedAt >= MaxInquiryTime) {
+            it = m_cases.erase(it);
+            continue;
+        }
+        if (opened.connectionEnded)
+            m_node.survey().probeNow(server);
+        ++it;
+    }
+    if (!m_cases.empty())
+        scheduleCheck();
+}
+
+void CrashInquiry::onProbeAnswer(const std::string &server)
+{
+    const auto it = m_cases.find(server);
+    if (it != m_cases.end() && it->second.connectionEnded)
+        m_cases.erase(it);
+}
+
+void CrashInquiry::onProbeFailure(const std::string &server)
+{
+    const auto it = m_cases.find(server);
+    if (it == m_cases.end() || !it->second.connectionEnded)
+        return;
+    const Case opened = std::move(it->second);
+    m_cases.erase(it);
+    report(server, opened);
+}
+
+void CrashInquiry::report(const std::string &server, const Case &opened)
+{
+    for (const StoppedPrompt &prompt : opened.prompts)
+        m_node.view().recordCrash(server, opened.startedAtMs, prompt.sharedParts,
+                                  prompt.undelivered, opened.openedAt);
+}
+
+} // namespace dogwoodvalve
--- /dev/null
+++ b/src/gateway/crash_inquiry.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include <dogwoodvalve/timer_service.h>
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace dogwoodvalve {
+
+class GatewayNode;
+
+/// How an answer stopped soon after its beginning.
+enum class AnswerLoss {
+    /// Its connection ended.
+    ConnectionEnded,
+    /// A server of its path is silent. It may go on.
+    Silent,
+};
+
+/// A prompt whose answer has stopped soon after its beginning.
+struct StoppedPrompt
+{
+    std::vector<std::string> sharedParts;
+    /// No event of the answer had arrived.
+    bool undelivered = false;
+};
+
+/// Finds out whether a server has crashed when an answer stops soon after its beginning: a server
+/// may as well have failed this answer only, or the connection was reset on the way. A lost
+/// connection counts as a crash if the server does not answer a probe either, and a silence only if
+/// the server has started again or is gone.
+class CrashInquiry
+{
+public:
+    explicit CrashInquiry(GatewayNode &node)
+        : m_node(node)
+    { }
+
+    /// The answer to a prompt has stopped on this start of a server.
+    void open(const std::string &server, std::int64_t startedAtMs, StoppedPrompt prompt,
+              AnswerLoss loss);
+    void onProbeAnswer(const std::string &server);
+    void onProbeFailure(const std::string &server);
+
+private:
+    /// Prompts whose answers have stopped on one start of a server.
+    struct Case
+    {
+        std::int64_t startedAtMs = 0;
+        TimePoint openedAt {};
+        bool connectionEnded = false;
+        std::vector<StoppedPrompt> prompts;
+    };
+
+    /// Probes the servers in question, and looks for those that have started again or are gone.
+    void check();
+    void scheduleCheck();
+    void report(const std::string &server, const Case &opened);
+
+    GatewayNode &m_node;
+    std::map<std::string, Case> m_cases;
+    TimerId m_timer = 0;
+    std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
+};
+
+} // namespace dogwoodvalve
--- a/src/gateway/engine_prober.cpp
+++ b/src/gateway/engine_prober.cpp
@@ -44,7 +44,7 @@
         for (const auto &[id, server] : view.registry().servers()) {
             const bool serves = isEngine(server) && !view.layersOf(server).empty();
             if (serves && partition.owns(id))
-                probe(server);
+                probe(server, aMomentAgo());
         }
     }
     std::erase_if(m_probedAt,
@@ -55,20 +55,30 @@
     });
 }
 
+TimePoint EngineProber::aMomentAgo() const
+{
+    return m_node.now() - MinProbeInterval;
+}
+
 void EngineProber::probeNow(const std::string &server)
+{
+    probeUnlessSince(server, aMomentAgo());
+}
+
+void EngineProber::probeUnlessSince(const std::string &server, TimePoint since)
 {
     const ServerRegistration *known = m_node.view().registry().find(server);
     if (known && isEngine(*known))
-        probe(*known);
+        probe(*known, since);
 }
 
-void EngineProber::probe(const ServerRegistration &server)
+void EngineProber::probe(const ServerRegistration &server, TimePoint since)
 {
     const TimePoint now = m_node.now();
     if (!m_node.view().health().acceptsCalls(server.id, server.startedAtMs, now))
         return;
     const auto probed = m_probedAt.find(server.id);
-    if (probed != m_probedAt.end() && now - probed->second < MinProbeInterval)
+    if (probed != m_probedAt.end() && probed->second >= since)
         return;
     m_probedAt[server.id] = now;
     m_node.platform().engines->readReport(
@@ -84,6 +94,7 @@
                 m_node.view().recordProbeAnswer(*known, report.value().slowness);
             else
                 m_node.view().recordProbeFailure(*known);
+            m_node.onProbe(id, report.has_value());
         });
 }
 
--- a/src/gateway/engine_prober.h
+++ b/src/gateway/engine_prober.h
@@ -25,13 +25,17 @@
 
     void start();
     /// Probes a server at once if it is an engine, for example because a stream stalled there.
+    /// Nothing is sent if it was probed a moment ago.
     void probeNow(const std::string &server);
+    /// As probeNow, but only a probe since the given time is taken for enough.
+    void probeUnlessSince(const std::string &server, TimePoint since);
 
 private:
     /// Probes the engines that fall to this host.
     void probePeriodically();
-    /// Probes an engine, unless it was probed a moment ago.
-    void probe(const ServerRegistration &server);
+    /// Probes an engine, unless it was probed after the given time.
+    void probe(const ServerRegistration &server, TimePoint since);
+    TimePoint aMomentAgo() const;
     bool isEngine(const ServerRegistration &server) const;
 
     GatewayNode &m_node;
--- a/src/gateway/fleet_view.cpp
+++ b/src/gateway/fleet_view.cpp
@@ -113,6 +113,9 @@
         if (m_health.isLeaving(id, server.startedAtMs))
             digest.leavingServers.emplace(id, server.startedAtMs);
     }
+    m_quarantine.refresh(now);
+    noteQuarantineChanges(true);
+    digest.crashes = m_quarantine.reports(now);
     m_urgentUpdate = false;
     return digest;
 }
@@ -128,6 +131,7 @@
     for (const std::string &server : digest.failedProbes)
         applySuspicion(server);
     applyDepartures(digest.leavingServers, digest.name);
+    applyCrashes(digest.crashes);
     applyConfirmation(digest, now);
 }
 
@@ -145,6 +149,7 @@
     for (const auto &[server, hosts] : digest.failedProbes)
         applySuspicion(server);
     applyDepartures(digest.leavingServers, digest.relay.name);
+    applyCrashes(digest.crashes);
     applyConfirmation(digest.relay, now);
     for (const RelayedHost &host : digest.roster)
         applyConfirmation(host.state, now - host.age);
--- a/src/gateway/fleet_view.h
+++ b/src/gateway/fleet_view.h
@@ -5,12 +5,14 @@
 #include "gateway/restored_registrations.h"
 
 #include <dogwoodvalve/host_table.h>
+#include <dogwoodvalve/prompt_quarantine.h>
 #include <dogwoodvalve/server_health.h>
 
 #include <functional>
 #include <map>
 #include <memory>
 #include <optional>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -55,10 +57,17 @@
         m_suspicionHandler = std::move(handler);
     }
 
+    /// The handler is called when parts of prompts have come into quarantine.
+    void setQuarantineHandler(std::function<void()> handler)
+    {
+        m_quarantineHandler = std::move(handler);
+    }
+
     const FleetConfigurationPointer &configuration() const { return m_configuration; }
     const std::string &configurationDocument() const { return m_document; }
     const ServerRegistry &registry() const { return m_registry; }
     ServerHealth &health() { return m_health; }
+    const PromptQuarantine &quarantine() const { return m_quarantine; }
     HostTable &hosts() { return m_hosts; }
     const HostTable &hosts() const { return m_hosts; }
 
@@ -117,6 +126,13 @@
     /// which servers requests may be sent to.
     bool recordNotice(std::string_view id, std::int64_t startedAtMs, const ServerNotice &notice);
 
+    /// A start of a server has crashed when it had just begun to answer a prompt with these shared
+    /// parts, and whether it had not delivered any event of the answer.
+    void recordCrash(const std::string &server, std::int64_t startedAtMs,
+                     std::span<const std::string> parts, bool undelivered, TimePoint crashedAt);
+    /// An answer to a prompt with these shared parts has gone on past its beginning.
+    void recordServed(std::span<const std::string> parts, TimePoint begunAt);
+
     /// An engine answered a probe of this host and reported this factor on its usual times.
     void recordProbeAnswer(const ServerRegistration &server, double slowness);
     /// An engine did not answer a probe of this host.
@@ -178,6 +194,10 @@
     bool behindOtherHosts() const { return m_reportedVersion > configurationVersion(); }
     /// Another host knows that these servers are leaving.
     void applyDepartures(const std::map<std::string, std::int64_t> &leaving, std::string_view host);
+    /// Crashes that another host knows of.
+    void applyCrashes(const CrashReports &crashes);
+    /// Logs what has changed, has the other hosts told, and calls the handler.
+    void noteQuarantineChanges(bool ownFinding);
     /// Another host's confirmation of the same configuration version counts here too.
     void applyConfirmation(const HostDigest &digest, TimePoint sentAt);
 
@@ -216,7 +236,9 @@
     std::map<std::string, std::pair<double, TimePoint>, std::less<>> m_slowness;
     /// When engines last answered a probe of this host.
     std::map<std::string, TimePoint, std::less<>> m_answeredAt;
+    PromptQuarantine m_quarantine;
     std::function<void(const std::string &)> m_suspicionHandler;
+    std::function<void()> m_quarantineHandler;
     bool m_urgentUpdate = false;
     int m_storeRestores = 0;
 };
--- a/src/gateway/fleet_view_notices.cpp
+++ b/src/gateway/fleet_view_notices.cpp
@@ -84,4 +84,51 @@
     }
 }
 
+void FleetView::recordCrash(const std::string &server, std::int64_t startedAtMs,
+                            std::span<const std::string> parts, bool undelivered,
+                            TimePoint crashedAt)
+{
+    std::string text;
+    for (const std::string &part : parts)
+        text += (text.empty() ? "" : ",") + part;
+    LogEvent::decision("server_crashed")
+        .field("server", server)
+        .field("started_ms", startedAtMs)
+        .field("prompt_parts", text)
+        .field("undelivered", undelivered);
+    m_quarantine.recordCrash(server, startedAtMs, parts, undelivered, crashedAt, m_timers.now());
+    noteQuarantineChanges(true);
+}
+
+void FleetView::recordServed(std::span<const std::string> parts, TimePoint begunAt)
+{
+    m_quarantine.recordServed(parts, begunAt, m_timers.now());
+    noteQuarantineChanges(true);
+}
+
+void FleetView::applyCrashes(const CrashReports &crashes)
+{
+    m_quarantine.merge(crashes, m_timers.now());
+    noteQuarantineChanges(false);
+}
+
+void FleetView::noteQuarantineChanges(bool ownFinding)
+{
+    const bool changed = m_quarantine.takeReportsChanged();
+    if (changed && ownFinding)
+        m_urgentUpdate = true;
+    else if (changed)
+        m_hosts.noteChange();
+    const PromptQuarantine::Changes changes = m_quarantine.takeChanges();
+    for (const QuarantinedPart &part : changes.added)
+        LogEvent("prompt_part_quarantined")
+            .field("part", part.id)
+            .field("for_ms", (part.until - m_timers.now()).count() / 1000)
+            .field("source", ownFinding ? "own" : "hosts");
+    for (const std::string &part : changes.removed)
+        LogEvent("prompt_part_released").field("part", part);
+    if (!changes.added.empty() && m_quarantineHandler)
+        m_quarantineHandler();
+}
+
 } // namespace dogwoodvalve
--- a/src/gateway/gateway_metrics.cpp
+++ b/src/gateway/gateway_metrics.cpp
@@ -44,6 +44,8 @@
                                  "Times that the store came back from a copy since the start"))
     , m_liveHosts(
           buildGauge(m_registry, "dogwoodvalve_live_hosts", "Live hosts including this one"))
+    , m_quarantinedParts(buildGauge(m_registry, "dogwoodvalve_quarantined_prompt_parts",
+                                    "Parts of prompts in quarantine because of crashes"))
 { }
 
 void GatewayMetrics::countRequest(std::string_view outcome)
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -32,6 +32,7 @@
     void setConfiguration(std::uint64_t version, Duration age);
     void setServers(std::size_t n, Duration age);
     void setStoreRestores(int n) { m_storeRestores.Set(n); }
+    void setQuarantinedParts(std::size_t n) { m_quarantinedParts.Set(static_cast<double>(n)); }
     void setLiveHosts(int n) { m_liveHosts.Set(n); }
 
     /// All metrics in Prometheus' text format.
@@ -54,6 +55,7 @@
     prometheus::Gauge &m_serversAge;
     prometheus::Gauge &m_storeRestores;
     prometheus::Gauge &m_liveHosts;
+    prometheus::Gauge &m_quarantinedParts;
 };
 
 } // namespace dogwoodvalve
--- a/src/gateway/gateway_node.cpp
+++ b/src/gateway/gateway_node.cpp
@@ -52,9 +52,11 @@
     , m_platform(std::move(platform))
     , m_view(loop.timers(), initialDigest(settings, startedAtMs), settings.keyRevocation)
     , m_survey(*this)
+    , m_crashes(*this)
     , m_random(stableHash(settings.name, static_cast<std::uint64_t>(startedAtMs)))
 {
     m_view.setSuspicionHandler([this](const std::string &server) { checkSuspicion(server); });
+    m_view.setQuarantineHandler([this] { m_loop.post([this] { endQuarantinedSessions(); }); });
     m_platform.engines->setNoticeHandler(
         [this](std::string_view id, std::int64_t serverStartedAtMs, const ServerNotice &notice) {
             recordNotice(id, serverStartedAtMs, notice);
@@ -114,6 +116,21 @@
     });
 }
 
+void GatewayNode::onProbe(const std::string &server, bool answered)
+{
+    if (answered)
+        m_crashes.onProbeAnswer(server);
+    else
+        m_crashes.onProbeFailure(server);
+}
+
+void GatewayNode::endQuarantinedSessions()
+{
+    const auto sessions = m_sessions;
+    for (const auto &session : sessions)
+        session->endIfQuarantined();
+}
+
 void GatewayNode::sessionStarted(const std::shared_ptr<RequestSession> &session)
 {
     m_sessions.insert(session);
@@ -153,6 +170,7 @@
     m_metrics.setServers(m_view.registry().servers().size(), m_view.serversAge());
     m_metrics.setStoreRestores(m_view.storeRestores());
     m_metrics.setLiveHosts(m_view.hosts().liveHosts(now()));
+    m_metrics.setQuarantinedParts(m_view.quarantine().quarantinedParts());
 }
 
 } // namespace dogwoodvalve
--- a/src/gateway/gateway_node.h
+++ b/src/gateway/gateway_node.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "gateway/crash_inquiry.h"
 #include "gateway/engine_prober.h"
 #include "gateway/fleet_view.h"
 #include "gateway/gateway_metrics.h"
@@ -35,6 +36,7 @@
     FleetView &view() { return m_view; }
     GatewayPlatform &platform() { return m_platform; }
     EngineProber &survey() { return m_survey; }
+    CrashInquiry &crashes() { return m_crashes; }
     const CallerDialect &dialect() const { return *m_platform.dialect; }
     GatewayMetrics &metrics() { return m_metrics; }
     Random &random() { return m_random; }
@@ -48,6 +50,9 @@
     /// requests that can't be served in time because of it are ended.
     void recordNotice(std::string_view id, std::int64_t startedAtMs, const ServerNotice &notice);
 
+    /// An engine has answered a probe of this host, or has not.
+    void onProbe(const std::string &server, bool answered);
+
     void sessionStarted(const std::shared_ptr<RequestSession> &session);
     /// Forgets the session, and lets waiting requests use its capacity.
     void sessionEnded(const std::shared_ptr<RequestSession> &session);
@@ -61,6 +66,9 @@
     void refreshGauges();
 
 private:
+    /// Ends the requests that have a part in quarantine, unless they are past the beginning of
+    /// their answer.
+    void endQuarantinedSessions();
     /// Probes a server that other hosts suspect, if this host is one of those that should.
     void checkSuspicion(const std::string &server);
 
@@ -69,6 +77,7 @@
     GatewayPlatform m_platform;
     FleetView m_view;
     EngineProber m_survey;
+    CrashInquiry m_crashes;
     GatewayMetrics m_metrics;
     Random m_random;
     std::map<std::string, WaitQueue> m_queues;
--- a/src/gateway/generation_attempt.cpp
+++ b/src/gateway/generation_attempt.cpp
@@ -67,6 +67,7 @@
     m_answer = m_node.dialect().decodeAnswer(status, fields, m_requestId);
     recordNotices();
     m_isStream = status == StatusOk && m_answer.stamped && m_answer.idMatches && !m_answer.encoded;
+    m_begunAt = m_node.now();
     m_answerFields = m_node.dialect().answerFields(fields);
 }
 
@@ -106,6 +107,11 @@
     m_observer.onAttemptError(*this, error);
 }
 
+bool GenerationAttempt::isBeginning() const
+{
+    return m_isStream && m_node.now() - m_begunAt < PromptQuarantine::BeginningTime;
+}
+
 void GenerationAttempt::pauseReading(bool paused)
 {
     if (m_client)
--- a/src/gateway/generation_attempt.h
+++ b/src/gateway/generation_attempt.h
@@ -85,6 +85,12 @@
     const std::string &answerBody() const { return m_answerBody; }
     /// The answer is the expected stream of this request.
     bool isStream() const { return m_isStream; }
+    /// When the head of the stream arrived.
+    TimePoint begunAt() const { return m_begunAt; }
+    /// Whether the answer has begun, and not long enough ago to show that its prompt does not crash
+    /// the engine.
+    bool isBeginning() const;
+    bool anyEvent() const { return m_anyEvent; }
     EventSplitter &splitter() { return m_splitter; }
     TimePoint lastProgressAt() const { return m_lastProgressAt; }
     /// Time since the attempt's start or its last event.
@@ -94,6 +100,8 @@
     bool silent = false;
     /// The attempt is included in the session's number of attempts that may have run.
     bool countedAsRun = false;
+    /// The answer has spoken for the parts of its prompt.
+    bool countedAsServed = false;
     TimerId stallTimer = 0;
 
 private:
@@ -113,6 +121,7 @@
     std::string m_answerBody;
     EventSplitter m_splitter;
     TimePoint m_lastProgressAt {};
+    TimePoint m_begunAt {};
     bool m_anyEvent = false;
     bool m_isStream = false;
     bool m_closed = false;
--- a/src/gateway/generation_session.cpp
+++ b/src/gateway/generation_session.cpp
@@ -4,6 +4,7 @@
 #include "daemon/log.h"
 
 #include <algorithm>
+#include <array>
 
 namespace dogwoodvalve {
 
@@ -20,6 +21,9 @@
 /// checks decide.
 constexpr Duration SuspicionTime = 2s;
 constexpr Duration RetryAfterRefusal = 500ms;
+/// A request that may have crashed an engine is not sent to another one for this long. If it is one
+/// of several that do, all hosts know by then.
+constexpr Duration CrashRetryHold = 1s;
 /// Engines have ten levels of urgency and admit 0 first; the middle one stands for routes of
 /// rank 1.
 constexpr int MaxUrgency = 9;
@@ -56,7 +60,10 @@
         m_size.answerTokens = m_request.service->engine->usualAnswerTokens;
 }
 
-GenerationSession::~GenerationSession() = default;
+GenerationSession::~GenerationSession()
+{
+    m_node.timers().cancel(m_holdTimer);
+}
 
 // A stream that has begun can't be refused any more, so it waits until its deadline. Callers that
 // are no longer interested disconnect.
@@ -139,6 +146,48 @@
     }
 }
 
+bool GenerationSession::attemptDelivers() const
+{
+    return std::any_of(m_open.begin(), m_open.end(),
+                       [](const auto &it) { return it->anyEvent() && !it->isBeginning(); });
+}
+
+void GenerationSession::inquireCrash(const GenerationAttempt &attempt,
+                                     std::span<const ReservedPart *const> servers, AnswerLoss loss)
+{
+    if (!attempt.isBeginning())
+        return;
+    for (const ReservedPart *part : servers)
+        m_node.crashes().open(part->server, part->startedAtMs,
+                              {m_request.caller.sharedPromptParts, !attempt.anyEvent()}, loss);
+}
+
+bool GenerationSession::mayHaveCrashed(const GenerationAttempt &attempt) const
+{
+    return attempt.isBeginning() && !attempt.anyEvent()
+        && m_node.view().quarantine().anyUnproven(m_request.caller.sharedPromptParts)
+        && !mutated("gateway-hold-no-retry");
+}
+
+void GenerationSession::holdRetry()
+{
+    m_node.timers().cancel(m_holdTimer);
+    m_holdTimer =
+        m_node.timers().schedule(m_node.now() + CrashRetryHold, [weak = weak_from_this()] {
+            const auto self = std::static_pointer_cast<GenerationSession>(weak.lock());
+            if (!self || self->m_ended)
+                return;
+            self->m_holdTimer = 0;
+            self->startOrEnqueue(true);
+        });
+}
+
+void GenerationSession::recordServed(GenerationAttempt &attempt)
+{
+    if (!std::exchange(attempt.countedAsServed, true))
+        m_node.view().recordServed(m_request.caller.sharedPromptParts, attempt.begunAt());
+}
+
 void GenerationSession::addOutcomeFields(LogEvent &event) const
 {
     event.field("events", m_deliveredEvents)
@@ -170,6 +219,8 @@
         beginStream(attempt);
         m_request.exchange->write(completeEvents);
         recordEventTimes();
+        if (!attempt.isBeginning())
+            recordServed(attempt);
     }
     if (!inOrder || attempt.splitter().overflowed())
         return failAttempt(attempt, "the engine's events are out of order or too long", true);
@@ -276,6 +327,7 @@
         .field("silent_ms", attempt.silence().count() / 1000)
         .field("stalled_servers", stalled.size())
         .field("events", m_deliveredEvents);
+    inquireCrash(attempt, stalled, AnswerLoss::Silent);
     // With several stalled engines any of them may be the dead one, so a failure is recorded only
     // if there is one.
     if (stalled.size() == 1)
@@ -327,8 +379,11 @@
     const auto keep = shared_from_this();
     if (!attempt.isStream())
         return handleNonStreamAnswer(attempt);
-    if (attempt.splitter().unfinishedBytes() > 0)
+    if (attempt.splitter().unfinishedBytes() > 0) {
+        inquireCrash(attempt, std::array {&attempt.parts().front()}, AnswerLoss::ConnectionEnded);
         return failAttempt(attempt, "the stream ended within an event", true);
+    }
+    recordServed(attempt);
     if (!std::exchange(m_responded, true))
         m_request.exchange->beginStream(attempt.answer().status, attempt.answerFields());
     for (const ReservedPart &part : attempt.parts())
@@ -380,6 +435,7 @@
     const bool sent = attempt.anyByteSent();
     recordFailure(attempt.parts().front(),
                   sent ? ServerEvidence::Failed : ServerEvidence::Unreachable);
+    inquireCrash(attempt, std::array {&attempt.parts().front()}, AnswerLoss::ConnectionEnded);
     failAttempt(attempt, error.message, sent);
 }
 
@@ -411,6 +467,7 @@
     if (m_interruptedAt == TimePoint {})
         m_interruptedAt = attempt.lastProgressAt();
     countRun(attempt, ran);
+    const bool held = ran && mayHaveCrashed(attempt);
     closeAttempt(attempt);
     if (attemptOpen())
         return resumeBesideSilentAttempts();
@@ -419,7 +476,7 @@
         return startWaitTimer(maxFailoverWait());
     const bool repeatable = m_request.route->retryPolicy == RetryPolicy::Resumable || !ran;
     if (repeatable && tryTakeRetry())
-        return startOrEnqueue(true);
+        return held ? holdRetry() : startOrEnqueue(true);
     giveUp({ErrorKind::Unavailable, std::string(reason), "send it again later"}, RetryAfterRefusal);
 }
 
--- a/src/gateway/generation_session.h
+++ b/src/gateway/generation_session.h
@@ -33,6 +33,7 @@
     Duration maxFailoverWait() const override;
     void closeAttempts() override;
     bool attemptOpen() const override { return !m_open.empty(); }
+    bool attemptDelivers() const override;
     void addOutcomeFields(LogEvent &event) const override;
 
 private:
@@ -62,6 +63,16 @@
     /// request if it may not be retried. A request that may have run is retried only on a route for
     /// resumable requests.
     void failAttempt(GenerationAttempt &attempt, std::string_view reason, bool ran);
+    /// An attempt on these servers has stopped. If its answer had just begun, that may be because
+    /// of its prompt.
+    void inquireCrash(const GenerationAttempt &attempt,
+                      std::span<const ReservedPart *const> servers, AnswerLoss loss);
+    /// Whether the attempt's prompt may have crashed the engine.
+    bool mayHaveCrashed(const GenerationAttempt &attempt) const;
+    /// Starts the next attempt later, when it is known better whether the prompt crashes engines.
+    void holdRetry();
+    /// Lets an answer that has gone on past its beginning speak for the parts of its prompt.
+    void recordServed(GenerationAttempt &attempt);
     void countRun(GenerationAttempt &attempt, bool ran);
     /// Excludes the server from this request and reports the evidence to the health checks.
     void recordFailure(const ReservedPart &part, ServerEvidence evidence);
@@ -74,6 +85,7 @@
     Duration m_expectedStep {};
     /// Servers that failed this request; no further attempt uses them.
     std::set<std::string> m_excludedServers;
+    TimerId m_holdTimer = 0;
     /// When servers stalled this request.
     std::map<std::string, TimePoint, std::less<>> m_suspectedAt;
     EventOrderChecker m_eventOrder;
--- a/src/gateway/host_digest_codec.cpp
+++ b/src/gateway/host_digest_codec.cpp
@@ -16,6 +16,7 @@
 /// A digest of a relay has this member, which no host's digest has.
 constexpr const char *RelayKey = "relay";
 constexpr const char *LeavingKey = "l";
+constexpr const char *CrashesKey = "c";
 
 /// An age as it is sent, in ms.
 std::int64_t ageMillis(Duration age)
@@ -66,6 +67,41 @@
                              : it->get<std::map<std::string, std::int64_t>>();
 }
 
+/// By server and start: the age, and for each part its standing, position and whether an answer
+/// with it was undelivered.
+json encodeCrashes(const CrashReports &reports)
+{
+    json value = json::object();
+    for (const auto &[server, report] : reports) {
+        json parts = json::object();
+        for (const auto &[part, suspected] : report.parts)
+            parts[part] = {static_cast<int>(suspected.standing), suspected.position,
+                           suspected.undelivered};
+        value[server] = {ageMillis(report.age), std::move(parts)};
+    }
+    return value;
+}
+
+/// Hosts of earlier versions send none.
+CrashReports decodeCrashes(const json &value)
+{
+    CrashReports reports;
+    const auto it = value.find(CrashesKey);
+    if (it == value.end())
+        return reports;
+    for (const auto &[server, report] : it->items()) {
+        CrashReport &decoded = reports[server];
+        decoded.age = durationOf(report.at(0));
+        for (const auto &[part, suspected] : report.at(1).items()) {
+            const int standing =
+                std::clamp(suspected.at(0).get<int>(), 0, static_cast<int>(PartStanding::Cleared));
+            decoded.parts[part] = {static_cast<PartStanding>(standing), suspected.at(1),
+                                   suspected.at(2)};
+        }
+    }
+    return reports;
+}
+
 Error unreadable(const json::exception &e)
 {
     return {ErrorKind::Malformed, std::string("unreadable digest: ") + e.what(),
@@ -85,6 +121,7 @@
     for (const auto &[server, factor] : value.at("w").items())
         digest.slowness.emplace(server, factor.get<double>());
     digest.leavingServers = decodeLeaving(value);
+    digest.crashes = decodeCrashes(value);
     return digest;
 }
 
@@ -104,6 +141,7 @@
     for (const json &host : value.at("o"))
         digest.roster.push_back({decodeState(host.at(0)), durationOf(host.at(1))});
     digest.leavingServers = decodeLeaving(value);
+    digest.crashes = decodeCrashes(value);
     return digest;
 }
 
@@ -117,10 +155,11 @@
     json backlog = json::object();
     for (const auto &[server, ms] : digest.backlogMs)
         backlog[server] = std::llround(ms);
-    const json value = {{"n", encodeState(digest)},         {"k", std::move(commitments)},
-                        {"q", std::move(backlog)},          {"i", digest.inFlight},
-                        {"u", digest.failedProbes},         {"w", digest.slowness},
-                        {LeavingKey, digest.leavingServers}};
+    const json value = {
+        {"n", encodeState(digest)},          {"k", std::move(commitments)},
+        {"q", std::move(backlog)},           {"i", digest.inFlight},
+        {"u", digest.failedProbes},          {"w", digest.slowness},
+        {LeavingKey, digest.leavingServers}, {CrashesKey, encodeCrashes(digest.crashes)}};
     return json::to_cbor(value);
 }
 
@@ -148,7 +187,8 @@
                         {"w", std::move(slowness)},
                         {"u", std::move(failedProbes)},
                         {"o", std::move(roster)},
-                        {LeavingKey, digest.leavingServers}};
+                        {LeavingKey, digest.leavingServers},
+                        {CrashesKey, encodeCrashes(digest.crashes)}};
     return json::to_cbor(value);
 }
 
--- a/src/gateway/request_session.cpp
+++ b/src/gateway/request_session.cpp
@@ -65,6 +65,8 @@
 {
     WaitQueue &queue = m_node.queue(m_request.service->name);
     m_isWaiting = false;
+    if (endIfQuarantined())
+        return;
     if ((atFront || !queue.blocksArrivals()) && tryStart())
         return;
     if (m_ended || endIfServersPauseLonger(atFront ? maxFailoverWait() : maxUsefulWait()))
@@ -112,6 +114,18 @@
         endIfServersPauseLonger(m_waitEndsAt - m_node.now());
 }
 
+bool RequestSession::endIfQuarantined()
+{
+    const auto part =
+        m_node.view().quarantine().find(m_request.caller.sharedPromptParts, m_node.now());
+    if (!part || m_ended || attemptDelivers() || mutated("gateway-ignore-quarantine"))
+        return false;
+    giveUp({ErrorKind::Unavailable, "part " + part->id + " of the prompt has crashed servers",
+            "leave this part out"},
+           part->until - m_node.now());
+    return true;
+}
+
 void RequestSession::startWaitTimer(Duration time)
 {
     m_node.timers().cancel(m_waitTimer);
--- a/src/gateway/request_session.h
+++ b/src/gateway/request_session.h
@@ -46,6 +46,9 @@
     /// Ends a waiting request if its wait is over before the servers that want a pause can serve
     /// it.
     void refuseIfServersPause();
+    /// Ends a request whose prompt has a part in quarantine, unless an answer to it is past its
+    /// beginning. Returns whether it did.
+    bool endIfQuarantined();
 
 protected:
     /// Time until the deadline of the request.
@@ -59,6 +62,8 @@
     virtual void closeAttempts() = 0;
     /// Whether a server may still answer.
     virtual bool attemptOpen() const = 0;
+    /// Whether an open attempt has delivered a part of the answer.
+    virtual bool attemptDelivers() const { return false; }
 
     /// How long a request whose attempt failed may wait for another server.
     virtual Duration maxFailoverWait() const = 0;
--- a/tests/simulation/prompt_quarantine_test.cpp
+++ b/tests/simulation/prompt_quarantine_test.cpp
@@ -1,3 +1,4 @@
+#include "net/http_text.h"
 #include "simulation/gateway_world.h"
 
 #include <cppunit/extensions/HelperMacros.h>
@@ -40,6 +41,13 @@
     CPPUNIT_TEST_SUITE(PromptQuarantineTest);
     CPPUNIT_TEST(requestsThatCrashEnginesAreStoppedOnAllHosts);
     CPPUNIT_TEST(soundRequestsBesideCrashingOnesAreServed);
+    CPPUNIT_TEST(aRequestThatCrashedAnEngineDoesNotCrashAnotherAtOnce);
+    CPPUNIT_TEST(twoCrashingPartsAreStopped);
+    CPPUNIT_TEST(aRequestWithAQuarantinedPartIsRefusedAsNotRun);
+    CPPUNIT_TEST(aHostThatStartsLaterRefusesThePart);
+    CPPUNIT_TEST(crashesWithoutACommonCauseBlockNoPart);
+    CPPUNIT_TEST(brokenAnswersOfLivingEnginesBlockNoPart);
+    CPPUNIT_TEST(silentEnginesBlockNoPart);
     CPPUNIT_TEST_SUITE_END();
 
     struct Sent
@@ -68,6 +76,24 @@
         }
     };
 
+    static std::size_t blockedParts(GatewayWorld &world)
+    {
+        std::size_t n = 0;
+        for (const auto &host : world.hosts)
+            n += host->node.view().quarantine().quarantinedParts();
+        return n;
+    }
+
+    /// Plays until hosts have quarantined the crashing part, and the engines are back.
+    static void quarantinePart(GatewayWorld &world)
+    {
+        world.settle();
+        world.setCrashingPart(CrashingPart);
+        Traffic traffic;
+        traffic.play(world, 10s);
+        CPPUNIT_ASSERT_EQUAL(std::size_t {Hosts}, blockedParts(world));
+    }
+
     static bool isWhole(const Sent &sent)
     {
         return sent.call->answer.complete
@@ -115,6 +141,117 @@
         CPPUNIT_ASSERT(asked > 0);
         CPPUNIT_ASSERT_EQUAL(asked, served);
     }
+
+    void aRequestThatCrashedAnEngineDoesNotCrashAnotherAtOnce()
+    {
+        GatewayWorld world(Hosts, Engines);
+        world.settle();
+        world.setCrashingPart(CrashingPart);
+        world.generateWith(crashingParts(), 0);
+        world.run(70ms);
+        CPPUNIT_ASSERT_EQUAL(std::size_t {1}, world.crashes.size());
+        world.generateWith(crashingParts(), 1);
+        world.run(5s);
+        CPPUNIT_ASSERT_EQUAL(std::size_t {2}, world.crashes.size());
+    }
+
+    void twoCrashingPartsAreStopped()
+    {
+        GatewayWorld world(Hosts, Engines);
+        world.settle();
+        world.setCrashingPart("bad");
+        for (int i = 0; i < 300; ++i) {
+            const bool crashes = i % CrashingShare < 2;
+            world.generateWith(crashes ? std::string(SharedPart) + ",bad" + std::to_string(i % 2)
+                                       : soundParts(i),
+                               i % Hosts);
+            world.run(RequestInterval);
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t {2 * Hosts}, blockedParts(world));
+    }
+
+    void aRequestWithAQuarantinedPartIsRefusedAsNotRun()
+    {
+        GatewayWorld world(Hosts, Engines);
+        quarantinePart(world);
+        for (int host = 0; host < Hosts; ++host) {
+            const auto call = world.generateWith(crashingParts(), host);
+            const std::string id = world.lastId();
+            world.run(50ms);
+            CPPUNIT_ASSERT(call->answer.complete);
+            CPPUNIT_ASSERT_EQUAL(503, call->answer.status);
+            CPPUNIT_ASSERT(call->answer.body.find("not_run") != std::string::npos);
+            CPPUNIT_ASSERT(std::stod(std::string(findField(call->answer.fields, "Retry-After")))
+                           > 60);
+            CPPUNIT_ASSERT_EQUAL(0, world.runsOf(id));
+        }
+    }
+
+    void aHostThatStartsLaterRefusesThePart()
+    {
+        GatewayWorld world(Hosts, Engines);
+        quarantinePart(world);
+        world.restartHost(0);
+        world.run(1s);
+        const auto call = world.generateWith(crashingParts(), 0);
+        const std::string id = world.lastId();
+        world.run(3s);
+        CPPUNIT_ASSERT_EQUAL(503, call->answer.status);
+        CPPUNIT_ASSERT_EQUAL(0, world.runsOf(id));
+    }
+
+    void crashesWithoutACommonCauseBlockNoPart()
+    {
+        GatewayWorld world(Hosts, Engines);
+        world.settle();
+        world.setCrashingPart(CrashingPart);
+        Traffic traffic;
+        for (int round = 0; round < 4; ++round) {
+            for (int i = round; i < Engines; i += 3)
+                world.engines[static_cast<std::size_t>(i)]->crash();
+            for (int i = 0; i < 200; ++i) {
+                traffic.sound.push_back(
+                    {world.generateWith(soundParts(i), i % Hosts), world.lastId(), world.now()});
+                world.run(RequestInterval);
+            }
+        }
+        CPPUNIT_ASSERT(!world.crashes.empty());
+        CPPUNIT_ASSERT_EQUAL(std::size_t {0}, blockedParts(world));
+    }
+
+    void brokenAnswersOfLivingEnginesBlockNoPart()
+    {
+        GatewayWorld world(Hosts, Engines);
+        world.settle();
+        for (const auto &engine : world.engines)
+            engine->setFault(EngineFault::BreaksOff);
+        for (int i = 0; i < 200; ++i) {
+            world.generateWith(soundParts(i), i % Hosts);
+            world.run(RequestInterval);
+        }
+        world.run(5s);
+        CPPUNIT_ASSERT_EQUAL(std::size_t {0}, blockedParts(world));
+    }
+
+    void silentEnginesBlockNoPart()
+    {
+        GatewayWorld world(Hosts, Engines);
+        world.settle();
+        for (int round = 0; round < 5; ++round) {
+            for (int i = 0; i < 20; ++i) {
+                world.generateWith(soundParts(i), i % Hosts);
+                world.run(RequestInterval);
+            }
+            for (const auto &engine : world.engines)
+                engine->setFault(EngineFault::Silent);
+            world.run(1200ms);
+            for (const auto &engine : world.engines)
+                engine->setFault(EngineFault::None);
+            world.run(500ms);
+        }
+        world.run(5s);
+        CPPUNIT_ASSERT_EQUAL(std::size_t {0}, blockedParts(world));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(PromptQuarantineTest);
--- a/tests/simulation/relay_test.cpp
+++ b/tests/simulation/relay_test.cpp
@@ -48,6 +48,7 @@
     CPPUNIT_TEST(aHostThatIsCutOffFromAllKeepsItsView);
     CPPUNIT_TEST(hostsWithPartOfTheRecordsFindTheOthers);
     CPPUNIT_TEST(aFailedProbeIsKnownToAllWithinASecond);
+    CPPUNIT_TEST(aCrashingPartIsKnownToAllWithinASecond);
     CPPUNIT_TEST(trafficPerHostIsBounded);
     CPPUNIT_TEST(aFleetThatShrinksALittleKeepsItsRelays);
     CPPUNIT_TEST(smallFleetsExchangeDigestsDirectly);
@@ -273,6 +274,25 @@
     }
 
     /// A host without a fast link must carry the exchange beside its requests.
+    void aCrashingPartIsKnownToAllWithinASecond()
+    {
+        RelayWorld world(Zones, HostsPerZone);
+        world.start();
+        world.run(StartTime);
+        const std::vector<std::string> parts {"bad"};
+        const auto crash = [&](const std::string &host, const std::string &server) {
+            FleetView &view = world.host(host).node->view();
+            view.recordCrash(server, 1, parts, true, world.now());
+        };
+        crash("zone-0-host-20", "engine-1");
+        world.run(100ms);
+        crash("zone-3-host-21", "engine-2");
+        world.run(1s);
+        for (const auto &host : world.hosts)
+            CPPUNIT_ASSERT_EQUAL(std::size_t {1},
+                                 host->node->view().quarantine().quarantinedParts());
+    }
+
     void trafficPerHostIsBounded()
     {
         constexpr double MaxMemberDatagramsPerSecond = 10;
