Bound what is buffered of answers that do not end

What callers saw: a server that answers with bytes that are no answer and does not end held a plain request until its route's timeout; an engine that does held its stream until the stall timeout.

Cause: PlainSession, GenerationAttempt (answers that are no stream) and buffered requests appended without a limit, and the client's parser kept a chunk header of any length.

Change: plain answers of over 8 MiB, error messages of engines of over 1 MiB, responses to calls of over 32 MiB and unparsed bytes of over 128 KiB end the attempt as failed.

--- a/src/gateway/generation_attempt.cpp
+++ b/src/gateway/generation_attempt.cpp
@@ -14,6 +14,8 @@
 /// The wait for the first event includes the queues of all engines of the path.
 constexpr int FirstEventTimeoutFactor = 4;
 constexpr Duration MinFirstEventTimeout = 700ms;
+/// An answer that is no stream is an error message. Of a longer one no more is read.
+constexpr std::size_t MaxErrorBytes = 1U << 20;
 
 } // namespace
 
@@ -86,11 +88,15 @@
 
 void GenerationAttempt::onBody(std::string_view part)
 {
+    const auto keep = shared_from_this();
+    if (!m_isStream && m_answerBody.size() + part.size() > MaxErrorBytes)
+        return m_observer.onAttemptError(
+            *this,
+            {ErrorKind::TooLarge, "the answer is no stream and too long", "see the engine's log"});
     if (!m_isStream) {
         m_answerBody += part;
         return;
     }
-    const auto keep = shared_from_this();
     m_splitter.append(part);
     m_observer.onStreamData(*this);
 }
--- a/src/gateway/plain_session.cpp
+++ b/src/gateway/plain_session.cpp
@@ -12,6 +12,8 @@
 namespace {
 
 constexpr int FirstServerError = 500;
+/// Bytes of an answer that are buffered. A server that sends more fails the request.
+constexpr std::size_t MaxAnswerBytes = 8U << 20;
 /// Range of the random number by which hosts choose among servers with equal load.
 constexpr std::uint64_t TieBreakRange = 64;
 /// When a caller should retry after all servers refused its request.
@@ -89,7 +91,12 @@
 
 void PlainSession::onBody(std::string_view part)
 {
-    m_answerBody += part;
+    if (m_answerBody.size() + part.size() <= MaxAnswerBytes) {
+        m_answerBody += part;
+        return;
+    }
+    const auto keep = shared_from_this();
+    handleFailedAttempt(ServerEvidence::Failed, "the answer is too long", true);
 }
 
 void PlainSession::onEnd()
--- a/src/net/buffered_request.cpp
+++ b/src/net/buffered_request.cpp
@@ -6,6 +6,9 @@
 
 namespace {
 
+/// Longer than any document that hosts, engines and stores send.
+constexpr std::size_t MaxResponseBytes = 32U << 20;
+
 /// Sends a request and buffers the response; owns itself until it has called back.
 class BufferedRequest : public HttpClientEvents,
                         public std::enable_shared_from_this<BufferedRequest>
@@ -34,7 +37,12 @@
         m_reply.status = status;
         m_reply.fields.assign(fields.begin(), fields.end());
     }
-    void onBody(std::string_view part) override { m_reply.body += part; }
+    void onBody(std::string_view part) override
+    {
+        m_reply.body += part;
+        if (m_reply.body.size() > MaxResponseBytes)
+            finish(Error {ErrorKind::TooLarge, "the response is too long", "see the server's log"});
+    }
     void onEnd() override { finish(std::move(m_reply)); }
     void onError(const Error &error) override { finish(error); }
 
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -22,6 +22,8 @@
 namespace {
 
 constexpr std::size_t ReadBufferBytes = 16 * 1024;
+/// A server whose head, chunk header or trailer is longer than this is not read any further.
+constexpr std::size_t MaxUnparsedBytes = 128 * 1024;
 
 class HttpClientRequestImpl : public HttpClientRequest
 {
@@ -29,6 +31,7 @@
     explicit HttpClientRequestImpl(asio::io_context &loop)
         : m_socket(loop)
         , m_timer(loop)
+        , m_buffer(MaxUnparsedBytes)
     {
         m_parser.body_limit(std::numeric_limits<std::uint64_t>::max());
     }
--- a/tests/simulation/gateway_test.cpp
+++ b/tests/simulation/gateway_test.cpp
@@ -57,6 +57,8 @@
     CPPUNIT_TEST(routeTimeoutsAreEnforced);
     CPPUNIT_TEST(aLeavingHostFinishesItsRequestsAndRefusesLateOnes);
     CPPUNIT_TEST(reportedLayersHoldWhileTheStoreIsDown);
+    CPPUNIT_TEST(anAnswerWithoutEndOfAPlainServerIsGivenUp);
+    CPPUNIT_TEST(anAnswerWithoutEndOfAnEngineIsGivenUp);
     CPPUNIT_TEST_SUITE_END();
 
     static void expectComplete(const GatewayWorld &world, const Call &call, const std::string &id)
@@ -646,6 +648,33 @@
         CPPUNIT_ASSERT(call->answer.status >= 500);
         CPPUNIT_ASSERT(call->answer.endedAt - asked <= 10500ms);
     }
+
+    void anAnswerWithoutEndOfAPlainServerIsGivenUp()
+    {
+        GatewayWorld world;
+        world.settle();
+        world.plain.floods = true;
+        const auto call = world.call("POST", "/write/x");
+        world.run(1s);
+        CPPUNIT_ASSERT(call->answer.complete);
+        CPPUNIT_ASSERT_EQUAL(502, call->answer.status);
+        CPPUNIT_ASSERT_EQUAL(1, world.plain.runs);
+    }
+
+    void anAnswerWithoutEndOfAnEngineIsGivenUp()
+    {
+        GatewayWorld world(1, 6);
+        world.settle();
+        const std::string first = world.probeFirstEngine(0);
+        world.engine(first).setFault(EngineFault::Floods);
+        for (int i = 0; i < 5; ++i) {
+            const auto call = world.generate();
+            const std::string id = world.lastId();
+            world.run(900ms);
+            CPPUNIT_ASSERT(call->answer.complete);
+            CPPUNIT_ASSERT_EQUAL(ForwardingEngine::wholeStream(id), call->answer.body);
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(GatewayTest);
--- a/tests/simulation/gateway_world.h
+++ b/tests/simulation/gateway_world.h
@@ -34,6 +34,9 @@
 inline constexpr Duration CallerConnectTimeout = 1s;
 /// Time until engines have loaded their layers and all hosts know of them.
 inline constexpr Duration SettleTime = 6s;
+/// What a server sends that floods, in all.
+inline constexpr int FloodPieces = 64;
+inline constexpr std::size_t FloodPieceBytes = 1 << 20;
 /// Time from an engine's crash to its next start.
 inline constexpr Duration EngineDowntime = 3s;
 /// Slack of the hosts' retry budgets, in attempts.
@@ -53,6 +56,12 @@
         if (aborts)
             return exchange->abort();
         std::vector<HttpField> fields = extraFields;
+        if (floods) {
+            exchange->beginStream(status, fields);
+            for (int i = 0; i < FloodPieces; ++i)
+                exchange->write(std::string(FloodPieceBytes, 'x'));
+            return;
+        }
         if (refuses) {
             fields.push_back({"X-Not-Run", "1"});
             return exchange->respond(503, fields, "");
@@ -75,6 +84,8 @@
     int status = 200;
     /// Closes the connection without an answer.
     bool aborts = false;
+    /// Sends bytes that are no answer, and does not end.
+    bool floods = false;
     /// Answers that the request has not run.
     bool refuses = false;
     /// Successful answers carry the server's stamp.
--- a/tools/testtool/forwarding_engine.cpp
+++ b/tools/testtool/forwarding_engine.cpp
@@ -20,6 +20,8 @@
 constexpr int BrokenEvent = 5;
 constexpr Duration CrashDelay = 50ms;
 constexpr std::size_t MaxBody = 1U << 20;
+constexpr int FloodPieces = 64;
+constexpr std::size_t FloodPieceBytes = 1U << 20;
 
 struct Part
 {
@@ -176,6 +178,12 @@
         fields.push_back({"X-Server-Stamp", m_id});
     if (m_fault == EngineFault::Fails)
         return exchange->respond(500, fields, "failed");
+    if (m_fault == EngineFault::Floods) {
+        exchange->beginStream(500, fields);
+        for (int i = 0; i < FloodPieces; ++i)
+            exchange->write(std::string(FloodPieceBytes, 'x'));
+        return;
+    }
     const auto stream = std::make_shared<Stream>();
     stream->exchange = exchange;
     stream->request = request;
--- a/tools/testtool/forwarding_engine.h
+++ b/tools/testtool/forwarding_engine.h
@@ -31,6 +31,8 @@
     Refuses,
     /// Fails each request with its own error.
     Fails,
+    /// Answers with bytes that are no answer, and does not end.
+    Floods,
     /// Closes each connection without an answer, as a process that has ended.
     Ended,
 };
