Take a stream that ends with its connection before any event for broken off

What callers saw: an engine that ends a connection before the first event of an answer without length or chunks gave its caller an empty answer as a complete one. Streams that ended within an event could be repeated on the same engine.

Cause: every stream without an unfinished event counted as complete, though the end of a connection may be the engine's own end; and a stream that ended within an event did not exclude its engine.

Change: such a stream fails its attempt, its engine is excluded from the request, and the crash inquiry hears of it. aStreamThatEndsWithItsConnectionBeforeAnyEventContinuesOnAnotherPath failed with an empty answer, then with the exclusion missing (a second attempt on the same engine), and passes.

--- a/src/gateway/generation_attempt.cpp
+++ b/src/gateway/generation_attempt.cpp
@@ -1,6 +1,7 @@
 #include "gateway/generation_attempt.h"
 
 #include "net/http_status.h"
+#include "net/http_text.h"
 
 #include <algorithm>
 
@@ -70,6 +71,8 @@
     recordNotices();
     m_isStream = status == StatusOk && m_answer.stamped && m_answer.idMatches && !m_answer.encoded;
     m_begunAt = m_node.now();
+    m_endsWithConnection = findField(fields, "Content-Length").empty()
+        && findField(fields, "Transfer-Encoding").empty();
     m_answerFields = m_node.dialect().answerFields(fields);
 }
 
--- a/src/gateway/generation_attempt.h
+++ b/src/gateway/generation_attempt.h
@@ -85,6 +85,9 @@
     const std::string &answerBody() const { return m_answerBody; }
     /// The answer is the expected stream of this request.
     bool isStream() const { return m_isStream; }
+    /// Whether the answer has neither a length nor chunks, so that its end is that of its
+    /// connection.
+    bool endsWithConnection() const { return m_endsWithConnection; }
     /// When the head of the stream arrived.
     TimePoint begunAt() const { return m_begunAt; }
     /// Whether the answer has begun, and not long enough ago to show that its prompt does not crash
@@ -124,6 +127,7 @@
     TimePoint m_begunAt {};
     bool m_anyEvent = false;
     bool m_isStream = false;
+    bool m_endsWithConnection = false;
     bool m_closed = false;
 };
 
--- a/src/gateway/generation_session.cpp
+++ b/src/gateway/generation_session.cpp
@@ -379,9 +379,15 @@
     const auto keep = shared_from_this();
     if (!attempt.isStream())
         return handleNonStreamAnswer(attempt);
-    if (attempt.splitter().unfinishedBytes() > 0) {
+    // The end of a connection may be that of the engine.
+    const bool endsEmpty = attempt.endsWithConnection() && m_deliveredEvents == 0;
+    if (endsEmpty || attempt.splitter().unfinishedBytes() > 0) {
+        recordFailure(attempt.parts().front(), ServerEvidence::Failed);
         inquireCrash(attempt, std::array {&attempt.parts().front()}, AnswerLoss::ConnectionEnded);
-        return failAttempt(attempt, "the stream ended within an event", true);
+        return failAttempt(attempt,
+                           endsEmpty ? "the stream ended before its first event"
+                                     : "the stream ended within an event",
+                           true);
     }
     recordServed(attempt);
     if (!std::exchange(m_responded, true))
--- a/tests/simulation/gateway_test.cpp
+++ b/tests/simulation/gateway_test.cpp
@@ -57,6 +57,7 @@
     CPPUNIT_TEST(routeTimeoutsAreEnforced);
     CPPUNIT_TEST(aLeavingHostFinishesItsRequestsAndRefusesLateOnes);
     CPPUNIT_TEST(reportedLayersHoldWhileTheStoreIsDown);
+    CPPUNIT_TEST(aStreamThatEndsWithItsConnectionBeforeAnyEventContinuesOnAnotherPath);
     CPPUNIT_TEST(anAnswerWithoutEndOfAPlainServerIsGivenUp);
     CPPUNIT_TEST(anAnswerWithoutEndOfAnEngineIsGivenUp);
     CPPUNIT_TEST_SUITE_END();
@@ -649,6 +650,19 @@
         CPPUNIT_ASSERT(call->answer.endedAt - asked <= 10500ms);
     }
 
+    void aStreamThatEndsWithItsConnectionBeforeAnyEventContinuesOnAnotherPath()
+    {
+        GatewayWorld world(1, 6);
+        world.settle();
+        world.engine(world.probeFirstEngine(0)).setFault(EngineFault::EndsAtOnce);
+        for (int i = 0; i < 5; ++i) {
+            const auto call = world.generate();
+            const std::string id = world.lastId();
+            world.run(2s);
+            CPPUNIT_ASSERT_EQUAL(ForwardingEngine::wholeStream(id), call->answer.body);
+        }
+    }
+
     void anAnswerWithoutEndOfAPlainServerIsGivenUp()
     {
         GatewayWorld world;
--- a/tools/testtool/forwarding_engine.cpp
+++ b/tools/testtool/forwarding_engine.cpp
@@ -195,6 +195,8 @@
     });
     fields.push_back({"Content-Type", "text/event-stream"});
     exchange->beginStream(200, fields);
+    if (m_fault == EngineFault::EndsAtOnce)
+        return exchange->endStream();
     std::erase_if(m_streams, [](const auto &it) { return it.expired(); });
     m_streams.push_back(stream);
     const bool crashes = !m_crashingPart.empty()
--- a/tools/testtool/forwarding_engine.h
+++ b/tools/testtool/forwarding_engine.h
@@ -23,6 +23,8 @@
     Silent,
     /// Ends each stream within an event.
     BreaksOff,
+    /// Ends each stream before its first event.
+    EndsAtOnce,
     /// Leaves out an event of each stream.
     SkipsAnEvent,
     /// Answers without its stamp.
