--- a/tests/simulation/gateway_world.h
+++ b/tests/simulation/gateway_world.h
@@ -448,6 +448,8 @@
     void onEngineCrash(int i)
     {
         crashes.push_back(now());
+        if (engines[static_cast<std::size_t>(i)]->crashedByPrompt())
+            crashesByPrompt.push_back(now());
         m_clock.after(EngineDowntime, [this, i] {
             restartEngine(i);
             engines[static_cast<std::size_t>(i)]->setFault(EngineFault::None);
@@ -502,8 +504,9 @@
     FakePlainServer plain;
     std::vector<std::unique_ptr<SimGateway>> hosts;
     std::vector<std::shared_ptr<Call>> calls;
-    /// When engines crashed because of the crashing part.
+    /// When engines crashed, and those of these crashes that a prompt caused.
     std::vector<TimePoint> crashes;
+    std::vector<TimePoint> crashesByPrompt;
 
     SimNetwork &network() { return m_network; }
     Random &random() { return m_random; }
--- a/tools/testtool/forwarding_engine.cpp
+++ b/tools/testtool/forwarding_engine.cpp
@@ -204,8 +204,11 @@
     if (!crashes)
         return emit(stream);
     m_timers.schedule(m_timers.now() + CrashDelay, [this, stream] {
-        if (!stream->closed && !standsStill())
-            crash();
+        if (stream->closed || standsStill())
+            return;
+        m_crashedByPrompt = true;
+        crash();
+        m_crashedByPrompt = false;
     });
 }
 
--- a/tools/testtool/forwarding_engine.h
+++ b/tools/testtool/forwarding_engine.h
@@ -71,6 +71,7 @@
         m_crashingPart = std::move(part);
         m_onCrash = std::move(onCrash);
     }
+    bool crashedByPrompt() const { return m_crashedByPrompt; }
     /// Ends all streams without their end, and every request until the fault is removed.
     void crash();
     /// What the engine reports as factor on its usual times.
@@ -119,6 +120,7 @@
     std::vector<HttpField> m_extraFields;
     double m_slowness = 1;
     std::string m_crashingPart;
+    bool m_crashedByPrompt = false;
     std::function<void()> m_onCrash;
     std::vector<std::weak_ptr<Stream>> m_streams;
 };
