Keep the crashes behind a quarantine when many others follow

What callers would see: after crashes of many servers at once, a part that crashes engines would be let through again, and hosts that start later would not learn of it.

Cause: the table of crashes and the reports to other hosts keep the latest ones, whatever they show. Found by reading.

Change: crashes that a quarantined part explains are kept and reported before all others, then those that still speak against any part. manyOtherCrashesDoNotEndAQuarantine (200 other crashes) failed before and passes.

--- a/include/dogwoodvalve/prompt_quarantine.h
+++ b/include/dogwoodvalve/prompt_quarantine.h
@@ -5,10 +5,10 @@
 #include <cstdint>
 #include <map>
 #include <optional>
-#include <set>
 #include <span>
 #include <string>
 #include <string_view>
+#include <tuple>
 #include <utility>
 #include <vector>
 
@@ -31,7 +31,7 @@
 /// different times if it has been answered before, which also a crash of many servers at once could
 /// explain. A crash that a quarantined part explains speaks against no other part.
 ///
-/// Hosts exchange their reports and merge them; the result does not depend on the order.
+/// Hosts exchange their reports and merge them, in any order.
 class PromptQuarantine
 {
 public:
@@ -85,13 +85,18 @@
     {
         TimePoint at {};
         std::map<std::string, SuspectedPart> parts;
+        /// A part in quarantine explains the crash.
+        bool explained = false;
 
         bool anyUndelivered() const;
+        bool speaksAgainstAny() const;
+        /// Which crashes are kept and reported if there are too many: the highest.
+        std::tuple<bool, bool, TimePoint> importance() const;
     };
     /// The crashes that speak against a part, and what speaks for it.
     struct Evidence
     {
-        std::vector<const Crash *> crashes;
+        std::vector<Crash *> crashes;
         PartStanding standing = PartStanding::Unproven;
         int position = 0;
     };
@@ -103,11 +108,10 @@
     bool addPart(Crash &crash, const std::string &part, SuspectedPart suspected);
     void dropOldCrashes(TimePoint now);
     void evaluate(TimePoint now);
-    std::map<std::string, Evidence> evidence(TimePoint now) const;
+    std::map<std::string, Evidence> evidence(TimePoint now);
     /// The part with the strongest evidence among the crashes that are not explained yet, if it is
     /// enough.
-    static const std::string *strongest(const std::map<std::string, Evidence> &evidence,
-                                        const std::set<const Crash *> &explained);
+    static const std::string *strongest(const std::map<std::string, Evidence> &evidence);
 
     std::map<std::string, Crash> m_crashes;
     std::map<std::string, TimePoint> m_quarantined;
--- a/src/core/prompt_quarantine.cpp
+++ b/src/core/prompt_quarantine.cpp
@@ -58,6 +58,17 @@
     });
 }
 
+bool PromptQuarantine::Crash::speaksAgainstAny() const
+{
+    return std::any_of(parts.begin(), parts.end(),
+                       [](const auto &part) { return speaksAgainst(part.second); });
+}
+
+std::tuple<bool, bool, TimePoint> PromptQuarantine::Crash::importance() const
+{
+    return {explained, speaksAgainstAny(), at};
+}
+
 void PromptQuarantine::recordCrash(std::string_view server, std::int64_t startedAtMs,
                                    std::span<const std::string> parts, bool undelivered,
                                    TimePoint crashedAt, TimePoint now)
@@ -65,7 +76,7 @@
     if (parts.empty() || mutated("gateway-forget-crashes"))
         return;
     const std::string key = std::string(server) + ':' + std::to_string(startedAtMs);
-    Crash &crash = m_crashes.try_emplace(key, Crash {crashedAt, {}}).first->second;
+    Crash &crash = m_crashes.try_emplace(key, Crash {crashedAt, {}, false}).first->second;
     bool changed = false;
     for (std::size_t i = 0; i < parts.size(); ++i) {
         const SuspectedPart suspected {standingOf(parts[i], crash.at), static_cast<int>(i),
@@ -157,7 +168,8 @@
             continue;
         // The first time that is known stays, or ages would grow less with each host that passes
         // the report on.
-        Crash &crash = m_crashes.try_emplace(key, Crash {now - report.age, {}}).first->second;
+        Crash &crash =
+            m_crashes.try_emplace(key, Crash {now - report.age, {}, false}).first->second;
         for (const auto &[part, reported] : report.parts) {
             const PartStanding standing = std::max(reported.standing, standingOf(part, crash.at));
             changed = addPart(crash, part, {standing, reported.position, reported.undelivered})
@@ -170,18 +182,19 @@
 
 CrashReports PromptQuarantine::reports(TimePoint now) const
 {
-    std::vector<std::tuple<bool, TimePoint, const std::string *>> order;
+    std::vector<std::pair<const std::string *, const Crash *>> reported;
     for (const auto &[key, crash] : m_crashes) {
-        const bool open = std::any_of(crash.parts.begin(), crash.parts.end(),
-                                      [](const auto &part) { return speaksAgainst(part.second); });
-        if (now - crash.at < (open ? CrashRetention : Duration(ClearedReportTime)))
-            order.emplace_back(open, crash.at, &key);
+        const Duration time = crash.speaksAgainstAny() ? CrashRetention : ClearedReportTime;
+        if (now - crash.at < time)
+            reported.emplace_back(&key, &crash);
     }
-    std::sort(order.rbegin(), order.rend());
-    order.resize(std::min(order.size(), MaxReportedCrashes));
+    std::sort(reported.begin(), reported.end(), [](const auto &l, const auto &r) {
+        return l.second->importance() > r.second->importance();
+    });
+    reported.resize(std::min(reported.size(), MaxReportedCrashes));
     CrashReports reports;
-    for (const auto &[open, at, key] : order)
-        reports[*key] = {std::max<Duration>(now - at, Duration::zero()), m_crashes.at(*key).parts};
+    for (const auto &[key, crash] : reported)
+        reports[*key] = {std::max<Duration>(now - crash->at, Duration::zero()), crash->parts};
     return reports;
 }
 
@@ -214,7 +227,7 @@
     while (m_crashes.size() > MaxCrashes)
         m_crashes.erase(
             std::min_element(m_crashes.begin(), m_crashes.end(), [](const auto &l, const auto &r) {
-                return l.second.at < r.second.at;
+                return l.second.importance() < r.second.importance();
             }));
 }
 
@@ -229,10 +242,10 @@
         evaluate(now);
 }
 
-std::map<std::string, PromptQuarantine::Evidence> PromptQuarantine::evidence(TimePoint now) const
+std::map<std::string, PromptQuarantine::Evidence> PromptQuarantine::evidence(TimePoint now)
 {
     std::map<std::string, Evidence> evidence;
-    for (const auto &[key, crash] : m_crashes) {
+    for (auto &[key, crash] : m_crashes) {
         const bool anyUndelivered = crash.anyUndelivered();
         if (!anyUndelivered && now - crash.at < ReportTime)
             continue;
@@ -248,15 +261,14 @@
     return evidence;
 }
 
-const std::string *PromptQuarantine::strongest(const std::map<std::string, Evidence> &evidence,
-                                               const std::set<const Crash *> &explained)
+const std::string *PromptQuarantine::strongest(const std::map<std::string, Evidence> &evidence)
 {
     const std::string *best = nullptr;
     std::tuple<bool, int, int> bestRank;
     for (const auto &[part, against] : evidence) {
         std::vector<TimePoint> times;
         for (const Crash *crash : against.crashes) {
-            if (explained.count(crash) == 0)
+            if (!crash->explained)
                 times.push_back(crash->at);
         }
         const bool unproven = against.standing == PartStanding::Unproven;
@@ -277,13 +289,14 @@
 {
     dropOldCrashes(now);
     m_evaluatedAt = now;
+    for (auto &[key, crash] : m_crashes)
+        crash.explained = false;
     const std::map<std::string, Evidence> all = evidence(now);
-    std::set<const Crash *> explained;
     std::map<std::string, TimePoint> quarantined;
-    while (const std::string *part = strongest(all, explained)) {
+    while (const std::string *part = strongest(all)) {
         TimePoint until {};
-        for (const Crash *crash : all.at(*part).crashes) {
-            explained.insert(crash);
+        for (Crash *crash : all.at(*part).crashes) {
+            crash->explained = true;
             until = std::max(until, crash->at + CrashRetention);
         }
         quarantined[*part] = until;
--- a/tests/unit/prompt_evidence_test.cpp
+++ b/tests/unit/prompt_evidence_test.cpp
@@ -65,6 +65,7 @@
     CPPUNIT_TEST(aHostThatHasServedAPartClearsItForAll);
     CPPUNIT_TEST(reportsThatArePassedOnGrowOld);
     CPPUNIT_TEST(aQuarantineEnds);
+    CPPUNIT_TEST(manyOtherCrashesDoNotEndAQuarantine);
     CPPUNIT_TEST(reportsAreBounded);
     CPPUNIT_TEST(digestsCarryCrashes);
     CPPUNIT_TEST_SUITE_END();
@@ -254,6 +255,20 @@
         CPPUNIT_ASSERT(quarantine.reports(at(PromptQuarantine::CrashRetention + 2s)).empty());
     }
 
+    void manyOtherCrashesDoNotEndAQuarantine()
+    {
+        PromptQuarantine quarantine;
+        serve(quarantine, Sound, -10s);
+        crash(quarantine, "s1", Crashing, 0s);
+        crash(quarantine, "s2", Crashing, 400ms);
+        for (int i = 0; i < 200; ++i)
+            crash(quarantine, "other" + std::to_string(i), Parts {"p" + std::to_string(i)}, 1s);
+        CPPUNIT_ASSERT(quarantined(quarantine, "bad", Settled));
+        PromptQuarantine started;
+        started.merge(quarantine.reports(at(Settled)), at(Settled));
+        CPPUNIT_ASSERT(quarantined(started, "bad", Settled));
+    }
+
     void reportsAreBounded()
     {
         PromptQuarantine quarantine;
