Say plainly what is evidence about a part of a prompt, and join log fields in one place

Names and comments of the quarantine in usual terms; LogEvent joins lists, which two callers did by themselves. No change of behaviour.

--- a/include/dogwoodvalve/crash_report.h
+++ b/include/dogwoodvalve/crash_report.h
@@ -7,8 +7,8 @@
 
 namespace dogwoodvalve {
 
-/// What speaks for a part of a prompt that was in a request on a server when the server crashed.
-/// When hosts merge their reports, the highest value counts.
+/// Evidence that a part of a prompt is harmless, though a request with it was on a server that
+/// crashed. When hosts merge their reports, the highest value counts.
 enum class PartStanding {
     /// No answer to a request with the part is known to have gone on past its beginning.
     Unproven,
--- a/include/dogwoodvalve/prompt_quarantine.h
+++ b/include/dogwoodvalve/prompt_quarantine.h
@@ -23,21 +23,22 @@
 
 /// Finds parts of prompts that crash the servers that answer them.
 ///
-/// A crash speaks against the parts of the requests whose answers the server had just begun, and an
-/// answer that goes on past its beginning speaks for its parts. If no event had been delivered of
-/// one of these answers, the crash speaks only against its parts; hosts learn of one another's
-/// answers within a moment. Requests that merely were on the server share a crash with the one that
-/// caused it, but seldom a second one. So a part is quarantined after two crashes; after three at
-/// different times if it has been answered before, which also a crash of many servers at once could
-/// explain. A crash that a quarantined part explains speaks against no other part.
+/// A crash is evidence against the parts of the requests whose answers the server had just begun,
+/// and an answer that goes on past its beginning is evidence that its parts are harmless. If no
+/// event had been delivered of some of these answers, only their parts are suspects; hosts learn of
+/// one another's answers within a moment. A request that merely was on the server shares one crash
+/// with the request that caused it, but seldom a second one. So a part is quarantined after two
+/// crashes. A part that was answered before is quarantined after three at different times, as the
+/// failure of many servers at once could explain fewer. A crash that a quarantined part explains is
+/// no evidence against other parts.
 ///
 /// Hosts exchange their reports and merge them, in any order.
 class PromptQuarantine
 {
 public:
-    /// How long a crash speaks against a part.
+    /// How long a crash is evidence.
     static constexpr Duration CrashRetention = std::chrono::minutes(10);
-    /// An answer that goes on for this long after its beginning speaks for its parts. A server that
+    /// An answer that goes on for this long shows that its parts are harmless. A server that
     /// crashes earlier may have crashed because of them.
     static constexpr Duration BeginningTime = std::chrono::milliseconds(500);
     static constexpr std::size_t MaxCrashes = 64;
@@ -89,11 +90,11 @@
         bool explained = false;
 
         bool anyUndelivered() const;
-        bool speaksAgainstAny() const;
+        bool hasSuspect() const;
         /// Which crashes are kept and reported if there are too many: the highest.
         std::tuple<bool, bool, TimePoint> importance() const;
     };
-    /// The crashes that speak against a part, and what speaks for it.
+    /// All evidence about a part.
     struct Evidence
     {
         std::vector<Crash *> crashes;
--- a/src/core/prompt_quarantine.cpp
+++ b/src/core/prompt_quarantine.cpp
@@ -18,12 +18,12 @@
 constexpr int CrashesAgainstServed = 3;
 /// Time in which all hosts report on a crash.
 constexpr Duration ReportTime = 1s;
-/// A crash that speaks against no part any more is reported for this long, so that all hosts learn
-/// what has cleared its parts.
+/// A crash without suspects is reported for this long, so that all hosts learn what has cleared its
+/// parts.
 constexpr Duration ClearedReportTime = 30s;
 
 /// The number of crashes that are at least `gap` later than the one counted before.
-int countSeparate(std::vector<TimePoint> times, Duration gap)
+int countSeparateTimes(std::vector<TimePoint> times, Duration gap)
 {
     std::sort(times.begin(), times.end());
     int n = 0;
@@ -37,7 +37,7 @@
     return n;
 }
 
-bool speaksAgainst(const SuspectedPart &part)
+bool isSuspect(const SuspectedPart &part)
 {
     return part.standing != PartStanding::Cleared;
 }
@@ -45,7 +45,7 @@
 /// How likely a part has caused a crash. All hosts keep the same parts if there are too many.
 auto suspicion(const std::string &part, const SuspectedPart &suspected)
 {
-    return std::tuple(speaksAgainst(suspected), suspected.undelivered,
+    return std::tuple(isSuspect(suspected), suspected.undelivered,
                       suspected.standing == PartStanding::Unproven, suspected.position, part);
 }
 
@@ -54,19 +54,19 @@
 bool PromptQuarantine::Crash::anyUndelivered() const
 {
     return std::any_of(parts.begin(), parts.end(), [](const auto &part) {
-        return part.second.undelivered && speaksAgainst(part.second);
+        return part.second.undelivered && isSuspect(part.second);
     });
 }
 
-bool PromptQuarantine::Crash::speaksAgainstAny() const
+bool PromptQuarantine::Crash::hasSuspect() const
 {
     return std::any_of(parts.begin(), parts.end(),
-                       [](const auto &part) { return speaksAgainst(part.second); });
+                       [](const auto &part) { return isSuspect(part.second); });
 }
 
 std::tuple<bool, bool, TimePoint> PromptQuarantine::Crash::importance() const
 {
-    return {explained, speaksAgainstAny(), at};
+    return {explained, hasSuspect(), at};
 }
 
 void PromptQuarantine::recordCrash(std::string_view server, std::int64_t startedAtMs,
@@ -127,7 +127,7 @@
         served = std::max(served, begunAt);
         for (auto &[key, crash] : m_crashes) {
             const auto it = crash.parts.find(part);
-            if (it == crash.parts.end() || begunAt < crash.at || !speaksAgainst(it->second)
+            if (it == crash.parts.end() || begunAt < crash.at || !isSuspect(it->second)
                 || mutated("gateway-clear-no-parts"))
                 continue;
             it->second.standing = PartStanding::Cleared;
@@ -184,7 +184,7 @@
 {
     std::vector<std::pair<const std::string *, const Crash *>> reported;
     for (const auto &[key, crash] : m_crashes) {
-        const Duration time = crash.speaksAgainstAny() ? CrashRetention : ClearedReportTime;
+        const Duration time = crash.hasSuspect() ? CrashRetention : ClearedReportTime;
         if (now - crash.at < time)
             reported.emplace_back(&key, &crash);
     }
@@ -250,7 +250,7 @@
         if (!anyUndelivered && now - crash.at < ReportTime)
             continue;
         for (const auto &[part, suspected] : crash.parts) {
-            if (!speaksAgainst(suspected) || (anyUndelivered && !suspected.undelivered))
+            if (!isSuspect(suspected) || (anyUndelivered && !suspected.undelivered))
                 continue;
             Evidence &against = evidence[part];
             against.crashes.push_back(&crash);
@@ -273,7 +273,7 @@
         }
         const bool unproven = against.standing == PartStanding::Unproven;
         const int crashes =
-            countSeparate(std::move(times), unproven ? SimultaneousTime : DisturbanceTime);
+            countSeparateTimes(std::move(times), unproven ? SimultaneousTime : DisturbanceTime);
         if (crashes < (unproven ? CrashesAgainstUnproven : CrashesAgainstServed))
             continue;
         const std::tuple rank {unproven, crashes, against.position};
--- a/src/daemon/log.cpp
+++ b/src/daemon/log.cpp
@@ -269,6 +269,14 @@
     return *this;
 }
 
+LogEvent &LogEvent::field(std::string_view key, std::span<const std::string> values)
+{
+    std::string text;
+    for (const std::string &value : values)
+        text += (text.empty() ? "" : ",") + value;
+    return field(key, std::string_view(text));
+}
+
 LogEvent &LogEvent::field(std::string_view key, std::int64_t value)
 {
     std::array<char, 24> text {};
--- a/src/daemon/log.h
+++ b/src/daemon/log.h
@@ -3,6 +3,7 @@
 #include <dogwoodvalve/result.h>
 
 #include <cstdint>
+#include <span>
 #include <string>
 #include <string_view>
 
@@ -51,6 +52,8 @@
     {
         return field(key, std::string_view(value));
     }
+    /// The values with commas between them.
+    LogEvent &field(std::string_view key, std::span<const std::string> values);
     LogEvent &field(std::string_view key, std::int64_t value);
     LogEvent &field(std::string_view key, double value);
 
--- a/src/gateway/crash_inquiry.cpp
+++ b/src/gateway/crash_inquiry.cpp
@@ -30,7 +30,7 @@
     if (opened.prompts.size() < MaxPromptsPerCase)
         opened.prompts.push_back(std::move(prompt));
     if (loss == AnswerLoss::ConnectionEnded)
-        m_node.survey().probeUnlessSince(server, opened.openedAt);
+        m_node.survey().probeUnlessProbedSince(server, opened.openedAt);
     scheduleCheck();
 }
 
--- a/src/gateway/engine_prober.cpp
+++ b/src/gateway/engine_prober.cpp
@@ -62,10 +62,10 @@
 
 void EngineProber::probeNow(const std::string &server)
 {
-    probeUnlessSince(server, aMomentAgo());
+    probeUnlessProbedSince(server, aMomentAgo());
 }
 
-void EngineProber::probeUnlessSince(const std::string &server, TimePoint since)
+void EngineProber::probeUnlessProbedSince(const std::string &server, TimePoint since)
 {
     const ServerRegistration *known = m_node.view().registry().find(server);
     if (known && isEngine(*known))
--- a/src/gateway/engine_prober.h
+++ b/src/gateway/engine_prober.h
@@ -28,7 +28,7 @@
     /// Nothing is sent if it was probed a moment ago.
     void probeNow(const std::string &server);
     /// As probeNow, but only a probe since the given time is taken for enough.
-    void probeUnlessSince(const std::string &server, TimePoint since);
+    void probeUnlessProbedSince(const std::string &server, TimePoint since);
 
 private:
     /// Probes the engines that fall to this host.
--- a/src/gateway/fleet_view_notices.cpp
+++ b/src/gateway/fleet_view_notices.cpp
@@ -88,13 +88,10 @@
                             std::span<const std::string> parts, bool undelivered,
                             TimePoint crashedAt)
 {
-    std::string text;
-    for (const std::string &part : parts)
-        text += (text.empty() ? "" : ",") + part;
     LogEvent::decision("server_crashed")
         .field("server", server)
         .field("started_ms", startedAtMs)
-        .field("prompt_parts", text)
+        .field("prompt_parts", parts)
         .field("undelivered", undelivered);
     m_quarantine.recordCrash(server, startedAtMs, parts, undelivered, crashedAt, m_timers.now());
     noteQuarantineChanges(true);
--- a/src/gateway/generation_attempt.h
+++ b/src/gateway/generation_attempt.h
@@ -103,7 +103,7 @@
     bool silent = false;
     /// The attempt is included in the session's number of attempts that may have run.
     bool countedAsRun = false;
-    /// The answer has spoken for the parts of its prompt.
+    /// It is recorded that the answer has gone on past its beginning.
     bool countedAsServed = false;
     TimerId stallTimer = 0;
 
--- a/src/gateway/generation_session.cpp
+++ b/src/gateway/generation_session.cpp
@@ -41,14 +41,6 @@
     return text;
 }
 
-std::string describeParts(std::span<const std::string> parts)
-{
-    std::string text;
-    for (const std::string &part : parts)
-        text += (text.empty() ? "" : ",") + part;
-    return text;
-}
-
 } // namespace
 
 GenerationSession::GenerationSession(GatewayNode &node, AcceptedRequest request)
@@ -468,7 +460,7 @@
         .field("since_progress_ms", attempt.silence().count() / 1000)
         .field("may_have_run", ran)
         .field("answer_begun", attempt.isStream())
-        .field("prompt_parts", describeParts(m_request.caller.sharedPromptParts))
+        .field("prompt_parts", m_request.caller.sharedPromptParts)
         .field("open_attempts", m_open.size() - 1);
     if (m_interruptedAt == TimePoint {})
         m_interruptedAt = attempt.lastProgressAt();
--- a/src/gateway/generation_session.h
+++ b/src/gateway/generation_session.h
@@ -71,7 +71,7 @@
     bool mayHaveCrashed(const GenerationAttempt &attempt) const;
     /// Starts the next attempt later, when it is known better whether the prompt crashes engines.
     void holdRetry();
-    /// Lets an answer that has gone on past its beginning speak for the parts of its prompt.
+    /// Records, once for each attempt, that its answer has gone on past its beginning.
     void recordServed(GenerationAttempt &attempt);
     void countRun(GenerationAttempt &attempt, bool ran);
     /// Excludes the server from this request and reports the evidence to the health checks.
