--- a/tests/simulation/prompt_quarantine_test.cpp
+++ b/tests/simulation/prompt_quarantine_test.cpp
@@ -150,6 +150,8 @@
         world.generateWith(crashingParts(), 0);
         world.run(70ms);
         CPPUNIT_ASSERT_EQUAL(std::size_t {1}, world.crashes.size());
+        world.run(800ms);
+        CPPUNIT_ASSERT_EQUAL(std::size_t {1}, world.crashes.size());
         world.generateWith(crashingParts(), 1);
         world.run(5s);
         CPPUNIT_ASSERT_EQUAL(std::size_t {2}, world.crashes.size());
