Log the request rate that a server names in an answer

The logs show the dispatches to a server before and after it names a limit, but not when it does so. No decision uses it yet.

--- a/src/gateway/fleet_view_notices.cpp
+++ b/src/gateway/fleet_view_notices.cpp
@@ -47,6 +47,12 @@
                              const ServerNotice &notice)
 {
     const TimePoint now = m_timers.now();
+    if (notice.rate == RateNotice::Limited || notice.rate == RateNotice::Unreadable)
+        LogEvent::decision("server_limit")
+            .field("server", id)
+            .field("started_ms", startedAtMs)
+            .field("per_second", notice.requestsPerSecond)
+            .field("unreadable", notice.rate == RateNotice::Unreadable);
     if (!notice.asksForPause())
         m_health.recordAccepted(id, startedAtMs, now);
     const bool pauses = notice.asksForPause() && !mutated("gateway-ignore-pauses");
