Divide the request rate that a server names among the hosts

What callers saw: nothing at first. A backend server in need named a limit in its answers and got as much as before, 72 and 78 requests in 4 s where 39 and 48 were allowed, from seven hosts.

Cause: the field was decoded nowhere; no host knew of the limit, and none could have kept to it alone, as it holds for all hosts together.

Change: ServerRateLimits keeps the limit of each start of a server, digests carry it, and each is divided equally among at most as many hosts as get 0.5 requests a second each (rendezvous hashing). A server without an allowance is not chosen, as a plain server or as the first of a path; a request that no other can serve waits for the next allowance or is refused at once if that comes too late.

RateLimitTest checks, among others, that the parts of 1 to 295 hosts sum up to the limit.

--- a/include/dogwoodvalve/host_digest.h
+++ b/include/dogwoodvalve/host_digest.h
@@ -2,6 +2,7 @@
 
 #include <dogwoodvalve/crash_report.h>
 #include <dogwoodvalve/log_position.h>
+#include <dogwoodvalve/rate_limit_report.h>
 #include <dogwoodvalve/timer_service.h>
 
 #include <cstdint>
@@ -57,6 +58,8 @@
     std::map<std::string, std::int64_t> leavingServers;
     /// Crashes of servers that the host knows of, its own findings and those of others.
     CrashReports crashes;
+    /// Request rates that servers accept, as far as the host knows of limits.
+    RateLimitReports rateLimits;
 };
 
 } // namespace dogwoodvalve
--- a/include/dogwoodvalve/host_table.h
+++ b/include/dogwoodvalve/host_table.h
@@ -103,6 +103,11 @@
     /// The other hosts among the `count` live hosts with the highest rendezvous hash for a task.
     std::vector<const Peer *> topRankedPeers(std::string_view self, std::string_view task,
                                              int count, TimePoint now) const;
+    /// This host's share of something that at most `maxHosts` hosts divide equally, 0 if it has
+    /// none. The highest rendezvous hashes for the server decide. Hosts that are leaving, or that
+    /// have been silent for less than 10 s and may only be cut off, keep their share.
+    double shareOf(std::string_view self, std::string_view server, int maxHosts,
+                   TimePoint now) const;
     TaskPartition taskPartition(std::string_view self, TimePoint now) const;
     /// Totals over the other live hosts. They are maintained as digests arrive, so that selecting a
     /// server does not iterate over all hosts.
--- a/include/dogwoodvalve/limits.h
+++ b/include/dogwoodvalve/limits.h
@@ -23,6 +23,8 @@
     bool tryConsume(double rate, double amount, TimePoint now);
     /// Takes an amount even if the bucket holds less. The resulting debt is refilled at the rate.
     void charge(double rate, double amount, TimePoint now);
+    /// Takes all tokens.
+    void drain(TimePoint now);
     /// Returns the time until one token is available.
     Duration timeUntilAvailable(double rate, TimePoint now);
     /// Whether the bucket is full, as a new one is, so that it can be discarded.
--- a/include/dogwoodvalve/path_selector.h
+++ b/include/dogwoodvalve/path_selector.h
@@ -26,6 +26,9 @@
     double committed = 0;
     /// Time that the server needs for the prefill of prompts it has received but not processed, ms.
     double backlogMs = 0;
+    /// Whether a path may begin at the server, which receives the request from this host. The other
+    /// servers of a path get it from the one before.
+    bool acceptsRequests = true;
 };
 
 /// A request's expected size in tokens.
--- a/include/dogwoodvalve/relay_digest.h
+++ b/include/dogwoodvalve/relay_digest.h
@@ -58,6 +58,8 @@
     std::map<std::string, std::int64_t> leavingServers;
     /// Crashes of servers that the relay knows of.
     CrashReports crashes;
+    /// Request rates that servers accept, as far as the relay knows of limits.
+    RateLimitReports rateLimits;
     /// Hosts that the relay knows. Sent less often than the loads, as hosts change rarely.
     std::vector<RelayedHost> roster;
 };
--- a/include/dogwoodvalve/server_notice.h
+++ b/include/dogwoodvalve/server_notice.h
@@ -33,7 +33,11 @@
     double requestsPerSecond = 0;
 
     bool asksForPause() const { return pause || pauseUnreadable; }
-    bool empty() const { return !leaving && !asksForPause(); }
+    bool namesLimit() const
+    {
+        return rate == RateNotice::Limited || rate == RateNotice::Unreadable;
+    }
+    bool empty() const { return !leaving && !asksForPause() && !namesLimit(); }
 };
 
 } // namespace dogwoodvalve
--- a/src/core/host_table.cpp
+++ b/src/core/host_table.cpp
@@ -40,6 +40,7 @@
     state.slowness.clear();
     state.leavingServers.clear();
     state.crashes.clear();
+    state.rateLimits.clear();
     return state;
 }
 
@@ -146,6 +147,7 @@
     digest.relay = stateOf(self);
     digest.leavingServers = self.leavingServers;
     digest.crashes = self.crashes;
+    digest.rateLimits = self.rateLimits;
     addTotals(digest, self, toOwnZone);
     addReports(digest, self, now);
     for (const std::string &zone : rosterZones)
@@ -383,6 +385,22 @@
     return first;
 }
 
+double HostTable::shareOf(std::string_view self, std::string_view server, int maxHosts,
+                          TimePoint now) const
+{
+    const std::uint64_t own = rendezvousWeight(server, self);
+    int hosts = 1;
+    int before = 0;
+    for (const auto &[name, peer] : m_peers) {
+        if (name == self || now - peer.lastSeenAt > SilentHostLoadAge)
+            continue;
+        ++hosts;
+        before += rendezvousWeight(server, name) > own ? 1 : 0;
+    }
+    const int sharing = std::min(hosts, maxHosts);
+    return before < sharing ? 1.0 / sharing : 0;
+}
+
 TaskPartition HostTable::taskPartition(std::string_view self, TimePoint now) const
 {
     TaskPartition partition;
--- a/src/core/limits.cpp
+++ b/src/core/limits.cpp
@@ -122,6 +122,13 @@
     m_level -= amount;
 }
 
+void TokenBucket::drain(TimePoint now)
+{
+    m_started = true;
+    m_level = 0;
+    m_refilledAt = now;
+}
+
 Duration TokenBucket::timeUntilAvailable(double rate, TimePoint now)
 {
     if (rate <= 0)
--- a/src/core/path_selector.cpp
+++ b/src/core/path_selector.cpp
@@ -108,7 +108,7 @@
         }
     };
     for (std::size_t i = 0; i < servers.size(); ++i) {
-        if (!excluded[i] && servers[i].layers.contains(0))
+        if (!excluded[i] && servers[i].acceptsRequests && servers[i].layers.contains(0))
             extend(i, 0, 0, none);
     }
     for (const int cut : cuts) {
--- a/src/gateway/engine_prober.cpp
+++ b/src/gateway/engine_prober.cpp
@@ -81,6 +81,7 @@
     if (probed != m_probedAt.end() && probed->second >= since)
         return;
     m_probedAt[server.id] = now;
+    m_node.view().recordRequest(server.id, server.startedAtMs);
     m_node.platform().engines->readReport(
         server,
         [this, id = server.id, startedAtMs = server.startedAtMs,
--- a/src/gateway/fleet_view.cpp
+++ b/src/gateway/fleet_view.cpp
@@ -113,6 +113,8 @@
         if (m_health.isLeaving(id, server.startedAtMs))
             digest.leavingServers.emplace(id, server.startedAtMs);
     }
+    updateRateShares();
+    digest.rateLimits = m_rateLimits.reports(now);
     m_quarantine.refresh(now);
     noteQuarantineChanges(true);
     digest.crashes = m_quarantine.reports(now);
@@ -132,6 +134,7 @@
         applySuspicion(server);
     applyDepartures(digest.leavingServers, digest.name);
     applyCrashes(digest.crashes);
+    applyRateLimits(digest.rateLimits, digest.name);
     applyConfirmation(digest, now);
 }
 
@@ -150,6 +153,7 @@
         applySuspicion(server);
     applyDepartures(digest.leavingServers, digest.relay.name);
     applyCrashes(digest.crashes);
+    applyRateLimits(digest.rateLimits, digest.relay.name);
     applyConfirmation(digest.relay, now);
     for (const RelayedHost &host : digest.roster)
         applyConfirmation(host.state, now - host.age);
@@ -278,6 +282,7 @@
         part.id = server->id;
         part.zone = server->zone;
         part.layers = layers;
+        part.acceptsRequests = acceptsRequest(*server);
         const double slow = slowness(server->id);
         part.stepMsPerLayer = slow * profile.stepMs * kind->stepTimeFactor / profile.layers;
         part.prefillMsPerTokenLayer =
@@ -434,8 +439,11 @@
     std::erase_if(m_answeredAt, [this](const auto &entry) {
         return m_timers.now() - entry.second > RecentAnswerWindow;
     });
-    m_health.retain([this](const std::string &id) { return m_registry.find(id) != nullptr; },
-                    m_timers.now());
+    const auto isRegistered = [this](const std::string &id) {
+        return m_registry.find(id) != nullptr;
+    };
+    m_health.retain(isRegistered, m_timers.now());
+    m_rateLimits.retain(isRegistered, m_timers.now());
     std::erase_if(m_recordEnds, [this](const auto &entry) {
         return isOutdated(entry.second, m_serversEnd) && !m_registry.find(entry.first);
     });
--- a/src/gateway/fleet_view.h
+++ b/src/gateway/fleet_view.h
@@ -7,6 +7,7 @@
 #include <dogwoodvalve/host_table.h>
 #include <dogwoodvalve/prompt_quarantine.h>
 #include <dogwoodvalve/server_health.h>
+#include <dogwoodvalve/server_rate_limits.h>
 
 #include <functional>
 #include <map>
@@ -119,12 +120,22 @@
 
     /// Registered servers of a service that are neither draining nor known to leave.
     std::vector<const ServerRegistration *> availableServers(std::string_view service) const;
-    /// When the service can be served again, if servers that want a pause are the only reason why
-    /// it can't be served now.
-    std::optional<TimePoint> servesAgainAt(const ServiceRule &service) const;
+    /// When the service can be served again, if servers that want a pause or name a limit are the
+    /// only reason why it can't be served now.
+    std::optional<TimePoint> servesAgainAt(const ServiceRule &service);
     /// Uses what a server has said in an answer to a request. Returns whether that has changed
     /// which servers requests may be sent to.
     bool recordNotice(std::string_view id, std::int64_t startedAtMs, const ServerNotice &notice);
+    /// Uses what an answer to a request that was sent at the given time shows about the rate of
+    /// requests that the server accepts.
+    void recordRateNotice(std::string_view id, std::int64_t startedAtMs, const ServerNotice &notice,
+                          TimePoint sentAt);
+    /// Whether a request may be sent to the server now.
+    bool acceptsRequest(const ServerRegistration &server);
+    /// A request of any kind is being sent to the server. Those that servers forward along a path
+    /// do not count.
+    void recordRequest(std::string_view id, std::int64_t startedAtMs);
+    const ServerRateLimits &rateLimits() const { return m_rateLimits; }
 
     /// A start of a server has crashed when it had just begun to answer a prompt with these shared
     /// parts, and whether it had not delivered any event of the answer.
@@ -194,6 +205,10 @@
     bool behindOtherHosts() const { return m_reportedVersion > configurationVersion(); }
     /// Another host knows that these servers are leaving.
     void applyDepartures(const std::map<std::string, std::int64_t> &leaving, std::string_view host);
+    /// Limits that another host knows of.
+    void applyRateLimits(const RateLimitReports &reports, std::string_view host);
+    void updateRateShares();
+    void logRateLimit(std::string_view id, std::int64_t startedAtMs, std::string_view source) const;
     /// Crashes that another host knows of.
     void applyCrashes(const CrashReports &crashes);
     /// Logs what has changed, has the other hosts told, and calls the handler.
@@ -236,6 +251,7 @@
     std::map<std::string, std::pair<double, TimePoint>, std::less<>> m_slowness;
     /// When engines last answered a probe of this host.
     std::map<std::string, TimePoint, std::less<>> m_answeredAt;
+    ServerRateLimits m_rateLimits;
     PromptQuarantine m_quarantine;
     std::function<void(const std::string &)> m_suspicionHandler;
     std::function<void()> m_quarantineHandler;
--- a/src/gateway/fleet_view_notices.cpp
+++ b/src/gateway/fleet_view_notices.cpp
@@ -17,7 +17,7 @@
     return servers;
 }
 
-std::optional<TimePoint> FleetView::servesAgainAt(const ServiceRule &service) const
+std::optional<TimePoint> FleetView::servesAgainAt(const ServiceRule &service)
 {
     const TimePoint now = m_timers.now();
     // A plain service counts as one with a single layer that all its servers hold.
@@ -26,10 +26,15 @@
     std::vector<std::optional<TimePoint>> heldFrom(layers);
     for (const ServerRegistration *server : availableServers(service.name)) {
         const LayerSpan held = service.isLayered() ? layersOf(*server) : LayerSpan {0, 1};
-        const TimePoint from =
+        const TimePoint resumesAt =
             m_health.pausedUntil(server->id, server->startedAtMs, now).value_or(now);
+        const auto acceptsAt = m_rateLimits.acceptsAt(server->id, server->startedAtMs, now);
         for (int layer = std::max(0, held.first);
              layer < std::min(held.end, static_cast<int>(layers)); ++layer) {
+            // The servers of the other layers get requests from other servers, not from this host.
+            if (layer == 0 && !acceptsAt)
+                continue;
+            const TimePoint from = layer == 0 ? std::max(resumesAt, *acceptsAt) : resumesAt;
             auto &earliest = heldFrom[static_cast<std::size_t>(layer)];
             earliest = std::min(earliest.value_or(from), from);
         }
@@ -47,12 +52,6 @@
                              const ServerNotice &notice)
 {
     const TimePoint now = m_timers.now();
-    if (notice.rate == RateNotice::Limited || notice.rate == RateNotice::Unreadable)
-        LogEvent::decision("server_limit")
-            .field("server", id)
-            .field("started_ms", startedAtMs)
-            .field("per_second", notice.requestsPerSecond)
-            .field("unreadable", notice.rate == RateNotice::Unreadable);
     if (!notice.asksForPause())
         m_health.recordAccepted(id, startedAtMs, now);
     const bool pauses = notice.asksForPause() && !mutated("gateway-ignore-pauses");
@@ -74,6 +73,66 @@
     return true;
 }
 
+bool FleetView::acceptsRequest(const ServerRegistration &server)
+{
+    const TimePoint now = m_timers.now();
+    if (!m_health.usable(server.id, server.startedAtMs, now))
+        return false;
+    const auto acceptsAt = m_rateLimits.acceptsAt(server.id, server.startedAtMs, now);
+    return acceptsAt && *acceptsAt <= now;
+}
+
+void FleetView::recordRequest(std::string_view id, std::int64_t startedAtMs)
+{
+    m_rateLimits.recordRequest(id, startedAtMs, m_timers.now());
+}
+
+void FleetView::recordRateNotice(std::string_view id, std::int64_t startedAtMs,
+                                 const ServerNotice &notice, TimePoint sentAt)
+{
+    if (notice.rate == RateNotice::Unreadable)
+        LogEvent::decision("server_limit_unreadable").field("server", id);
+    if (notice.rate != RateNotice::Limited && notice.rate != RateNotice::Unlimited)
+        return;
+    const auto perSecond =
+        notice.rate == RateNotice::Limited ? std::optional(notice.requestsPerSecond) : std::nullopt;
+    if (!m_rateLimits.recordAnswer(id, startedAtMs, perSecond, sentAt, m_timers.now()))
+        return;
+    updateRateShares();
+    logRateLimit(id, startedAtMs, "answer");
+    m_urgentUpdate = true;
+}
+
+void FleetView::applyRateLimits(const RateLimitReports &reports, std::string_view host)
+{
+    const std::vector<std::string> changed = m_rateLimits.merge(reports, m_timers.now());
+    if (changed.empty())
+        return;
+    updateRateShares();
+    for (const std::string &id : changed)
+        logRateLimit(id, reports.at(id).startedAtMs, host);
+    m_hosts.noteChange();
+}
+
+void FleetView::updateRateShares()
+{
+    m_rateLimits.updateShares([this](std::string_view id, int maxHosts) {
+        return m_hosts.shareOf(m_self.name, id, maxHosts, m_timers.now());
+    });
+}
+
+void FleetView::logRateLimit(std::string_view id, std::int64_t startedAtMs,
+                             std::string_view source) const
+{
+    const auto limit = m_rateLimits.limit(id, startedAtMs);
+    LogEvent::decision(limit ? "server_limit" : "server_limit_ended")
+        .field("server", id)
+        .field("started_ms", startedAtMs)
+        .field("per_second", limit.value_or(0))
+        .field("own_per_second", m_rateLimits.ownRate(id, startedAtMs))
+        .field("source", source);
+}
+
 void FleetView::applyDepartures(const std::map<std::string, std::int64_t> &leaving,
                                 std::string_view host)
 {
--- a/src/gateway/gateway_metrics.cpp
+++ b/src/gateway/gateway_metrics.cpp
@@ -46,6 +46,8 @@
           buildGauge(m_registry, "dogwoodvalve_live_hosts", "Live hosts including this one"))
     , m_quarantinedParts(buildGauge(m_registry, "dogwoodvalve_quarantined_prompt_parts",
                                     "Parts of prompts in quarantine because of crashes"))
+    , m_limitedServers(buildGauge(m_registry, "dogwoodvalve_limited_servers",
+                                  "Servers that name a limit of their request rate"))
 { }
 
 void GatewayMetrics::countRequest(std::string_view outcome)
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -33,6 +33,7 @@
     void setServers(std::size_t n, Duration age);
     void setStoreRestores(int n) { m_storeRestores.Set(n); }
     void setQuarantinedParts(std::size_t n) { m_quarantinedParts.Set(static_cast<double>(n)); }
+    void setLimitedServers(std::size_t n) { m_limitedServers.Set(static_cast<double>(n)); }
     void setLiveHosts(int n) { m_liveHosts.Set(n); }
 
     /// All metrics in Prometheus' text format.
@@ -56,6 +57,7 @@
     prometheus::Gauge &m_storeRestores;
     prometheus::Gauge &m_liveHosts;
     prometheus::Gauge &m_quarantinedParts;
+    prometheus::Gauge &m_limitedServers;
 };
 
 } // namespace dogwoodvalve
--- a/src/gateway/gateway_node.cpp
+++ b/src/gateway/gateway_node.cpp
@@ -57,10 +57,14 @@
 {
     m_view.setSuspicionHandler([this](const std::string &server) { checkSuspicion(server); });
     m_view.setQuarantineHandler([this] { m_loop.post([this] { endQuarantinedSessions(); }); });
-    m_platform.engines->setNoticeHandler(
-        [this](std::string_view id, std::int64_t serverStartedAtMs, const ServerNotice &notice) {
+    m_platform.engines->setNoticeHandler([this](std::string_view id, std::int64_t serverStartedAtMs,
+                                                const ServerNotice &notice, TimePoint sentAt) {
+        // An answer to a probe need not repeat the limit that answers to requests name.
+        if (notice.namesLimit())
+            m_view.recordRateNotice(id, serverStartedAtMs, notice, sentAt);
+        if (notice.leaving || notice.asksForPause())
             recordNotice(id, serverStartedAtMs, notice);
-        });
+    });
 }
 
 void GatewayNode::checkSuspicion(const std::string &server)
@@ -170,6 +174,7 @@
     m_metrics.setServers(m_view.registry().servers().size(), m_view.serversAge());
     m_metrics.setStoreRestores(m_view.storeRestores());
     m_metrics.setLiveHosts(m_view.hosts().liveHosts(now()));
+    m_metrics.setLimitedServers(m_view.rateLimits().limitedServers());
     m_metrics.setQuarantinedParts(m_view.quarantine().quarantinedParts());
 }
 
--- a/src/gateway/generation_attempt.cpp
+++ b/src/gateway/generation_attempt.cpp
@@ -29,13 +29,14 @@
     , m_path(std::move(path))
     , m_parts(std::move(parts))
     , m_pathText(std::move(pathText))
-    , m_lastProgressAt(node.now())
+    , m_startedAt(node.now())
+    , m_lastProgressAt(m_startedAt)
 {
     for (const ReservedPart &part : m_parts) {
         part.load->committed += part.committed;
         part.load->backlogMs += part.backlogMs;
         ++part.load->streams;
-        node.view().health().recordDispatch(part.server, part.startedAtMs, node.now());
+        node.view().health().recordDispatch(part.server, part.startedAtMs, m_startedAt);
     }
 }
 
@@ -78,6 +79,8 @@
 
 void GenerationAttempt::recordNotices()
 {
+    m_node.view().recordRateNotice(m_parts.front().server, m_parts.front().startedAtMs,
+                                   m_answer.notice, m_startedAt);
     for (const ReservedPart &part : m_parts) {
         if (&part == &m_parts.front())
             m_node.recordNotice(part.server, part.startedAtMs, m_answer.notice);
--- a/src/gateway/generation_attempt.h
+++ b/src/gateway/generation_attempt.h
@@ -123,6 +123,7 @@
     std::vector<HttpField> m_answerFields;
     std::string m_answerBody;
     EventSplitter m_splitter;
+    TimePoint m_startedAt {};
     TimePoint m_lastProgressAt {};
     TimePoint m_begunAt {};
     bool m_anyEvent = false;
--- a/src/gateway/host_digest_codec.cpp
+++ b/src/gateway/host_digest_codec.cpp
@@ -17,6 +17,7 @@
 constexpr const char *RelayKey = "relay";
 constexpr const char *LeavingKey = "l";
 constexpr const char *CrashesKey = "c";
+constexpr const char *RateLimitsKey = "r";
 
 /// An age as it is sent, in ms.
 std::int64_t ageMillis(Duration age)
@@ -102,6 +103,34 @@
     return reports;
 }
 
+/// By server: its start, the limit or null, and the age of the answer.
+json encodeRateLimits(const RateLimitReports &reports)
+{
+    json value = json::object();
+    for (const auto &[server, report] : reports)
+        value[server] = {report.startedAtMs,
+                         report.perSecond ? json(*report.perSecond) : json(nullptr),
+                         ageMillis(report.age)};
+    return value;
+}
+
+/// Hosts of earlier versions send none.
+RateLimitReports decodeRateLimits(const json &value)
+{
+    RateLimitReports reports;
+    const auto it = value.find(RateLimitsKey);
+    if (it == value.end())
+        return reports;
+    for (const auto &[server, report] : it->items()) {
+        RateLimitReport &decoded = reports[server];
+        decoded.startedAtMs = report.at(0);
+        if (!report.at(1).is_null())
+            decoded.perSecond = std::max(0.0, report.at(1).get<double>());
+        decoded.age = std::max<Duration>(durationOf(report.at(2)), Duration::zero());
+    }
+    return reports;
+}
+
 Error unreadable(const json::exception &e)
 {
     return {ErrorKind::Malformed, std::string("unreadable digest: ") + e.what(),
@@ -122,6 +151,7 @@
         digest.slowness.emplace(server, factor.get<double>());
     digest.leavingServers = decodeLeaving(value);
     digest.crashes = decodeCrashes(value);
+    digest.rateLimits = decodeRateLimits(value);
     return digest;
 }
 
@@ -142,6 +172,7 @@
         digest.roster.push_back({decodeState(host.at(0)), durationOf(host.at(1))});
     digest.leavingServers = decodeLeaving(value);
     digest.crashes = decodeCrashes(value);
+    digest.rateLimits = decodeRateLimits(value);
     return digest;
 }
 
@@ -155,11 +186,15 @@
     json backlog = json::object();
     for (const auto &[server, ms] : digest.backlogMs)
         backlog[server] = std::llround(ms);
-    const json value = {
-        {"n", encodeState(digest)},          {"k", std::move(commitments)},
-        {"q", std::move(backlog)},           {"i", digest.inFlight},
-        {"u", digest.failedProbes},          {"w", digest.slowness},
-        {LeavingKey, digest.leavingServers}, {CrashesKey, encodeCrashes(digest.crashes)}};
+    const json value = {{"n", encodeState(digest)},
+                        {"k", std::move(commitments)},
+                        {"q", std::move(backlog)},
+                        {"i", digest.inFlight},
+                        {"u", digest.failedProbes},
+                        {"w", digest.slowness},
+                        {LeavingKey, digest.leavingServers},
+                        {CrashesKey, encodeCrashes(digest.crashes)},
+                        {RateLimitsKey, encodeRateLimits(digest.rateLimits)}};
     return json::to_cbor(value);
 }
 
@@ -188,7 +223,8 @@
                         {"u", std::move(failedProbes)},
                         {"o", std::move(roster)},
                         {LeavingKey, digest.leavingServers},
-                        {CrashesKey, encodeCrashes(digest.crashes)}};
+                        {CrashesKey, encodeCrashes(digest.crashes)},
+                        {RateLimitsKey, encodeRateLimits(digest.rateLimits)}};
     return json::to_cbor(value);
 }
 
--- a/src/gateway/placement_controller.cpp
+++ b/src/gateway/placement_controller.cpp
@@ -149,6 +149,7 @@
     if (!m_node.view().health().acceptsCalls(server.id, server.startedAtMs, m_node.now()))
         return;
     m_orders[server.id] = {server.startedAtMs, layers, m_node.now(), {}, false};
+    m_node.view().recordRequest(server.id, server.startedAtMs);
     LogEvent("layers_ordered")
         .field("server", server.id)
         .field("kind", server.kind)
@@ -180,6 +181,7 @@
         return;
     order.reportPending = true;
     order.reportRequestedAt = m_node.now();
+    m_node.view().recordRequest(server.id, server.startedAtMs);
     m_node.platform().engines->readReport(
         server,
         [this, id = server.id, startedAtMs = server.startedAtMs,
--- a/src/gateway/plain_session.cpp
+++ b/src/gateway/plain_session.cpp
@@ -27,9 +27,8 @@
     const TimePoint now = m_node.now();
     std::vector<const ServerRegistration *> servers =
         view.availableServers(m_request.service->name);
-    std::erase_if(servers, [&](const ServerRegistration *server) {
-        return !view.health().usable(server->id, server->startedAtMs, now);
-    });
+    std::erase_if(servers,
+                  [&](const ServerRegistration *server) { return !view.acceptsRequest(*server); });
     std::vector<PlainServer> candidates;
     candidates.reserve(servers.size());
     for (const ServerRegistration *server : servers)
@@ -54,6 +53,7 @@
     request.workspace = m_request.workspace;
     request.timeLeft = timeLeft();
     view.health().recordDispatch(server.id, server.startedAtMs, now);
+    m_sentAt = now;
     m_client = dispatch(server, request, m_attempts == 0 ? "least_outstanding" : "retry", *this);
     return true;
 }
@@ -86,6 +86,7 @@
 {
     m_answer = m_node.dialect().decodeAnswer(status, fields, m_request.caller.id);
     m_node.recordNotice(m_server, m_serverStartedAtMs, m_answer.notice);
+    m_node.view().recordRateNotice(m_server, m_serverStartedAtMs, m_answer.notice, m_sentAt);
     m_answerFields = m_node.dialect().answerFields(fields);
 }
 
--- a/src/gateway/plain_session.h
+++ b/src/gateway/plain_session.h
@@ -34,6 +34,8 @@
     bool tryBeginRetry(bool lastAttemptRan);
 
     std::shared_ptr<HttpClientRequest> m_client;
+    /// When the open attempt was sent.
+    TimePoint m_sentAt {};
     /// What has arrived of the answer to the current attempt.
     ServerAnswer m_answer;
     std::vector<HttpField> m_answerFields;
--- a/src/gateway/platform_interfaces.h
+++ b/src/gateway/platform_interfaces.h
@@ -159,9 +159,10 @@
 class EngineControl
 {
 public:
-    /// Receives what a server, by its id and start, says in an answer to one of these calls.
+    /// Receives what a server, by its id and start, says in an answer to one of these calls, and
+    /// when the call was sent.
     using NoticeHandler = std::function<void(std::string_view id, std::int64_t startedAtMs,
-                                             const ServerNotice &notice)>;
+                                             const ServerNotice &notice, TimePoint sentAt)>;
 
     virtual ~EngineControl() = default;
     /// The handler is called for each answer that says anything, before its outcome is delivered.
--- a/src/gateway/request_session.cpp
+++ b/src/gateway/request_session.cpp
@@ -167,6 +167,7 @@
 {
     const auto endpoint = parseEndpoint(server.address);
     leaveQueue();
+    m_node.view().recordRequest(server.id, server.startedAtMs);
     ++m_attempts;
     m_mayHaveRun = true;
     m_node.metrics().countDispatch(reason);
