Log a fingerprint of each request that is sent to a server

Repeats of a request come under new ids, so the logs did not show that the requests on servers that ended were the same. The fingerprint is a hash of method, host, target, key and body. No decision uses it yet.

--- a/src/gateway/front_api.cpp
+++ b/src/gateway/front_api.cpp
@@ -105,6 +105,7 @@
             return;
         }
         shared->body = std::move(body.value());
+        shared->fingerprint = fingerprintOf(*shared);
         makeSession(m_node, std::move(*shared))->start();
     });
 }
--- a/src/gateway/request_session.cpp
+++ b/src/gateway/request_session.cpp
@@ -7,7 +7,12 @@
 #include "net/endpoint.h"
 #include "net/http_text.h"
 
+#include <dogwoodvalve/hash.h>
+
 #include <algorithm>
+#include <array>
+#include <cinttypes>
+#include <cstdio>
 
 namespace dogwoodvalve {
 
@@ -30,6 +35,19 @@
 
 } // namespace
 
+std::string fingerprintOf(const AcceptedRequest &request)
+{
+    // Each hash is the seed of the next one, so that the boundaries between the texts count.
+    std::uint64_t hash = 0;
+    for (const std::string_view text :
+         {request.exchange->method(), request.caller.host, request.exchange->target(),
+          request.caller.key, std::string_view(request.body)})
+        hash = stableHash(text, hash);
+    std::array<char, 32> text {};
+    std::snprintf(text.data(), text.size(), "request:%016" PRIx64, hash);
+    return text.data();
+}
+
 RequestSession::RequestSession(GatewayNode &node, AcceptedRequest request)
     : m_node(node)
     , m_request(std::move(request))
@@ -175,6 +193,7 @@
         .field("request", m_request.caller.id)
         .field("route", m_request.route->name)
         .field("workspace", m_request.workspace)
+        .field("fingerprint", m_request.fingerprint)
         .field("server", server.id)
         .field("path", m_pathText)
         .field("reason", reason)
--- a/src/gateway/request_session.h
+++ b/src/gateway/request_session.h
@@ -22,9 +22,15 @@
     std::shared_ptr<HttpExchange> exchange;
     CallerRequest caller;
     std::string body;
+    /// Equal for requests with the same method, host, target, key and body. It can't be the id of a
+    /// part of a prompt.
+    std::string fingerprint;
     TimePoint arrivedAt {};
 };
 
+/// The fingerprint of a request whose other members are set.
+std::string fingerprintOf(const AcceptedRequest &request);
+
 /// One request of a caller from its arrival to its final answer. Each attempt sends it to one
 /// server; the subclass decides what happens when an attempt fails.
 class RequestSession : public WaitingRequest, public std::enable_shared_from_this<RequestSession>
