--- /dev/null
+++ b/tests/simulation/crashing_request_test.cpp
@@ -0,0 +1,208 @@
+#include "simulation/gateway_world.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+
+using namespace dogwoodvalve;
+using namespace dogwoodvalve::simulation;
+using namespace dogwoodvalve::testtool;
+
+namespace {
+
+constexpr int Hosts = 3;
+constexpr int Servers = 3;
+constexpr Duration RunTime = 60ms;
+/// Time from a server's crash to its next start.
+constexpr Duration Downtime = 3s;
+constexpr Duration SoundInterval = 25ms;
+/// The caller sends the crashing request again this long after it failed.
+constexpr Duration RepeatPause = 40ms;
+/// Time from the third crash after which hardly a repeat may reach a server, and that number.
+constexpr Duration CrashBound = 3s;
+constexpr std::size_t CrashLimit = 3;
+constexpr int RepeatsBeyondBound = 3;
+
+constexpr const char *CrashingTarget = "/read/crash";
+
+/// A plain server that crashes while it runs one request, and starts again later.
+class CrashingServer : public HttpHandler
+{
+public:
+    CrashingServer(GatewayWorld &world, int number)
+        : m_world(world)
+        , m_name("c-" + std::to_string(number))
+        , m_address("10.0.4." + std::to_string(number) + ":80")
+    {
+        start();
+    }
+
+    void handle(const std::shared_ptr<HttpExchange> &exchange) override
+    {
+        const bool crashes = exchange->target() == CrashingTarget;
+        if (crashes)
+            crashingRuns.push_back(m_world.now());
+        if (resets)
+            return exchange->abort();
+        m_world.after(RunTime, [this, crashes, exchange, life = m_life] {
+            if (life != m_life || !m_process->alive())
+                return;
+            if (crashes)
+                return crash();
+            const std::vector<HttpField> fields {{"X-Server-Stamp", m_name}};
+            exchange->respond(200, fields, "done");
+        });
+    }
+
+    void crash()
+    {
+        if (!m_process->alive())
+            return;
+        crashes.push_back(m_world.now());
+        m_process->end();
+        m_world.network().processEnded(m_process.get());
+        m_world.after(Downtime, [this] { start(); });
+    }
+
+    /// Closes each connection without an answer, and goes on.
+    bool resets = false;
+    std::vector<TimePoint> crashes;
+    /// When the crashing request has reached the server.
+    std::vector<TimePoint> crashingRuns;
+
+private:
+    void start()
+    {
+        ++m_life;
+        m_process = m_world.process(m_name + '-' + std::to_string(m_life));
+        serveHttp(m_world.network(), m_address, m_process, *this);
+        json entry = plainEntry("web", m_address, false);
+        entry["born"] = m_life;
+        m_world.registerServer(m_name, entry);
+    }
+
+    GatewayWorld &m_world;
+    std::string m_name;
+    std::string m_address;
+    std::shared_ptr<SimProcess> m_process;
+    int m_life = 0;
+};
+
+} // namespace
+
+/// Requests that crash each server that runs them, and come again at any host.
+class CrashingRequestTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(CrashingRequestTest);
+    CPPUNIT_TEST(repeatsOfARequestThatCrashesServersAreStoppedOnAllHosts);
+    CPPUNIT_TEST(soundRequestsBesideItAreServed);
+    CPPUNIT_TEST(repeatsOfAGenerationThatCrashesEnginesAreStopped);
+    CPPUNIT_TEST_SUITE_END();
+
+    /// Hosts, and the only servers of the plain service.
+    struct Fleet
+    {
+        Fleet()
+            : world(Hosts)
+        {
+            world.registerPlain("p-1", PlainAddress, true);
+            for (int i = 1; i <= Servers; ++i)
+                servers.push_back(std::make_unique<CrashingServer>(world, i));
+            world.settle();
+        }
+
+        std::vector<TimePoint> collect(std::vector<TimePoint> CrashingServer::*times) const
+        {
+            std::vector<TimePoint> all;
+            for (const auto &server : servers)
+                all.insert(all.end(), (*server.*times).begin(), (*server.*times).end());
+            std::sort(all.begin(), all.end());
+            return all;
+        }
+
+        GatewayWorld world;
+        std::vector<std::unique_ptr<CrashingServer>> servers;
+    };
+
+    /// Sends one request to one host after the other, each time that the last one has ended, and
+    /// sound ones in between. Returns the sound ones.
+    static std::vector<std::shared_ptr<Call>>
+    play(GatewayWorld &world, Duration time,
+         const std::function<std::shared_ptr<Call>(int host)> &sendCrashing)
+    {
+        std::vector<std::shared_ptr<Call>> sound;
+        std::shared_ptr<Call> crashing = sendCrashing(0);
+        const TimePoint end = world.now() + time;
+        for (int i = 1; world.now() < end; ++i) {
+            sound.push_back(world.call("GET", "/read/" + std::to_string(i), {}, i % Hosts));
+            world.run(SoundInterval);
+            if (crashing->answer.ended && world.now() - crashing->answer.endedAt >= RepeatPause)
+                crashing = sendCrashing(i % Hosts);
+        }
+        world.run(2s);
+        return sound;
+    }
+
+    static int countAfter(const std::vector<TimePoint> &times, TimePoint from)
+    {
+        return static_cast<int>(
+            std::count_if(times.begin(), times.end(), [from](TimePoint it) { return it > from; }));
+    }
+
+    static int countServed(const std::vector<std::shared_ptr<Call>> &calls)
+    {
+        return static_cast<int>(std::count_if(calls.begin(), calls.end(), [](const auto &it) {
+            return it->answer.complete && it->answer.status == 200;
+        }));
+    }
+
+    void repeatsOfARequestThatCrashesServersAreStoppedOnAllHosts()
+    {
+        Fleet fleet;
+        play(fleet.world, 15s,
+             [&](int host) { return fleet.world.call("GET", CrashingTarget, {}, host); });
+        const auto crashes = fleet.collect(&CrashingServer::crashes);
+        CPPUNIT_ASSERT(!crashes.empty());
+        if (crashes.size() >= CrashLimit)
+            CPPUNIT_ASSERT_LESSEQUAL(RepeatsBeyondBound,
+                                     countAfter(fleet.collect(&CrashingServer::crashingRuns),
+                                                crashes[CrashLimit - 1] + CrashBound));
+    }
+
+    void soundRequestsBesideItAreServed()
+    {
+        Fleet fleet;
+        const auto sound = play(fleet.world, 15s, [&](int host) {
+            return fleet.world.call("GET", CrashingTarget, {}, host);
+        });
+        CPPUNIT_ASSERT_GREATEREQUAL(static_cast<int>(sound.size() * 95 / 100), countServed(sound));
+    }
+
+    void repeatsOfAGenerationThatCrashesEnginesAreStopped()
+    {
+        GatewayWorld world(Hosts, 8);
+        world.settle();
+        world.setCrashingPart("dead");
+        // Only the last part is this request's own, and requests do not share that one.
+        const auto send = [&](int host) {
+            return world.call("POST", "/gen/crash",
+                              {{"X-Token-Usage", "100,60"},
+                               {"X-Deadline-Ms", "8000"},
+                               {"X-Prompt-Prefix", "aa01:40,dead:20"}},
+                              host);
+        };
+        for (int i = 0; i < 50; ++i) {
+            world.generateWith("aa01:40", i % Hosts);
+            world.run(20ms);
+        }
+        play(world, 20s, send);
+        CPPUNIT_ASSERT(!world.crashesByPrompt.empty());
+        if (world.crashesByPrompt.size() >= CrashLimit)
+            CPPUNIT_ASSERT_LESSEQUAL(
+                RepeatsBeyondBound,
+                countAfter(world.crashesByPrompt,
+                           world.crashesByPrompt[CrashLimit - 1] + CrashBound));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(CrashingRequestTest);
