Quarantine requests that crash the servers that run them

Cause: crashes were attributed to shared parts of prompts only, and a plain request has none. A lost answer spoke against the server, the request went to the next one, and its caller repeated it.

Change: a fingerprint of method, host, target, key and body is one more suspect of the quarantine, for plain requests and generations. Plain services report lost and delivered answers; the inquiry asks a plain server whether it accepts connections. Repeats of a suspect are held for 0.3 s at most, so that the findings of other hosts arrive before the caller's own repeat reaches the last server.

Tests: the pretended plain server does not count a health check as a run any more, since servers do not run those; the pretended client reports a connection that is not made in time as a timeout, as the real one does.

--- a/include/dogwoodvalve/prompt_quarantine.h
+++ b/include/dogwoodvalve/prompt_quarantine.h
@@ -14,14 +14,17 @@
 
 namespace dogwoodvalve {
 
-/// A part of a prompt with which no request is sent to a server, and until when.
+/// A suspect with which no request is sent to a server, and until when.
 struct QuarantinedPart
 {
     std::string id;
     TimePoint until {};
 };
 
-/// Finds parts of prompts that crash the servers that answer them.
+/// Finds parts of prompts, and whole requests, that crash the servers that answer them. A request
+/// that may come again has a fingerprint, which is treated like a part that only its repeats share.
+/// It is listed before the parts of its prompt: as far as the evidence does not differ, a part
+/// explains more.
 ///
 /// A crash is evidence against the parts of the requests whose answers the server had just begun,
 /// and an answer that goes on past its beginning is evidence that its parts are harmless. If no
@@ -67,6 +70,9 @@
     CrashReports reports(TimePoint now) const;
     /// The first of these parts that is in quarantine.
     std::optional<QuarantinedPart> find(std::span<const std::string> parts, TimePoint now) const;
+    /// Whether a crash since the given time speaks against this part, of which no answer is known
+    /// to have gone on past its beginning.
+    bool isSuspect(const std::string &part, TimePoint since) const;
     /// Whether no answer to a prompt with one of these parts is known here to have gone on past its
     /// beginning.
     bool anyUnproven(std::span<const std::string> parts) const;
--- a/src/core/prompt_quarantine.cpp
+++ b/src/core/prompt_quarantine.cpp
@@ -37,7 +37,7 @@
     return n;
 }
 
-bool isSuspect(const SuspectedPart &part)
+bool isNotCleared(const SuspectedPart &part)
 {
     return part.standing != PartStanding::Cleared;
 }
@@ -45,7 +45,7 @@
 /// How likely a part has caused a crash. All hosts keep the same parts if there are too many.
 auto suspicion(const std::string &part, const SuspectedPart &suspected)
 {
-    return std::tuple(isSuspect(suspected), suspected.undelivered,
+    return std::tuple(isNotCleared(suspected), suspected.undelivered,
                       suspected.standing == PartStanding::Unproven, suspected.position, part);
 }
 
@@ -54,14 +54,14 @@
 bool PromptQuarantine::Crash::anyUndelivered() const
 {
     return std::any_of(parts.begin(), parts.end(), [](const auto &part) {
-        return part.second.undelivered && isSuspect(part.second);
+        return part.second.undelivered && isNotCleared(part.second);
     });
 }
 
 bool PromptQuarantine::Crash::hasSuspect() const
 {
     return std::any_of(parts.begin(), parts.end(),
-                       [](const auto &part) { return isSuspect(part.second); });
+                       [](const auto &part) { return isNotCleared(part.second); });
 }
 
 std::tuple<bool, bool, TimePoint> PromptQuarantine::Crash::importance() const
@@ -127,7 +127,7 @@
         served = std::max(served, begunAt);
         for (auto &[key, crash] : m_crashes) {
             const auto it = crash.parts.find(part);
-            if (it == crash.parts.end() || begunAt < crash.at || !isSuspect(it->second)
+            if (it == crash.parts.end() || begunAt < crash.at || !isNotCleared(it->second)
                 || mutated("gateway-clear-no-parts"))
                 continue;
             it->second.standing = PartStanding::Cleared;
@@ -209,6 +209,15 @@
     return std::nullopt;
 }
 
+bool PromptQuarantine::isSuspect(const std::string &part, TimePoint since) const
+{
+    return std::any_of(m_crashes.begin(), m_crashes.end(), [&](const auto &entry) {
+        const auto it = entry.second.parts.find(part);
+        return entry.second.at >= since && it != entry.second.parts.end()
+            && it->second.standing == PartStanding::Unproven;
+    });
+}
+
 bool PromptQuarantine::anyUnproven(std::span<const std::string> parts) const
 {
     return std::any_of(parts.begin(), parts.end(),
@@ -250,7 +259,7 @@
         if (!anyUndelivered && now - crash.at < ReportTime)
             continue;
         for (const auto &[part, suspected] : crash.parts) {
-            if (!isSuspect(suspected) || (anyUndelivered && !suspected.undelivered))
+            if (!isNotCleared(suspected) || (anyUndelivered && !suspected.undelivered))
                 continue;
             Evidence &against = evidence[part];
             against.crashes.push_back(&crash);
--- a/src/gateway/crash_inquiry.cpp
+++ b/src/gateway/crash_inquiry.cpp
@@ -13,22 +13,22 @@
 /// A server that crashed has started again, or its registration has expired, by then.
 constexpr Duration MaxInquiryTime = 10s;
 constexpr std::size_t MaxCases = 64;
-constexpr std::size_t MaxPromptsPerCase = 16;
+constexpr std::size_t MaxRequestsPerCase = 16;
 
 } // namespace
 
-void CrashInquiry::open(const std::string &server, std::int64_t startedAtMs, StoppedPrompt prompt,
+void CrashInquiry::open(const std::string &server, std::int64_t startedAtMs, StoppedRequest request,
                         AnswerLoss loss)
 {
     const bool known = m_cases.count(server) > 0;
-    if (prompt.sharedParts.empty() || (!known && m_cases.size() >= MaxCases))
+    if (request.suspects.empty() || (!known && m_cases.size() >= MaxCases))
         return;
     Case &opened = m_cases[server];
     if (!known || opened.startedAtMs != startedAtMs)
         opened = {startedAtMs, m_node.now(), false, {}};
     opened.connectionEnded = opened.connectionEnded || loss == AnswerLoss::ConnectionEnded;
-    if (opened.prompts.size() < MaxPromptsPerCase)
-        opened.prompts.push_back(std::move(prompt));
+    if (opened.requests.size() < MaxRequestsPerCase)
+        opened.requests.push_back(std::move(request));
     if (loss == AnswerLoss::ConnectionEnded)
         m_node.survey().probeUnlessProbedSince(server, opened.openedAt);
     scheduleCheck();
@@ -68,6 +68,16 @@
         scheduleCheck();
 }
 
+bool CrashInquiry::isOpen(const std::string &suspect) const
+{
+    const auto concerns = [&suspect](const StoppedRequest &it) {
+        return std::find(it.suspects.begin(), it.suspects.end(), suspect) != it.suspects.end();
+    };
+    return std::any_of(m_cases.begin(), m_cases.end(), [&](const auto &it) {
+        return std::any_of(it.second.requests.begin(), it.second.requests.end(), concerns);
+    });
+}
+
 void CrashInquiry::onProbeAnswer(const std::string &server)
 {
     const auto it = m_cases.find(server);
@@ -87,9 +97,9 @@
 
 void CrashInquiry::report(const std::string &server, const Case &opened)
 {
-    for (const StoppedPrompt &prompt : opened.prompts)
-        m_node.view().recordCrash(server, opened.startedAtMs, prompt.sharedParts,
-                                  prompt.undelivered, opened.openedAt);
+    for (const StoppedRequest &request : opened.requests)
+        m_node.view().recordCrash(server, opened.startedAtMs, request.suspects, request.undelivered,
+                                  opened.openedAt);
 }
 
 } // namespace dogwoodvalve
--- a/src/gateway/crash_inquiry.h
+++ b/src/gateway/crash_inquiry.h
@@ -20,10 +20,11 @@
     Silent,
 };
 
-/// A prompt whose answer has stopped soon after its beginning.
-struct StoppedPrompt
+/// A request whose answer has stopped soon after its beginning.
+struct StoppedRequest
 {
-    std::vector<std::string> sharedParts;
+    /// What may have caused a crash: the request's fingerprint and the shared parts of its prompt.
+    std::vector<std::string> suspects;
     /// No event of the answer had arrived.
     bool undelivered = false;
 };
@@ -39,20 +40,22 @@
         : m_node(node)
     { }
 
-    /// The answer to a prompt has stopped on this start of a server.
-    void open(const std::string &server, std::int64_t startedAtMs, StoppedPrompt prompt,
+    /// The answer to a request has stopped on this start of a server.
+    void open(const std::string &server, std::int64_t startedAtMs, StoppedRequest request,
               AnswerLoss loss);
+    /// Whether it is not known yet if a server has crashed that this may have crashed.
+    bool isOpen(const std::string &suspect) const;
     void onProbeAnswer(const std::string &server);
     void onProbeFailure(const std::string &server);
 
 private:
-    /// Prompts whose answers have stopped on one start of a server.
+    /// Requests whose answers have stopped on one start of a server.
     struct Case
     {
         std::int64_t startedAtMs = 0;
         TimePoint openedAt {};
         bool connectionEnded = false;
-        std::vector<StoppedPrompt> prompts;
+        std::vector<StoppedRequest> requests;
     };
 
     /// Probes the servers in question, and looks for those that have started again or are gone.
--- a/src/gateway/engine_prober.cpp
+++ b/src/gateway/engine_prober.cpp
@@ -2,6 +2,8 @@
 
 #include "core/mutation.h"
 #include "gateway/gateway_node.h"
+#include "net/endpoint.h"
+#include "net/listening_check.h"
 
 #include <algorithm>
 
@@ -13,6 +15,7 @@
 constexpr Duration ProbeInterval = 1s;
 /// Many streams stall at once when a server dies; one probe is enough for all of them.
 constexpr Duration MinProbeInterval = 300ms;
+constexpr Duration ListeningTimeout = 150ms;
 
 } // namespace
 
@@ -67,8 +70,7 @@
 
 void EngineProber::probeUnlessProbedSince(const std::string &server, TimePoint since)
 {
-    const ServerRegistration *known = m_node.view().registry().find(server);
-    if (known && isEngine(*known))
+    if (const ServerRegistration *known = m_node.view().registry().find(server))
         probe(*known, since);
 }
 
@@ -82,14 +84,22 @@
         return;
     m_probedAt[server.id] = now;
     m_node.view().recordRequest(server.id, server.startedAtMs);
+    if (isEngine(server))
+        readReport(server);
+    else
+        checkPlainServer(server);
+}
+
+void EngineProber::readReport(const ServerRegistration &server)
+{
     m_node.platform().engines->readReport(
         server,
         [this, id = server.id, startedAtMs = server.startedAtMs,
          alive = std::weak_ptr(m_alive)](const Result<EngineReport> &report) {
             if (alive.expired())
                 return;
-            const ServerRegistration *known = m_node.view().registry().find(id);
-            if (!known || known->startedAtMs != startedAtMs)
+            const ServerRegistration *known = findStart(id, startedAtMs);
+            if (!known)
                 return;
             if (report)
                 m_node.view().recordProbeAnswer(*known, report.value().slowness);
@@ -99,4 +109,27 @@
         });
 }
 
+void EngineProber::checkPlainServer(const ServerRegistration &server)
+{
+    const auto &configuration = m_node.view().configuration();
+    const ServiceRule *service =
+        configuration ? configuration->findService(server.service) : nullptr;
+    const auto endpoint = parseEndpoint(server.address);
+    if (!service || !endpoint)
+        return;
+    checkListening(m_node.loop(), endpoint.value(), service->healthPath, ListeningTimeout,
+                   [this, id = server.id, startedAtMs = server.startedAtMs,
+                    alive = std::weak_ptr(m_alive)](std::optional<bool> listening) {
+                       if (!alive.expired() && listening && findStart(id, startedAtMs))
+                           m_node.onProbe(id, *listening);
+                   });
+}
+
+const ServerRegistration *EngineProber::findStart(const std::string &id,
+                                                  std::int64_t startedAtMs) const
+{
+    const ServerRegistration *known = m_node.view().registry().find(id);
+    return known && known->startedAtMs == startedAtMs ? known : nullptr;
+}
+
 } // namespace dogwoodvalve
--- a/src/gateway/generation_session.cpp
+++ b/src/gateway/generation_session.cpp
@@ -151,7 +151,7 @@
         return;
     for (const ReservedPart *part : servers)
         m_node.crashes().open(part->server, part->startedAtMs,
-                              {m_request.caller.sharedPromptParts, !attempt.anyEvent()}, loss);
+                              {m_crashSuspects, !attempt.anyEvent()}, loss);
 }
 
 bool GenerationSession::mayHaveCrashed(const GenerationAttempt &attempt) const
@@ -177,7 +177,7 @@
 void GenerationSession::recordServed(GenerationAttempt &attempt)
 {
     if (!std::exchange(attempt.countedAsServed, true))
-        m_node.view().recordServed(m_request.caller.sharedPromptParts, attempt.begunAt());
+        m_node.view().recordServed(m_crashSuspects, attempt.begunAt());
 }
 
 void GenerationSession::addOutcomeFields(LogEvent &event) const
@@ -474,7 +474,7 @@
         return startWaitTimer(maxFailoverWait());
     const bool repeatable = m_request.route->retryPolicy == RetryPolicy::Resumable || !ran;
     if (repeatable && tryTakeRetry())
-        return held ? holdRetry() : startOrEnqueue(true);
+        return held ? holdRetry() : startUnlessSuspect(true);
     giveUp({ErrorKind::Unavailable, std::string(reason), "send it again later"}, RetryAfterRefusal);
 }
 
--- a/src/gateway/plain_session.cpp
+++ b/src/gateway/plain_session.cpp
@@ -104,6 +104,8 @@
 {
     const auto keep = shared_from_this();
     const bool success = m_answer.status >= 200 && m_answer.status < 300;
+    if (m_answer.stamped && m_answer.idMatches && !m_answer.notRun)
+        m_node.view().recordServed(m_crashSuspects, m_sentAt);
     if (m_answer.notRun)
         return handleFailedAttempt(ServerEvidence::Refused, "the server refused the request",
                                    false);
@@ -133,6 +135,9 @@
 {
     const auto keep = shared_from_this();
     const bool sent = m_client && m_client->anyByteSent();
+    if (sent)
+        m_node.crashes().open(m_server, m_serverStartedAtMs,
+                              {m_crashSuspects, m_answerBody.empty()}, AnswerLoss::ConnectionEnded);
     handleFailedAttempt(sent ? ServerEvidence::Failed : ServerEvidence::Unreachable, error.message,
                         sent);
 }
@@ -148,7 +153,7 @@
     m_mayHaveRun = ran || m_ranAttempts > 0;
     closeAttempts();
     if (tryBeginRetry(ran))
-        return startOrEnqueue(true);
+        return startUnlessSuspect(true);
     giveUp({ErrorKind::Unavailable, std::string(reason), "send it again later"}, RetryAfterRefusal);
 }
 
--- a/src/gateway/request_session.cpp
+++ b/src/gateway/request_session.cpp
@@ -23,6 +23,12 @@
 constexpr Duration ConnectTimeout = 150ms;
 /// Attempts that may end without the request having run, beyond the route's maximum of attempts.
 constexpr int MaxRefusedAttempts = 2;
+/// A request that may have crashed a server is held until it is known that it did not, but no
+/// longer than this, in which all hosts learn of a crash.
+constexpr Duration MaxSuspectHold = 300ms;
+constexpr Duration HoldCheckInterval = 20ms;
+/// Repeats of a request are held that may have crashed a server within this time.
+constexpr Duration SuspicionTime = 10s;
 /// Fraction of the route's target for the first byte that a request may wait here; the rest is left
 /// for the server.
 constexpr double MaxWaitFraction = 0.6;
@@ -56,6 +62,8 @@
     if (m_request.caller.deadline)
         allowed = std::min(allowed, *m_request.caller.deadline);
     m_deadline = m_request.arrivedAt + allowed;
+    m_crashSuspects = m_request.caller.sharedPromptParts;
+    m_crashSuspects.insert(m_crashSuspects.begin(), m_request.fingerprint);
 }
 
 void RequestSession::start()
@@ -71,7 +79,34 @@
         if (const auto session = weak.lock())
             session->onDeadline();
     });
-    startOrEnqueue(false);
+    startUnlessSuspect(false);
+}
+
+bool RequestSession::isSuspect() const
+{
+    return m_node.crashes().isOpen(m_request.fingerprint)
+        || m_node.view().quarantine().isSuspect(m_request.fingerprint,
+                                                m_node.now() - SuspicionTime);
+}
+
+void RequestSession::startUnlessSuspect(bool atFront)
+{
+    startWhenHoldEnds(atFront, m_node.now() + MaxSuspectHold);
+}
+
+void RequestSession::startWhenHoldEnds(bool atFront, TimePoint holdEndsAt)
+{
+    if (endIfQuarantined())
+        return;
+    const TimePoint now = m_node.now();
+    if (now >= holdEndsAt || !isSuspect() || mutated("gateway-hold-no-suspects"))
+        return startOrEnqueue(atFront);
+    m_suspectTimer = m_node.timers().schedule(now + HoldCheckInterval,
+                                              [weak = weak_from_this(), atFront, holdEndsAt] {
+                                                  const auto self = weak.lock();
+                                                  if (self && !self->m_ended)
+                                                      self->startWhenHoldEnds(atFront, holdEndsAt);
+                                              });
 }
 
 Duration RequestSession::maxUsefulWait() const
@@ -134,13 +169,15 @@
 
 bool RequestSession::endIfQuarantined()
 {
-    const auto part =
-        m_node.view().quarantine().find(m_request.caller.sharedPromptParts, m_node.now());
+    const auto part = m_node.view().quarantine().find(m_crashSuspects, m_node.now());
     if (!part || m_ended || attemptDelivers() || mutated("gateway-ignore-quarantine"))
         return false;
-    giveUp({ErrorKind::Unavailable, "part " + part->id + " of the prompt has crashed servers",
-            "leave this part out"},
-           part->until - m_node.now());
+    const bool whole = part->id == m_request.fingerprint;
+    const Error error {ErrorKind::Unavailable,
+                       whole ? "this request has crashed servers"
+                             : "part " + part->id + " of the prompt has crashed servers",
+                       whole ? "do not send it again" : "leave this part out"};
+    giveUp(error, part->until - m_node.now());
     return true;
 }
 
@@ -263,6 +300,7 @@
     m_request.exchange->onClosed(nullptr);
     m_node.timers().cancel(m_deadlineTimer);
     m_node.timers().cancel(m_waitTimer);
+    m_node.timers().cancel(m_suspectTimer);
     const bool hadOpenAttempt = attemptOpen();
     closeAttempts();
     m_node.metrics().countRequest(outcome);
--- a/src/gateway/request_session.h
+++ b/src/gateway/request_session.h
@@ -77,6 +77,9 @@
     /// before goes to the front of the queue. One that gets no capacity within the wait timeout
     /// gets its final answer then, unless an attempt is open.
     void startOrEnqueue(bool atFront);
+    /// As startOrEnqueue(), but while the request may have crashed a server, only after a moment:
+    /// other hosts may be about to tell of another crash.
+    void startUnlessSuspect(bool atFront);
     /// Limits the time in the queue, from now on.
     void startWaitTimer(Duration time);
     void leaveQueue();
@@ -101,6 +104,9 @@
 
     GatewayNode &m_node;
     AcceptedRequest m_request;
+    /// What could crash a server: the request itself, by its fingerprint, and the shared parts of
+    /// its prompt.
+    std::vector<std::string> m_crashSuspects;
     TimePoint m_deadline {};
     std::string m_pathText;
     int m_attempts = 0;
@@ -119,9 +125,13 @@
     /// ended the request.
     bool endIfServersPauseLonger(Duration longestWait);
     void onWaitTimeout();
+    /// Whether the request may have crashed a server a short while ago.
+    bool isSuspect() const;
+    void startWhenHoldEnds(bool atFront, TimePoint holdEndsAt);
 
     TimerId m_deadlineTimer = 0;
     TimerId m_waitTimer = 0;
+    TimerId m_suspectTimer = 0;
     /// The next attempt was taken from the retry budget and waits to be sent. It is not kept for
     /// later, when the budget may count it no more.
     bool m_retryTaken = false;
--- /dev/null
+++ b/src/net/listening_check.cpp
@@ -0,0 +1,64 @@
+#include "net/listening_check.h"
+
+#include "net/http_client.h"
+
+#include <memory>
+#include <utility>
+
+namespace dogwoodvalve {
+
+namespace {
+
+/// Makes one connection; owns itself until it has called back.
+class ListeningCheck : public HttpClientEvents, public std::enable_shared_from_this<ListeningCheck>
+{
+public:
+    ListeningCheck(LoopServices &loop, std::function<void(std::optional<bool>)> done)
+        : m_request(loop.createHttpClient())
+        , m_done(std::move(done))
+    { }
+
+    void start(const boost::asio::ip::tcp::endpoint &endpoint, const std::string &target,
+               Duration timeout)
+    {
+        m_self = shared_from_this();
+        HttpRequestHead head;
+        head.method = "GET";
+        head.target = target;
+        m_request->start(endpoint, head, timeout, *this);
+    }
+
+    void onConnected() override { finish(true); }
+    void onHead(int, std::span<const HttpField>) override { }
+    void onBody(std::string_view) override { }
+    void onEnd() override { finish(true); }
+    void onError(const Error &error) override
+    {
+        finish(error.kind == ErrorKind::Timeout ? std::nullopt : std::optional(false));
+    }
+
+private:
+    void finish(std::optional<bool> listening)
+    {
+        const auto keep = std::move(m_self);
+        if (!keep)
+            return;
+        m_request->close();
+        m_done(listening);
+    }
+
+    std::shared_ptr<HttpClientRequest> m_request;
+    std::function<void(std::optional<bool>)> m_done;
+    std::shared_ptr<ListeningCheck> m_self;
+};
+
+} // namespace
+
+void checkListening(LoopServices &loop, const boost::asio::ip::tcp::endpoint &endpoint,
+                    const std::string &target, Duration timeout,
+                    std::function<void(std::optional<bool>)> done)
+{
+    std::make_shared<ListeningCheck>(loop, std::move(done))->start(endpoint, target, timeout);
+}
+
+} // namespace dogwoodvalve
--- /dev/null
+++ b/src/net/listening_check.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include "net/loop_services.h"
+
+#include <boost/asio/ip/tcp.hpp>
+
+#include <functional>
+#include <optional>
+#include <string>
+
+namespace dogwoodvalve {
+
+/// Finds out whether a process listens at an address, without waiting for its answer: a server that
+/// is overloaded still accepts connections. Calls back with true once the connection is made, with
+/// false if it is refused, and with nothing if neither happens in time. The request for `target`
+/// may be sent before the connection is closed.
+void checkListening(LoopServices &loop, const boost::asio::ip::tcp::endpoint &endpoint,
+                    const std::string &target, Duration timeout,
+                    std::function<void(std::optional<bool>)> done);
+
+} // namespace dogwoodvalve
--- a/tests/simulation/crashing_request_test.cpp
+++ b/tests/simulation/crashing_request_test.cpp
@@ -97,6 +97,10 @@
     CPPUNIT_TEST(repeatsOfARequestThatCrashesServersAreStoppedOnAllHosts);
     CPPUNIT_TEST(soundRequestsBesideItAreServed);
     CPPUNIT_TEST(repeatsOfAGenerationThatCrashesEnginesAreStopped);
+    CPPUNIT_TEST(oneServerIsLeftWhenARequestHasCrashedTwo);
+    CPPUNIT_TEST(aStoppedRequestIsRefusedAsNotRun);
+    CPPUNIT_TEST(crashesWithoutACommonCauseStopNoRequest);
+    CPPUNIT_TEST(aLostAnswerOfALivingServerIsRepeatedAtOnce);
     CPPUNIT_TEST_SUITE_END();
 
     /// Hosts, and the only servers of the plain service.
@@ -203,6 +207,79 @@
                 countAfter(world.crashesByPrompt,
                            world.crashesByPrompt[CrashLimit - 1] + CrashBound));
     }
+
+    static std::shared_ptr<Call> sendCrashing(Fleet &fleet, int host)
+    {
+        return fleet.world.call("GET", CrashingTarget, {}, host);
+    }
+
+    static std::size_t stopped(const Fleet &fleet)
+    {
+        std::size_t n = 0;
+        for (const auto &host : fleet.world.hosts)
+            n += host->node.view().quarantine().quarantinedParts();
+        return n;
+    }
+
+    void oneServerIsLeftWhenARequestHasCrashedTwo()
+    {
+        Fleet fleet;
+        play(fleet.world, 10s, [&](int host) { return sendCrashing(fleet, host); });
+        CPPUNIT_ASSERT_EQUAL(std::size_t {2}, fleet.collect(&CrashingServer::crashes).size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t {Hosts}, stopped(fleet));
+    }
+
+    void aStoppedRequestIsRefusedAsNotRun()
+    {
+        Fleet fleet;
+        play(fleet.world, 2s, [&](int host) { return sendCrashing(fleet, host); });
+        const std::size_t runs = fleet.collect(&CrashingServer::crashingRuns).size();
+        const TimePoint sentAt = fleet.world.now();
+        const auto call = sendCrashing(fleet, 2);
+        fleet.world.run(1s);
+        CPPUNIT_ASSERT_EQUAL(503, call->answer.status);
+        CPPUNIT_ASSERT(call->answer.endedAt - sentAt < 20ms);
+        CPPUNIT_ASSERT(call->answer.body.find("not_run") != std::string::npos);
+        CPPUNIT_ASSERT(call->answer.body.find("this request has crashed servers")
+                       != std::string::npos);
+        CPPUNIT_ASSERT_EQUAL(runs, fleet.collect(&CrashingServer::crashingRuns).size());
+    }
+
+    void crashesWithoutACommonCauseStopNoRequest()
+    {
+        Fleet fleet;
+        std::vector<std::shared_ptr<Call>> calls;
+        for (int i = 0; i < 1200; ++i) {
+            // One request is sent again and again, as a caller that polls does.
+            calls.push_back(fleet.world.call(
+                "GET", i % 3 == 0 ? "/read/poll" : "/read/" + std::to_string(i), {}, i % Hosts));
+            fleet.world.run(SoundInterval);
+            if (i % 100 == 50)
+                fleet.servers[static_cast<std::size_t>(i / 100 % Servers)]->crash();
+        }
+        fleet.world.run(2s);
+        CPPUNIT_ASSERT_EQUAL(std::size_t {12}, fleet.collect(&CrashingServer::crashes).size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t {0}, stopped(fleet));
+        CPPUNIT_ASSERT_EQUAL(static_cast<int>(calls.size()), countServed(calls));
+    }
+
+    void aLostAnswerOfALivingServerIsRepeatedAtOnce()
+    {
+        Fleet fleet;
+        for (int i = 0; i < Servers - 1; ++i)
+            fleet.servers[static_cast<std::size_t>(i)]->resets = true;
+        int slow = 0;
+        for (int i = 0; i < 30; ++i) {
+            const TimePoint sentAt = fleet.world.now();
+            const auto call = fleet.world.call("GET", "/read/" + std::to_string(i), {}, i % Hosts);
+            fleet.world.run(1s);
+            const bool late =
+                call->answer.status == 200 && call->answer.endedAt - sentAt > RunTime + 100ms;
+            slow += late ? 1 : 0;
+        }
+        CPPUNIT_ASSERT_EQUAL(0, slow);
+        CPPUNIT_ASSERT_EQUAL(std::size_t {0}, stopped(fleet));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(CrashingRequestTest);
--- a/tests/simulation/gateway_world.h
+++ b/tests/simulation/gateway_world.h
@@ -34,6 +34,8 @@
 inline constexpr Duration CallerConnectTimeout = 1s;
 /// Time until engines have loaded their layers and all hosts know of them.
 inline constexpr Duration SettleTime = 6s;
+/// The path of health checks, unless the configuration names another one.
+inline constexpr const char *HealthPath = "/healthz";
 /// What a server sends that floods, in all.
 inline constexpr int FloodPieces = 64;
 inline constexpr std::size_t FloodPieceBytes = 1 << 20;
@@ -48,6 +50,9 @@
 public:
     void handle(const std::shared_ptr<HttpExchange> &exchange) override
     {
+        // A health check is no run.
+        if (exchange->target() == HealthPath)
+            return exchange->respond(200, extraFields, "");
         ++runs;
         ++m_runsByRequest[std::string(exchange->header("X-Request-Id"))];
         seenTenants.emplace_back(exchange->header("X-Tenant"));
--- a/tests/simulation/sim_http.cpp
+++ b/tests/simulation/sim_http.cpp
@@ -57,7 +57,7 @@
         m_process->timers().schedule(m_process->timers().now() + connectTimeout, [weak] {
             const auto client = weak.lock();
             if (client && client->m_events && !client->m_connection)
-                client->fail("the connection was not made in time");
+                client->fail("the connection was not made in time", ErrorKind::Timeout);
         });
         m_network.connect(m_process, address, [weak](std::shared_ptr<SimConnection> connection) {
             if (const auto client = weak.lock())
@@ -169,13 +169,13 @@
         }
     }
 
-    void fail(const std::string &message)
+    void fail(const std::string &message, ErrorKind kind = ErrorKind::Unavailable)
     {
         HttpClientEvents *events = m_events;
         const auto keep = self();
         close();
         if (events)
-            events->onError({ErrorKind::Unavailable, message, ""});
+            events->onError({kind, message, ""});
     }
 
     SimNetwork &m_network;
--- a/tests/unit/prompt_evidence_test.cpp
+++ b/tests/unit/prompt_evidence_test.cpp
@@ -55,6 +55,8 @@
     CPPUNIT_TEST(serversThatCrashTogetherAreOneCrash);
     CPPUNIT_TEST(aPartThatIsAnsweredAfterwardsIsCleared);
     CPPUNIT_TEST(aSharedFirstPartIsNotBlamed);
+    CPPUNIT_TEST(aPartIsBlamedBeforeTheRequestsThatHaveIt);
+    CPPUNIT_TEST(aRequestIsASuspectForAWhile);
     CPPUNIT_TEST(aPartThatTurnsBadIsQuarantined);
     CPPUNIT_TEST(aDisturbanceOfManyServersBlamesNoAnsweredPart);
     CPPUNIT_TEST(anAnswerThatHadDeliveredEventsIsNotBlamedBesideOneThatHadNot);
@@ -70,6 +72,32 @@
     CPPUNIT_TEST(digestsCarryCrashes);
     CPPUNIT_TEST_SUITE_END();
 
+    void aPartIsBlamedBeforeTheRequestsThatHaveIt()
+    {
+        PromptQuarantine quarantine;
+        crash(quarantine, "s", {"request:1", "bad"}, 0s);
+        crash(quarantine, "t", {"request:1", "bad"}, 1s);
+        CPPUNIT_ASSERT(quarantined(quarantine, "bad", 1s));
+        CPPUNIT_ASSERT(!quarantined(quarantine, "request:1", 1s));
+        // An answered part needs more evidence than a request that was never answered.
+        serve(quarantine, {"request:2", "good"}, 2s);
+        crash(quarantine, "u", {"request:3", "good"}, 3s);
+        crash(quarantine, "v", {"request:3", "good"}, 4s);
+        CPPUNIT_ASSERT(quarantined(quarantine, "request:3", 4s));
+        CPPUNIT_ASSERT(!quarantined(quarantine, "good", 4s));
+    }
+
+    void aRequestIsASuspectForAWhile()
+    {
+        PromptQuarantine quarantine;
+        crash(quarantine, "s", {"request:1"}, 10s);
+        CPPUNIT_ASSERT(quarantine.isSuspect("request:1", at(10s)));
+        CPPUNIT_ASSERT(!quarantine.isSuspect("request:1", at(11s)));
+        CPPUNIT_ASSERT(!quarantine.isSuspect("request:2", at(10s)));
+        serve(quarantine, {"request:1"}, 12s);
+        CPPUNIT_ASSERT(!quarantine.isSuspect("request:1", at(10s)));
+    }
+
     void aPartOfTwoCrashesIsQuarantined()
     {
         PromptQuarantine quarantine;
