--- a/tests/simulation/gateway_world.h
+++ b/tests/simulation/gateway_world.h
@@ -54,7 +54,8 @@
         if (exchange->target() == HealthPath)
             return exchange->respond(200, extraFields, "");
         ++runs;
-        ++m_runsByRequest[std::string(exchange->header("X-Request-Id"))];
+        requests.emplace_back(exchange->header("X-Request-Id"));
+        ++m_runsByRequest[requests.back()];
         seenTenants.emplace_back(exchange->header("X-Tenant"));
         if (!exchange->header("Api-Key").empty())
             seenTenants.emplace_back("key passed on");
@@ -86,6 +87,8 @@
     }
 
     int runs = 0;
+    /// Ids of the requests that have reached the server, in order.
+    std::vector<std::string> requests;
     int status = 200;
     /// Closes the connection without an answer.
     bool aborts = false;
