Bound the limits that other hosts report

A malformed or foreign digest could name a limit that is negative, zero or too large for an integer: the server would never be asked again, or the number of hosts would overflow. Found by reading; reportedLimitsAreBounded covers it and was not run on the code before. The bound has one place, which the adapter uses, too.

--- a/include/dogwoodvalve/server_rate_limits.h
+++ b/include/dogwoodvalve/server_rate_limits.h
@@ -30,6 +30,8 @@
     /// A server that accepts less, in requests per second, is still asked at this rate whether its
     /// limit has ended.
     static constexpr double MinLimit = 0.25;
+    /// A larger limit, in requests per second, limits nothing.
+    static constexpr double MaxLimit = 1e6;
 
     /// The number of hosts, at least one, among which a limit in requests per second is divided.
     static int maxSharingHosts(double perSecond);
@@ -87,7 +89,7 @@
     /// The record of this start of the server, with which its limit is replaced. Returns nullptr if
     /// a later start is known, or if there is no record and no limit.
     Record *recordOf(std::string_view id, std::int64_t startedAtMs, bool limited);
-    /// Returns whether that changes the limit.
+    /// Bounds the limit, which may have any value, and returns whether that changes it.
     static bool setLimit(Record &record, std::optional<double> perSecond, TimePoint answeredAt,
                          TimePoint now);
     static bool isLimited(const Record &record, std::int64_t startedAtMs);
--- a/src/core/server_rate_limits.cpp
+++ b/src/core/server_rate_limits.cpp
@@ -47,6 +47,8 @@
     // would exceed it together.
     if (!record.perSecond)
         record.bucket.drain(now);
+    if (perSecond)
+        perSecond = std::clamp(*perSecond, MinLimit, MaxLimit);
     record.answeredAt = answeredAt;
     return std::exchange(record.perSecond, perSecond) != perSecond;
 }
@@ -59,7 +61,7 @@
     if (!record)
         return false;
     if (perSecond)
-        return setLimit(*record, std::max(*perSecond, MinLimit), now, now);
+        return setLimit(*record, perSecond, now, now);
     // The answer may have been overtaken by one that names the limit.
     if (!record->perSecond || sentAt < record->answeredAt)
         return false;
--- a/tests/unit/rate_limit_test.cpp
+++ b/tests/unit/rate_limit_test.cpp
@@ -6,6 +6,7 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <cmath>
 #include <string>
 #include <vector>
 
@@ -78,6 +79,7 @@
     CPPUNIT_TEST(digestsCarryLimits);
     CPPUNIT_TEST(aHostKeepsToALimitThatAnotherHostWasTold);
     CPPUNIT_TEST(theEndOfALimitReachesOtherHosts);
+    CPPUNIT_TEST(reportedLimitsAreBounded);
     CPPUNIT_TEST_SUITE_END();
 
     void aLimitIsReadAsADecimalNumber()
@@ -225,6 +227,18 @@
         late["s"].age = 5s;
         CPPUNIT_ASSERT(other.merge(late, at(6s)).empty());
     }
+
+    void reportedLimitsAreBounded()
+    {
+        for (const double perSecond : {-1.0, 0.0, 1e300, HUGE_VAL}) {
+            ServerRateLimits limits;
+            limits.merge({{"s", {5, perSecond, 0s}}}, at(1s));
+            limits.updateShares(wholeLimit);
+            CPPUNIT_ASSERT(limits.ownRate("s", 5) >= ServerRateLimits::MinLimit);
+            CPPUNIT_ASSERT(limits.ownRate("s", 5) <= ServerRateLimits::MaxLimit);
+            CPPUNIT_ASSERT(*limits.acceptsAt("s", 5, at(1s)) <= at(6s));
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(RateLimitTest);
