--- a/src/gateway/host_digest_codec.cpp
+++ b/src/gateway/host_digest_codec.cpp
@@ -92,7 +92,7 @@
         return reports;
     for (const auto &[server, report] : it->items()) {
         CrashReport &decoded = reports[server];
-        decoded.age = durationOf(report.at(0));
+        decoded.age = std::max<Duration>(durationOf(report.at(0)), Duration::zero());
         for (const auto &[part, suspected] : report.at(1).items()) {
             const int standing =
                 std::clamp(suspected.at(0).get<int>(), 0, static_cast<int>(PartStanding::Cleared));
--- a/tests/unit/prompt_evidence_test.cpp
+++ b/tests/unit/prompt_evidence_test.cpp
@@ -3,6 +3,7 @@
 #include <dogwoodvalve/prompt_quarantine.h>
 
 #include <cppunit/extensions/HelperMacros.h>
+#include <nlohmann/json.hpp>
 
 using namespace dogwoodvalve;
 
@@ -70,6 +71,7 @@
     CPPUNIT_TEST(manyOtherCrashesDoNotEndAQuarantine);
     CPPUNIT_TEST(reportsAreBounded);
     CPPUNIT_TEST(digestsCarryCrashes);
+    CPPUNIT_TEST(aReportedCrashIsNotInTheFuture);
     CPPUNIT_TEST_SUITE_END();
 
     void aPartIsBlamedBeforeTheRequestsThatHaveIt()
@@ -98,6 +100,16 @@
         CPPUNIT_ASSERT(!quarantine.isSuspect("request:1", at(10s)));
     }
 
+    void aReportedCrashIsNotInTheFuture()
+    {
+        HostDigest digest;
+        digest.crashes["s:1"] = {1s, {{"bad", {}}}};
+        nlohmann::json value = nlohmann::json::from_cbor(encodeDigest(digest));
+        value["c"]["s:1"][0] = -60'000;
+        const auto decoded = decodeDigest(nlohmann::json::to_cbor(value));
+        CPPUNIT_ASSERT(std::get<HostDigest>(decoded.value()).crashes.at("s:1").age == 0s);
+    }
+
     void aPartOfTwoCrashesIsQuarantined()
     {
         PromptQuarantine quarantine;
