--- a/include/dogwoodvalve/server_health.h
+++ b/include/dogwoodvalve/server_health.h
@@ -134,10 +134,6 @@
         std::optional<TimePoint> probeFailedAt;
     };
 
-    /// Returns the record of this start of the server, creating or resetting it as needed. Returns
-    /// nullptr if a later start is known, or if there is no record and `create` is false.
-    Record *recordOf(std::string_view id, std::int64_t startedAtMs, bool create);
-
     std::map<std::string, Record, std::less<>> m_servers;
     std::map<std::string, Departure, std::less<>> m_departures;
     std::map<std::string, Pause, std::less<>> m_pauses;
--- a/include/dogwoodvalve/server_rate_limits.h
+++ b/include/dogwoodvalve/server_rate_limits.h
@@ -86,9 +86,6 @@
         TokenBucket bucket;
     };
 
-    /// The record of this start of the server, with which its limit is replaced. Returns nullptr if
-    /// a later start is known, or if there is no record and no limit.
-    Record *recordOf(std::string_view id, std::int64_t startedAtMs, bool limited);
     /// Bounds the limit, which may have any value, and returns whether that changes it.
     static bool setLimit(Record &record, std::optional<double> perSecond, TimePoint answeredAt,
                          TimePoint now);
--- a/src/core/server_health.cpp
+++ b/src/core/server_health.cpp
@@ -1,4 +1,5 @@
 #include "core/mutation.h"
+#include "core/start_records.h"
 
 #include <dogwoodvalve/server_health.h>
 
@@ -58,31 +59,12 @@
     return "unreachable";
 }
 
-ServerHealth::Record *ServerHealth::recordOf(std::string_view id, std::int64_t startedAtMs,
-                                             bool create)
-{
-    auto it = m_servers.find(id);
-    if (it == m_servers.end()) {
-        if (!create)
-            return nullptr;
-        it = m_servers.emplace(std::string(id), Record {}).first;
-        it->second.startedAtMs = startedAtMs;
-    }
-    if (startedAtMs < it->second.startedAtMs)
-        return nullptr;
-    if (startedAtMs > it->second.startedAtMs) {
-        it->second = Record {};
-        it->second.startedAtMs = startedAtMs;
-    }
-    return &it->second;
-}
-
 void ServerHealth::recordEvidence(std::string_view id, std::int64_t startedAtMs,
                                   ServerEvidence evidence, TimePoint now)
 {
     const bool good =
         evidence == ServerEvidence::Served || evidence == ServerEvidence::ProbeSucceeded;
-    Record *found = recordOf(id, startedAtMs, !good);
+    Record *found = recordOfStart(m_servers, id, startedAtMs, !good);
     if (!found)
         return;
     Record &record = *found;
@@ -132,7 +114,7 @@
 
 void ServerHealth::recordPeerSuspicion(std::string_view id, std::int64_t startedAtMs, TimePoint now)
 {
-    if (Record *record = recordOf(id, startedAtMs, true)) {
+    if (Record *record = recordOfStart(m_servers, id, startedAtMs, true)) {
         record->awaitsHeartbeat = true;
         record->unreachableAt = now;
     }
--- a/src/core/server_rate_limits.cpp
+++ b/src/core/server_rate_limits.cpp
@@ -1,4 +1,5 @@
 #include "core/mutation.h"
+#include "core/start_records.h"
 
 #include <dogwoodvalve/server_rate_limits.h>
 
@@ -21,25 +22,6 @@
     return std::max(1, static_cast<int>(perSecond / MinRatePerHost));
 }
 
-ServerRateLimits::Record *ServerRateLimits::recordOf(std::string_view id, std::int64_t startedAtMs,
-                                                     bool limited)
-{
-    auto it = m_servers.find(id);
-    if (it == m_servers.end()) {
-        if (!limited)
-            return nullptr;
-        it = m_servers.emplace(std::string(id), Record {}).first;
-        it->second.startedAtMs = startedAtMs;
-    }
-    if (startedAtMs < it->second.startedAtMs)
-        return nullptr;
-    if (startedAtMs > it->second.startedAtMs) {
-        it->second = Record {};
-        it->second.startedAtMs = startedAtMs;
-    }
-    return &it->second;
-}
-
 bool ServerRateLimits::setLimit(Record &record, std::optional<double> perSecond,
                                 TimePoint answeredAt, TimePoint now)
 {
@@ -57,7 +39,7 @@
                                     std::optional<double> perSecond, TimePoint sentAt,
                                     TimePoint now)
 {
-    Record *record = recordOf(id, startedAtMs, perSecond.has_value());
+    Record *record = recordOfStart(m_servers, id, startedAtMs, perSecond.has_value());
     if (!record)
         return false;
     if (perSecond)
@@ -74,7 +56,8 @@
     if (mutated("gateway-ignore-reported-limits"))
         return changed;
     for (const auto &[id, report] : reports) {
-        Record *record = recordOf(id, report.startedAtMs, report.perSecond.has_value());
+        Record *record =
+            recordOfStart(m_servers, id, report.startedAtMs, report.perSecond.has_value());
         if (!record)
             continue;
         const TimePoint answeredAt = now - report.age;
