--- a/src/gateway/request_session.cpp
+++ b/src/gateway/request_session.cpp
@@ -24,7 +24,7 @@
 /// Attempts that may end without the request having run, beyond the route's maximum of attempts.
 constexpr int MaxRefusedAttempts = 2;
 /// A request that may have crashed a server is held until it is known that it did not, but no
-/// longer than this, in which all hosts learn of a crash.
+/// longer than this, in which the findings of other hosts arrive in a fleet without relays.
 constexpr Duration MaxSuspectHold = 300ms;
 constexpr Duration HoldCheckInterval = 20ms;
 /// Repeats of a request are held that may have crashed a server within this time.
