Log the answers to look-ups, and count the servers that do not answer a host

The logs of the incident did not tell whether callers were sent to the hosts that were cut off from all servers (third hypothesis), and no metric showed that a host has lost its links. No logic changes.

--- a/src/gateway/gateway_metrics.cpp
+++ b/src/gateway/gateway_metrics.cpp
@@ -48,6 +48,8 @@
                                     "Parts of prompts in quarantine because of crashes"))
     , m_limitedServers(buildGauge(m_registry, "dogwoodvalve_limited_servers",
                                   "Servers that name a limit of their request rate"))
+    , m_unansweredProbes(buildGauge(m_registry, "dogwoodvalve_unanswered_servers",
+                                    "Servers that did not answer a recent probe of this host"))
 { }
 
 void GatewayMetrics::countRequest(std::string_view outcome)
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -35,6 +35,7 @@
     void setQuarantinedParts(std::size_t n) { m_quarantinedParts.Set(static_cast<double>(n)); }
     void setLimitedServers(std::size_t n) { m_limitedServers.Set(static_cast<double>(n)); }
     void setLiveHosts(int n) { m_liveHosts.Set(n); }
+    void setUnansweredProbes(std::size_t n) { m_unansweredProbes.Set(static_cast<double>(n)); }
 
     /// All metrics in Prometheus' text format.
     std::string text() const;
@@ -58,6 +59,7 @@
     prometheus::Gauge &m_liveHosts;
     prometheus::Gauge &m_quarantinedParts;
     prometheus::Gauge &m_limitedServers;
+    prometheus::Gauge &m_unansweredProbes;
 };
 
 } // namespace dogwoodvalve
--- a/src/gateway/gateway_node.cpp
+++ b/src/gateway/gateway_node.cpp
@@ -176,6 +176,7 @@
     m_metrics.setLiveHosts(m_view.hosts().liveHosts(now()));
     m_metrics.setLimitedServers(m_view.rateLimits().limitedServers());
     m_metrics.setQuarantinedParts(m_view.quarantine().quarantinedParts());
+    m_metrics.setUnansweredProbes(m_view.health().failedProbes(now()).size());
 }
 
 } // namespace dogwoodvalve
--- a/src/gateway/support_api.cpp
+++ b/src/gateway/support_api.cpp
@@ -1,5 +1,6 @@
 #include "gateway/support_api.h"
 
+#include "daemon/log.h"
 #include "net/compression.h"
 #include "net/http_status.h"
 #include "net/http_text.h"
@@ -77,6 +78,7 @@
     const std::string zone = m_node.dialect().lookupZone(exchange.target());
     const std::vector<std::string> addresses =
         chooseCallerAddresses(m_node.view().identity(), m_node.view().hosts(), zone, m_node.now());
+    LogEvent::decision("lookup").field("zone", zone).field("addresses", addresses);
     if (addresses.empty())
         return exchange.respond(StatusUnavailable, Json, "{}");
     exchange.respond(StatusOk, Json,
