Show that hosts without links to servers refuse all callers, as known red

Four of seven hosts serve 0 of 80 first tries from 3 s after the cut on, the others 60 of 60, whether connections hang, are reset or are refused; look-ups go on naming the four.

--- /dev/null
+++ b/tests/simulation/cut_off_hosts_test.cpp
@@ -0,0 +1,224 @@
+#include "simulation/gateway_world.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+
+using namespace dogwoodvalve;
+using namespace dogwoodvalve::simulation;
+using namespace dogwoodvalve::testtool;
+
+namespace {
+
+constexpr int Hosts = 7;
+constexpr int Engines = 6;
+constexpr int CutHosts = 4;
+/// Time after the begin of a cut from which its hosts must serve again.
+constexpr Duration NoticeTime = 3s;
+constexpr Duration CallInterval = 50ms;
+constexpr Duration LongestCall = 9s;
+
+/// How a host's links to the servers fail.
+enum class LinkLoss {
+    /// Everything is silent.
+    Hang,
+    /// Open connections break, new ones are refused.
+    Reset,
+    /// Open connections live on, new ones are refused.
+    Refuse,
+};
+
+/// First tries at some hosts.
+struct Tally
+{
+    int sent = 0;
+    int served = 0;
+};
+
+/// Hosts, engines and two plain servers, with ways to cut hosts off from all servers.
+class CutOffWorld : public GatewayWorld
+{
+public:
+    CutOffWorld()
+        : GatewayWorld(Hosts, Engines)
+    {
+        addPlainServer(m_secondPlain);
+        settle();
+    }
+
+    void cutOff(int host, LinkLoss loss)
+    {
+        for (const std::string &server : serverProcesses())
+            loseLink("host-" + std::to_string(host + 1), server, loss);
+    }
+
+    void cutOff(int first, int end, LinkLoss loss)
+    {
+        for (int host = first; host < end; ++host)
+            cutOff(host, loss);
+    }
+
+    /// Sends requests of all kinds to all hosts in turn.
+    void callFor(Duration time)
+    {
+        const TimePoint end = now() + time;
+        for (; now() < end; run(CallInterval))
+            callOnce();
+    }
+
+    /// Counts the first tries that callFor() has sent from the given time on.
+    Tally tally(bool atCutHosts, TimePoint from) const
+    {
+        Tally tally;
+        for (const Sent &sent : m_sent) {
+            if (sent.at < from || (sent.host < CutHosts) != atCutHosts)
+                continue;
+            ++tally.sent;
+            tally.served += isServed(sent) ? 1 : 0;
+        }
+        return tally;
+    }
+
+    int writesRunTwice() const
+    {
+        return static_cast<int>(
+            std::count_if(m_sent.begin(), m_sent.end(), [this](const Sent &sent) {
+                return sent.kind == 'w'
+                    && plain.runsOf(sent.id) + m_secondPlain.runsOf(sent.id) > 1;
+            }));
+    }
+
+    std::size_t quarantinedParts() const
+    {
+        std::size_t n = 0;
+        for (const auto &host : hosts)
+            n = std::max(n, host->node.view().quarantine().quarantinedParts());
+        return n;
+    }
+
+private:
+    struct Sent
+    {
+        char kind = 'g';
+        int host = 0;
+        std::string id;
+        TimePoint at {};
+        std::shared_ptr<Call> call;
+    };
+
+    static std::vector<std::string> serverProcesses()
+    {
+        std::vector<std::string> names {"plain", "plain-2"};
+        for (int i = 0; i < Engines; ++i)
+            names.push_back("engine-" + std::to_string(i + 1));
+        return names;
+    }
+
+    void loseLink(const std::string &host, const std::string &server, LinkLoss loss)
+    {
+        if (loss == LinkLoss::Hang) {
+            network().cut(host, server);
+            network().cut(server, host);
+            return;
+        }
+        if (loss == LinkLoss::Reset)
+            network().reset(host, server);
+        network().refuse(host, server);
+    }
+
+    void callOnce()
+    {
+        Sent sent;
+        sent.host = static_cast<int>(m_sent.size() % Hosts);
+        sent.kind = "ggrw"[m_sent.size() / Hosts % 4];
+        sent.at = now();
+        if (sent.kind == 'g')
+            sent.call = generateWith("aa:40", sent.host);
+        else
+            sent.call = call(sent.kind == 'r' ? "GET" : "POST",
+                             sent.kind == 'r' ? "/read/x" : "/write/x", {}, sent.host);
+        sent.id = lastId();
+        m_sent.push_back(std::move(sent));
+    }
+
+    static bool isServed(const Sent &sent)
+    {
+        const Answer &answer = sent.call->answer;
+        const std::string whole =
+            sent.kind == 'g' ? ForwardingEngine::wholeStream(sent.id) : std::string("done");
+        return answer.complete && answer.status == 200 && answer.body == whole;
+    }
+
+    FakePlainServer m_secondPlain;
+    std::vector<Sent> m_sent;
+};
+
+} // namespace
+
+/// Hosts that callers, the store and the other hosts reach, and that reach no server.
+class CutOffHostsTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(CutOffHostsTest);
+    CPPUNIT_TEST(callersAreServedByHostsWhoseLinksHang);
+    CPPUNIT_TEST(callersAreServedByHostsWhoseLinksAreReset);
+    CPPUNIT_TEST(callersAreServedByHostsWhoseNewConnectionsAreRefused);
+    CPPUNIT_TEST(lookUpsLeaveOutCutOffHosts);
+    CPPUNIT_TEST_SUITE_END();
+
+    static std::string describe(const Tally &cut, const Tally &others)
+    {
+        return std::to_string(cut.served) + " of " + std::to_string(cut.sent) + " served, "
+            + std::to_string(others.served) + " of " + std::to_string(others.sent) + " elsewhere";
+    }
+
+    static void expectServed(LinkLoss loss)
+    {
+        CutOffWorld world;
+        world.callFor(2s);
+        const TimePoint cutAt = world.now();
+        world.cutOff(0, CutHosts, loss);
+        world.callFor(10s);
+        world.run(LongestCall);
+        const Tally cut = world.tally(true, cutAt + NoticeTime);
+        const Tally others = world.tally(false, cutAt + NoticeTime);
+        const std::string text = describe(cut, others);
+        CPPUNIT_ASSERT_MESSAGE(text, others.served > 0 && cut.sent > 0);
+        CPPUNIT_ASSERT_MESSAGE(text, cut.served * others.sent * 3 >= others.served * cut.sent * 2);
+        CPPUNIT_ASSERT_EQUAL(0, world.writesRunTwice());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), world.quarantinedParts());
+    }
+
+    void callersAreServedByHostsWhoseLinksHang() { expectServed(LinkLoss::Hang); }
+    void callersAreServedByHostsWhoseLinksAreReset() { expectServed(LinkLoss::Reset); }
+    void callersAreServedByHostsWhoseNewConnectionsAreRefused() { expectServed(LinkLoss::Refuse); }
+
+    /// The number of hosts among the given ones that the answer to a look-up names.
+    static int named(CutOffWorld &world, int askedHost, int first, int end)
+    {
+        const auto call = world.lookUp(askedHost);
+        world.run(100ms);
+        int n = 0;
+        for (int host = first; host < end; ++host) {
+            const std::string address = "10.0.3." + std::to_string(host + 1) + ":80";
+            n += call->answer.body.find(address) != std::string::npos ? 1 : 0;
+        }
+        return n;
+    }
+
+    void lookUpsLeaveOutCutOffHosts()
+    {
+        CutOffWorld world;
+        world.cutOff(0, CutHosts, LinkLoss::Hang);
+        world.callFor(NoticeTime);
+        for (const int asked : {0, Hosts - 1}) {
+            CPPUNIT_ASSERT_EQUAL(0, named(world, asked, 0, CutHosts));
+            CPPUNIT_ASSERT_EQUAL(Hosts - CutHosts, named(world, asked, CutHosts, Hosts));
+        }
+        world.network().healAll();
+        world.callFor(2s);
+        for (const int asked : {0, Hosts - 1})
+            CPPUNIT_ASSERT_EQUAL(Hosts, named(world, asked, 0, Hosts));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(CutOffHostsTest);
--- a/tests/simulation/sim_network.cpp
+++ b/tests/simulation/sim_network.cpp
@@ -85,6 +85,31 @@
     close(m_ends[Connecting].process.get() == process ? Connecting : Accepting);
 }
 
+void SimConnection::reset()
+{
+    for (End &end : m_ends) {
+        const bool wasOpen = std::exchange(end.open, false);
+        const Closed closed = std::exchange(end.closed, nullptr);
+        end.received = nullptr;
+        if (wasOpen && closed)
+            end.process->deliver(closed);
+    }
+}
+
+void SimNetwork::reset(const std::string &one, const std::string &other)
+{
+    const auto connections = m_connections;
+    for (const auto &weak : connections) {
+        const auto connection = weak.lock();
+        if (!connection)
+            continue;
+        const std::string &from = connection->m_ends[SimConnection::Connecting].process->name();
+        const std::string &to = connection->m_ends[SimConnection::Accepting].process->name();
+        if ((from == one && to == other) || (from == other && to == one))
+            connection->reset();
+    }
+}
+
 SimNetwork::~SimNetwork()
 {
     for (const auto &weak : m_connections) {
@@ -123,7 +148,7 @@
             && (!passes(process->name(), it->second.process->name())
                 || !passes(it->second.process->name(), process->name())))
             return;
-        if (!listening)
+        if (!listening || m_refusals.count({process->name(), it->second.process->name()}) > 0)
             return process->deliver([connected] { connected(nullptr); });
         auto connection = std::make_shared<SimConnection>();
         connection->m_network = this;
--- a/tests/simulation/sim_network.h
+++ b/tests/simulation/sim_network.h
@@ -34,6 +34,8 @@
     void close(Side side);
     bool involves(const SimProcess *process) const;
     void processEnded(const SimProcess *process);
+    /// Ends the connection; both ends notice at once.
+    void reset();
 
 private:
     friend class SimNetwork;
@@ -85,7 +87,19 @@
     /// Lets nothing pass from one process to another.
     void cut(const std::string &from, const std::string &to) { m_cuts.insert({from, to}); }
     void heal(const std::string &from, const std::string &to) { m_cuts.erase({from, to}); }
-    void healAll() { m_cuts.clear(); }
+    void healAll()
+    {
+        m_cuts.clear();
+        m_refusals.clear();
+    }
+    /// Refuses the connections that one process makes to another. Open ones live on.
+    void refuse(const std::string &from, const std::string &to) { m_refusals.insert({from, to}); }
+    void endRefusal(const std::string &from, const std::string &to)
+    {
+        m_refusals.erase({from, to});
+    }
+    /// Breaks the open connections between two processes, at both ends.
+    void reset(const std::string &one, const std::string &other);
     bool passes(const std::string &from, const std::string &to) const
     {
         return m_cuts.count({from, to}) == 0;
@@ -108,6 +122,7 @@
     Random &m_random;
     std::map<std::string, Listener> m_listeners;
     std::set<std::pair<std::string, std::string>> m_cuts;
+    std::set<std::pair<std::string, std::string>> m_refusals;
     std::vector<std::weak_ptr<SimConnection>> m_connections;
 };
 
