Forward requests of a host that has lost its links to servers through other hosts

Cause: a connection that fails is evidence about a pair, host and server, and was kept as evidence about the server alone. A cut-off host ejected one server after the other and then knew of none. Look-ups went on naming it.

Change: a request whose connection fails, so that nothing was sent, is forwarded by another host, which connects to the server that was chosen here. Everything else stays at the first host: keys, deadline, attempts, retry budget, quarantine, limits. The other host sends it once or says that it did not; it never passes it on. Two servers that only other hosts reach, without a connection in between, show that the links of this host are lost: requests then go to other hosts at once, digests say so and look-ups leave the host out unless all hosts are cut off, and a check every 250 ms finds the end of it. Probes, orders and crash inquiries take the same way, so a cut is not reported as crashes.

--- a/include/dogwoodvalve/host_digest.h
+++ b/include/dogwoodvalve/host_digest.h
@@ -34,6 +34,8 @@
     std::uint64_t sequence = 0;
     bool ready = false;
     bool leaving = false;
+    /// The host has lost its links to the servers, and other hosts forward its requests.
+    bool cutOff = false;
     std::uint64_t configurationVersion = 0;
     /// How long ago the configuration was last confirmed to be the newest.
     Duration configurationAge {};
--- a/include/dogwoodvalve/host_table.h
+++ b/include/dogwoodvalve/host_table.h
@@ -185,7 +185,8 @@
 
 /// Returns the addresses of entry hosts that callers from a zone should use, best first. Hosts that
 /// are not ready or are leaving are never included. If the zone has too few hosts, hosts of other
-/// zones are appended, so that a caller has an alternative when one of them fails.
+/// zones are appended, so that a caller has an alternative when one of them fails. Hosts that have
+/// lost their links to the servers are included only if all have.
 std::vector<std::string> chooseCallerAddresses(const HostDigest &self, const HostTable &table,
                                                std::string_view zone, TimePoint now);
 
--- a/src/core/host_table.cpp
+++ b/src/core/host_table.cpp
@@ -1,3 +1,5 @@
+#include "core/mutation.h"
+
 #include <dogwoodvalve/hash.h>
 #include <dogwoodvalve/host_table.h>
 #include <dogwoodvalve/server_health.h>
@@ -48,7 +50,7 @@
 bool sameStanding(const HostDigest &l, const HostDigest &r)
 {
     return l.startedAtMs == r.startedAtMs && l.ready == r.ready && l.leaving == r.leaving
-        && l.configurationVersion == r.configurationVersion;
+        && l.cutOff == r.cutOff && l.configurationVersion == r.configurationVersion;
 }
 
 bool acceptsCallers(const HostDigest &digest)
@@ -469,9 +471,14 @@
 {
     std::vector<std::string> near;
     std::vector<std::string> far;
+    std::vector<std::string> cutOff;
     const auto add = [&](const HostDigest &digest) {
-        if (acceptsCallers(digest))
-            (digest.zone == zone ? near : far).push_back(digest.callerAddress);
+        if (!acceptsCallers(digest))
+            return;
+        auto &group = digest.cutOff && !mutated("gateway-name-cut-off-hosts") ? cutOff
+            : digest.zone == zone                                             ? near
+                                                                              : far;
+        group.push_back(digest.callerAddress);
     };
     add(self);
     for (const auto &[name, peer] : table.peers()) {
@@ -480,6 +487,8 @@
     }
     if (near.size() < MinCallerAddresses)
         near.insert(near.end(), far.begin(), far.end());
+    if (near.empty())
+        near = std::move(cutOff);
     if (near.size() > MaxCallerAddresses)
         near.resize(MaxCallerAddresses);
     return near;
--- a/src/gateway/fleet_view.h
+++ b/src/gateway/fleet_view.h
@@ -77,6 +77,8 @@
     /// This host's next digest, with the next sequence number, for sending to the other hosts.
     HostDigest nextDigest();
     void setLeaving();
+    /// Whether this host has lost its links to the servers.
+    void setCutOff(bool cutOff);
     void setKeyRevocation(Duration keyRevocation) { m_keyRevocation = keyRevocation; }
     bool leaving() const { return m_self.leaving; }
     /// Whether the host began to leave at least this long ago.
--- a/src/gateway/fleet_view_notices.cpp
+++ b/src/gateway/fleet_view_notices.cpp
@@ -8,6 +8,14 @@
 
 namespace dogwoodvalve {
 
+void FleetView::setCutOff(bool cutOff)
+{
+    m_self.cutOff = cutOff;
+    m_urgentUpdate = true;
+    if (cutOff)
+        m_health.withdrawUnreachable(m_timers.now());
+}
+
 std::vector<const ServerRegistration *> FleetView::availableServers(std::string_view service) const
 {
     std::vector<const ServerRegistration *> servers = m_registry.available(service);
--- /dev/null
+++ b/src/gateway/forwarded_request.cpp
@@ -0,0 +1,187 @@
+#include "gateway/forwarded_request.h"
+
+#include "daemon/log.h"
+#include "gateway/forwarding.h"
+#include "gateway/gateway_node.h"
+#include "net/endpoint.h"
+#include "net/http_status.h"
+
+#include <utility>
+
+namespace dogwoodvalve {
+
+namespace {
+
+constexpr std::size_t MaxBodyBytes = 16U << 20;
+/// Shorter than the time after which the other host looks for another way.
+constexpr Duration ConnectTimeout = 120ms;
+/// Reading from the server pauses while more bytes than this wait to be sent to the other host.
+constexpr std::size_t HighWaterBytes = 128 * 1024;
+
+/// Owns itself from start() until the exchange has ended.
+class ForwardedRequest : public HttpClientEvents,
+                         public std::enable_shared_from_this<ForwardedRequest>
+{
+public:
+    ForwardedRequest(GatewayNode &node, std::shared_ptr<HttpExchange> exchange)
+        : m_node(node)
+        , m_exchange(std::move(exchange))
+    { }
+
+    void start();
+
+    void onConnected() override;
+    void onHead(int status, std::span<const HttpField> fields) override;
+    void onBody(std::string_view part) override;
+    void onEnd() override;
+    void onError(const Error &error) override;
+
+private:
+    /// The registration of the server that the request names, if this host may send it there.
+    const ServerRegistration *findServer() const;
+    void sendToServer(const std::string &body);
+    void answer(ForwardOutcome outcome);
+    void finish(std::string_view outcome);
+
+    GatewayNode &m_node;
+    std::shared_ptr<HttpExchange> m_exchange;
+    std::optional<ForwardTarget> m_target;
+    std::shared_ptr<HttpClientRequest> m_client;
+    TimePoint m_startedAt {};
+    bool m_connected = false;
+    bool m_answered = false;
+    std::shared_ptr<ForwardedRequest> m_self;
+};
+
+void ForwardedRequest::start()
+{
+    m_self = shared_from_this();
+    m_node.forwardStarted();
+    m_target = decodeForwardTarget(m_exchange->target());
+    m_exchange->onClosed([weak = weak_from_this()] {
+        if (const auto self = weak.lock())
+            self->finish("other_host_left");
+    });
+    if (!m_target)
+        return answer(ForwardOutcome::Refused);
+    m_exchange->readBody(MaxBodyBytes,
+                         [self = shared_from_this()](const Result<std::string> &body) {
+                             if (!self->m_self)
+                                 return;
+                             if (!body)
+                                 return self->answer(ForwardOutcome::Refused);
+                             self->sendToServer(body.value());
+                         });
+}
+
+const ServerRegistration *ForwardedRequest::findServer() const
+{
+    FleetView &view = m_node.view();
+    const ServerRegistration *server = view.registry().find(m_target->server);
+    const bool usable = server && server->startedAtMs == m_target->startedAtMs && !server->draining
+        && !view.health().isLeaving(server->id, server->startedAtMs);
+    return usable && !view.leaving() && !m_node.connections().cutOff() ? server : nullptr;
+}
+
+void ForwardedRequest::sendToServer(const std::string &body)
+{
+    const ServerRegistration *server = findServer();
+    const auto endpoint = parseEndpoint(server ? server->address : "");
+    if (!server || !endpoint)
+        return answer(ForwardOutcome::Refused);
+    HttpRequestHead head;
+    head.method = m_exchange->method();
+    head.target = m_target->target;
+    head.fields = forwardedRequestFields(m_exchange->headers());
+    head.bodyBytes = body.size();
+    m_startedAt = m_node.now();
+    m_client = m_node.loop().createHttpClient();
+    m_client->start(endpoint.value(), head, ConnectTimeout, *this);
+    m_client->write(body);
+}
+
+void ForwardedRequest::onConnected()
+{
+    m_connected = true;
+    m_node.connections().recordConnected(m_target->server);
+}
+
+void ForwardedRequest::onHead(int status, std::span<const HttpField> fields)
+{
+    m_answered = true;
+    m_exchange->beginStream(status, forwardedAnswerFields(fields));
+}
+
+void ForwardedRequest::onBody(std::string_view part)
+{
+    m_exchange->write(part);
+    if (m_exchange->pendingBytes() <= HighWaterBytes)
+        return;
+    m_client->pauseReading(true);
+    m_exchange->onDrained([weak = weak_from_this()] {
+        const auto self = weak.lock();
+        if (self && self->m_client)
+            self->m_client->pauseReading(false);
+    });
+}
+
+void ForwardedRequest::onEnd()
+{
+    m_exchange->endStream();
+    finish("complete");
+}
+
+void ForwardedRequest::onError(const Error &error)
+{
+    if (m_answered) {
+        // Closing calls back, and the other host has not left.
+        m_exchange->onClosed(nullptr);
+        m_exchange->abort();
+        return finish("cut");
+    }
+    if (m_connected)
+        return answer(ForwardOutcome::Lost);
+    ServerConnections &connections = m_node.connections();
+    connections.recordFailed();
+    if (!connections.provenSince(m_startedAt))
+        return answer(ForwardOutcome::LinksUnproven);
+    answer(error.kind == ErrorKind::Timeout ? ForwardOutcome::TimedOut
+                                            : ForwardOutcome::Unreachable);
+}
+
+void ForwardedRequest::answer(ForwardOutcome outcome)
+{
+    const std::vector<HttpField> fields = forwardOutcomeFields(outcome);
+    m_exchange->onClosed(nullptr);
+    m_exchange->respond(StatusBadGateway, fields, "");
+    finish(fields.front().value);
+}
+
+void ForwardedRequest::finish(std::string_view outcome)
+{
+    const auto keep = std::exchange(m_self, nullptr);
+    if (!keep)
+        return;
+    m_node.forwardEnded();
+    m_exchange->onClosed(nullptr);
+    if (const auto client = std::exchange(m_client, nullptr))
+        client->close();
+    LogEvent::decision("forwarded_for")
+        .field("request", m_node.dialect().decodeRequest(*m_exchange).id)
+        .field("server", m_target ? m_target->server : "")
+        .field("outcome", outcome);
+}
+
+} // namespace
+
+bool isForwardedRequest(const HttpExchange &exchange)
+{
+    return decodeForwardTarget(exchange.target()).has_value();
+}
+
+void forwardRequest(GatewayNode &node, const std::shared_ptr<HttpExchange> &exchange)
+{
+    std::make_shared<ForwardedRequest>(node, exchange)->start();
+}
+
+} // namespace dogwoodvalve
--- a/src/gateway/gateway_metrics.cpp
+++ b/src/gateway/gateway_metrics.cpp
@@ -50,6 +50,10 @@
                                   "Servers that name a limit of their request rate"))
     , m_unansweredProbes(buildGauge(m_registry, "dogwoodvalve_unanswered_servers",
                                     "Servers that did not answer a recent probe of this host"))
+    , m_cutOff(buildGauge(m_registry, "dogwoodvalve_cut_off",
+                          "1 while this host has lost its links to the servers"))
+    , m_openForwards(buildGauge(m_registry, "dogwoodvalve_open_forwards",
+                                "Requests that this host forwards for other hosts"))
 { }
 
 void GatewayMetrics::countRequest(std::string_view outcome)
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -35,6 +35,8 @@
     void setQuarantinedParts(std::size_t n) { m_quarantinedParts.Set(static_cast<double>(n)); }
     void setLimitedServers(std::size_t n) { m_limitedServers.Set(static_cast<double>(n)); }
     void setLiveHosts(int n) { m_liveHosts.Set(n); }
+    void setCutOff(bool cutOff) { m_cutOff.Set(cutOff ? 1 : 0); }
+    void setOpenForwards(int n) { m_openForwards.Set(n); }
     void setUnansweredProbes(std::size_t n) { m_unansweredProbes.Set(static_cast<double>(n)); }
 
     /// All metrics in Prometheus' text format.
@@ -60,6 +62,8 @@
     prometheus::Gauge &m_quarantinedParts;
     prometheus::Gauge &m_limitedServers;
     prometheus::Gauge &m_unansweredProbes;
+    prometheus::Gauge &m_cutOff;
+    prometheus::Gauge &m_openForwards;
 };
 
 } // namespace dogwoodvalve
--- a/src/gateway/gateway_node.cpp
+++ b/src/gateway/gateway_node.cpp
@@ -51,12 +51,14 @@
     , m_settings(settings)
     , m_platform(std::move(platform))
     , m_view(loop.timers(), initialDigest(settings, startedAtMs), settings.keyRevocation)
+    , m_connections(*this)
     , m_survey(*this)
     , m_crashes(*this)
     , m_random(stableHash(settings.name, static_cast<std::uint64_t>(startedAtMs)))
 {
     m_view.setSuspicionHandler([this](const std::string &server) { checkSuspicion(server); });
     m_view.setQuarantineHandler([this] { m_loop.post([this] { endQuarantinedSessions(); }); });
+    m_platform.engines->setConnector(m_connections);
     m_platform.engines->setNoticeHandler([this](std::string_view id, std::int64_t serverStartedAtMs,
                                                 const ServerNotice &notice, TimePoint sentAt) {
         // An answer to a probe need not repeat the limit that answers to requests name.
@@ -176,6 +178,8 @@
     m_metrics.setLiveHosts(m_view.hosts().liveHosts(now()));
     m_metrics.setLimitedServers(m_view.rateLimits().limitedServers());
     m_metrics.setQuarantinedParts(m_view.quarantine().quarantinedParts());
+    m_metrics.setCutOff(m_connections.cutOff());
+    m_metrics.setOpenForwards(m_openForwards);
     m_metrics.setUnansweredProbes(m_view.health().failedProbes(now()).size());
 }
 
--- a/src/gateway/gateway_node.h
+++ b/src/gateway/gateway_node.h
@@ -6,6 +6,7 @@
 #include "gateway/gateway_metrics.h"
 #include "gateway/gateway_settings.h"
 #include "gateway/platform_interfaces.h"
+#include "gateway/server_connections.h"
 #include "gateway/wait_queue.h"
 
 #include <dogwoodvalve/random.h>
@@ -37,6 +38,7 @@
     GatewayPlatform &platform() { return m_platform; }
     EngineProber &survey() { return m_survey; }
     CrashInquiry &crashes() { return m_crashes; }
+    ServerConnections &connections() { return m_connections; }
     const CallerDialect &dialect() const { return *m_platform.dialect; }
     GatewayMetrics &metrics() { return m_metrics; }
     Random &random() { return m_random; }
@@ -59,6 +61,10 @@
     /// Ends all open requests with a final answer, shortly before the process exits.
     void endSessionsAtExit();
     std::size_t openSessions() const { return m_sessions.size(); }
+    /// A request that this host forwards for another one has begun or ended.
+    void forwardStarted() { ++m_openForwards; }
+    void forwardEnded() { --m_openForwards; }
+    int openForwards() const { return m_openForwards; }
 
     /// Starts the waiting requests of all services for which servers have capacity.
     void admitWaitingRequests();
@@ -76,6 +82,7 @@
     GatewaySettings m_settings;
     GatewayPlatform m_platform;
     FleetView m_view;
+    ServerConnections m_connections;
     EngineProber m_survey;
     CrashInquiry m_crashes;
     GatewayMetrics m_metrics;
@@ -83,6 +90,7 @@
     std::map<std::string, WaitQueue> m_queues;
     std::map<std::string, SharedRetryBudget> m_budgets;
     std::set<std::shared_ptr<RequestSession>> m_sessions;
+    int m_openForwards = 0;
 };
 
 } // namespace dogwoodvalve
--- a/src/gateway/gateway_process.cpp
+++ b/src/gateway/gateway_process.cpp
@@ -3,6 +3,7 @@
 #include "daemon/log.h"
 #include "gateway/front_api.h"
 #include "gateway/gateway_node.h"
+#include "gateway/peer_api.h"
 #include "gateway/peer_exchange.h"
 #include "gateway/placement_controller.h"
 #include "gateway/support_api.h"
@@ -69,10 +70,11 @@
         , m_placement(m_node)
         , m_frontApi(m_node)
         , m_supportApi(m_node)
+        , m_peerApi(m_node, m_supportApi)
         , m_front(m_loop, m_frontApi, callerLimits())
         , m_lookup(m_loop, m_supportApi, {})
         , m_readiness(m_loop, m_supportApi, {})
-        , m_peerServer(m_loop, m_supportApi, {})
+        , m_peerServer(m_loop, m_peerApi, callerLimits())
         , m_metricsServer(m_loop, m_supportApi, {})
     { }
 
@@ -206,7 +208,8 @@
     void pollDrainEnd()
     {
         const Duration elapsed = m_node.now() - m_drainStarted;
-        const bool empty = m_node.openSessions() == 0 && m_front.exchangesInFlight() == 0;
+        const bool empty = m_node.openSessions() == 0 && m_front.exchangesInFlight() == 0
+            && m_node.openForwards() == 0;
         if (empty && elapsed >= MinDrainTime)
             return m_loop.stop();
         if (elapsed >= m_node.settings().grace - GraceMargin - FinalAnswerTime) {
@@ -228,6 +231,7 @@
     PlacementController m_placement;
     FrontApi m_frontApi;
     SupportApi m_supportApi;
+    PeerApi m_peerApi;
     HttpServer m_front;
     HttpServer m_lookup;
     HttpServer m_readiness;
--- a/src/gateway/generation_session.cpp
+++ b/src/gateway/generation_session.cpp
@@ -71,7 +71,7 @@
     std::erase_if(servers, [this](const PathServer &server) {
         const auto suspected = m_suspectedAt.find(server.id);
         return m_excludedServers.count(std::string(server.id)) > 0
-            || (suspected != m_suspectedAt.end()
+            || (suspected != m_suspectedAt.end() && !m_node.connections().cutOff()
                 && m_node.now() - suspected->second < SuspicionTime);
     });
     const PathSelector selector(profile.layers, profile.stepsPerPass, HopCosts {});
@@ -321,8 +321,8 @@
         .field("events", m_deliveredEvents);
     inquireCrash(attempt, stalled, AnswerLoss::Silent);
     // With several stalled engines any of them may be the dead one, so a failure is recorded only
-    // if there is one.
-    if (stalled.size() == 1)
+    // if there is one. On a host without links all its streams stall.
+    if (stalled.size() == 1 && !m_node.connections().cutOff())
         reportEvidence(*stalled.front(), ServerEvidence::Unreachable);
     for (const ReservedPart *part : stalled) {
         m_suspectedAt[part->server] = m_node.now();
--- a/src/gateway/host_digest_codec.cpp
+++ b/src/gateway/host_digest_codec.cpp
@@ -33,11 +33,12 @@
 /// The state of a host without its load and its reports.
 json encodeState(const HostDigest &digest)
 {
-    return json::array(
-        {digest.name, digest.zone, digest.callerAddress, digest.peerAddress,
-         std::llround(digest.linkMbps), digest.startedAtMs, digest.sequence, digest.ready,
-         digest.leaving, digest.configurationVersion, ageMillis(digest.configurationAge),
-         encodeLogPosition(digest.registrationsEnd), ageMillis(digest.registrationsAge)});
+    return json::array({digest.name, digest.zone, digest.callerAddress, digest.peerAddress,
+                        std::llround(digest.linkMbps), digest.startedAtMs, digest.sequence,
+                        digest.ready, digest.leaving, digest.configurationVersion,
+                        ageMillis(digest.configurationAge),
+                        encodeLogPosition(digest.registrationsEnd),
+                        ageMillis(digest.registrationsAge), digest.cutOff});
 }
 
 /// Reads the values in the order in which encodeState writes them.
@@ -57,6 +58,8 @@
     digest.configurationAge = durationOf(value.at(10));
     digest.registrationsEnd = decodeLogPosition(value.at(11));
     digest.registrationsAge = durationOf(value.at(12));
+    // Hosts of earlier versions do not send it.
+    digest.cutOff = value.size() > 13 && value.at(13).get<bool>();
     return digest;
 }
 
--- a/src/gateway/platform_interfaces.h
+++ b/src/gateway/platform_interfaces.h
@@ -155,6 +155,16 @@
     double slowness = 1;
 };
 
+/// Creates clients for requests to servers.
+class ServerConnector
+{
+public:
+    virtual ~ServerConnector() = default;
+    /// A client for one request to a server. The label names the request in log lines.
+    virtual std::shared_ptr<HttpClientRequest> createClient(const ServerRegistration &server,
+                                                            std::string_view label) = 0;
+};
+
 /// Calls to engines outside of their request queues.
 class EngineControl
 {
@@ -167,6 +177,8 @@
     virtual ~EngineControl() = default;
     /// The handler is called for each answer that says anything, before its outcome is delivered.
     virtual void setNoticeHandler(NoticeHandler handler) = 0;
+    /// Must be called before the first call to an engine. The connector must outlive this object.
+    virtual void setConnector(ServerConnector &connector) = 0;
     virtual void orderLayers(const ServerRegistration &server, LayerSpan layers,
                              std::uint64_t fencingToken,
                              std::function<void(OrderOutcome)> done) = 0;
--- a/src/gateway/request_session.cpp
+++ b/src/gateway/request_session.cpp
@@ -240,7 +240,7 @@
         .field("time_left_ms", request.timeLeft.count() / 1000);
     HttpRequestHead head = m_node.dialect().encodeDispatch(*m_request.exchange, request);
     head.bodyBytes = m_request.body.size();
-    auto client = m_node.loop().createHttpClient();
+    auto client = m_node.connections().createClient(server, m_request.caller.id);
     client->start(endpoint.value(), head, ConnectTimeout, events);
     client->write(m_request.body);
     return client;
--- /dev/null
+++ b/src/gateway/server_connections.cpp
@@ -0,0 +1,161 @@
+#include "gateway/server_connections.h"
+
+#include "core/mutation.h"
+#include "daemon/log.h"
+#include "gateway/gateway_node.h"
+#include "gateway/server_request.h"
+#include "net/endpoint.h"
+#include "net/listening_check.h"
+
+#include <vector>
+
+namespace dogwoodvalve {
+
+namespace {
+
+/// A host that is cut off tries to connect to a server this often.
+constexpr Duration LinkCheckInterval = 250ms;
+constexpr Duration LinkCheckTimeout = 150ms;
+/// A host that did not forward a request is not asked again for this long.
+constexpr Duration ForwarderPause = 1s;
+/// A connection that was made this long before an attempt still proves the links.
+constexpr Duration RecentConnectionTime = 100ms;
+
+} // namespace
+
+ServerConnections::ServerConnections(GatewayNode &node)
+    : m_node(node)
+{ }
+
+std::shared_ptr<HttpClientRequest> ServerConnections::createClient(const ServerRegistration &server,
+                                                                   std::string_view label)
+{
+    return std::make_shared<ServerRequest>(m_node, server, label);
+}
+
+bool ServerConnections::connectsDirectly(std::string_view server) const
+{
+    return m_links.connectsDirectly(server, m_node.now());
+}
+
+bool ServerConnections::provenSince(TimePoint at) const
+{
+    return m_links.provenSince(at - RecentConnectionTime);
+}
+
+void ServerConnections::recordConnected(std::string_view server)
+{
+    const bool wasCutOff = cutOff();
+    m_links.recordConnected(server, m_node.now());
+    if (wasCutOff != cutOff())
+        onLinksChanged();
+}
+
+void ServerConnections::recordFailed()
+{
+    m_links.recordFailed();
+}
+
+void ServerConnections::recordBypassed(std::string_view server, std::int64_t startedAtMs)
+{
+    const bool wasCutOff = cutOff();
+    m_links.recordBypassed(server, m_node.now());
+    m_node.view().health().recordEvidence(server, startedAtMs, ServerEvidence::ProbeSucceeded,
+                                          m_node.now());
+    if (wasCutOff != cutOff())
+        onLinksChanged();
+}
+
+void ServerConnections::onLinksChanged()
+{
+    LogEvent(cutOff() ? "server_links_lost" : "server_links_restored")
+        .field("servers", m_node.view().registry().servers().size())
+        .field("hosts", m_node.view().hosts().liveHosts(m_node.now()));
+    m_node.view().setCutOff(cutOff());
+    if (cutOff())
+        scheduleCheck();
+    m_node.loop().post([this, alive = std::weak_ptr(m_alive)] {
+        if (!alive.expired())
+            m_node.admitWaitingRequests();
+    });
+}
+
+std::vector<const HostDigest *> ServerConnections::forwarders(const std::set<std::string> &tried)
+{
+    std::vector<const HostDigest *> candidates;
+    if (mutated("gateway-no-forwarders"))
+        return candidates;
+    const TimePoint now = m_node.now();
+    std::erase_if(m_avoidedUntil, [now](const auto &entry) { return entry.second <= now; });
+    const HostTable &hosts = m_node.view().hosts();
+    for (const auto &[name, peer] : hosts.peers()) {
+        const HostDigest &host = peer.digest;
+        if (hosts.isLive(peer, now) && host.ready && !host.leaving && !host.cutOff
+            && !host.peerAddress.empty() && name != m_node.settings().name && tried.count(name) == 0
+            && m_avoidedUntil.count(name) == 0)
+            candidates.push_back(&host);
+    }
+    return candidates;
+}
+
+std::optional<ServerConnections::Forwarder>
+ServerConnections::chooseForwarder(const std::set<std::string> &tried)
+{
+    const std::vector<const HostDigest *> candidates = forwarders(tried);
+    if (candidates.empty())
+        return std::nullopt;
+    const HostDigest &chosen = *candidates[m_node.random().next() % candidates.size()];
+    return Forwarder {chosen.name, chosen.peerAddress};
+}
+
+void ServerConnections::avoid(const std::string &host)
+{
+    m_avoidedUntil[host] = m_node.now() + ForwarderPause;
+}
+
+void ServerConnections::scheduleCheck()
+{
+    m_node.timers().schedule(m_node.now() + LinkCheckInterval,
+                             [this, alive = std::weak_ptr(m_alive)] {
+                                 if (!alive.expired() && cutOff())
+                                     checkLinks();
+                             });
+}
+
+const ServerRegistration *ServerConnections::anyServer() const
+{
+    FleetView &view = m_node.view();
+    std::vector<const ServerRegistration *> servers;
+    for (const auto &[id, server] : view.registry().servers()) {
+        if (!server.draining && view.health().acceptsCalls(id, server.startedAtMs, m_node.now()))
+            servers.push_back(&server);
+    }
+    return servers.empty() ? nullptr : servers[m_node.random().next() % servers.size()];
+}
+
+void ServerConnections::checkLinks()
+{
+    scheduleCheck();
+    const ServerRegistration *server = anyServer();
+    const auto &configuration = m_node.view().configuration();
+    const ServiceRule *service =
+        server && configuration ? configuration->findService(server->service) : nullptr;
+    if (!service)
+        return;
+    const auto endpoint = parseEndpoint(server->address);
+    if (!endpoint)
+        return;
+    m_node.view().recordRequest(server->id, server->startedAtMs);
+    checkListening(
+        m_node.loop().createHttpClient(), endpoint.value(), service->healthPath, LinkCheckTimeout,
+        [this, id = server->id, alive = std::weak_ptr(m_alive)](std::optional<bool> listening) {
+            if (alive.expired())
+                return;
+            if (listening.value_or(false))
+                recordConnected(id);
+            else
+                recordFailed();
+        });
+}
+
+} // namespace dogwoodvalve
--- /dev/null
+++ b/src/gateway/server_connections.h
@@ -0,0 +1,75 @@
+#pragma once
+
+#include "gateway/platform_interfaces.h"
+
+#include <dogwoodvalve/host_digest.h>
+#include <dogwoodvalve/server_links.h>
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace dogwoodvalve {
+
+class GatewayNode;
+
+/// The connections of this host to servers. A request to a server to which the host can't connect
+/// is forwarded by another host, if one can. All decisions about the request stay here: the other
+/// host sends it to the named server or says that it did not, and never passes it on to a third
+/// host. While the host is cut off from all servers, it says so in its digests, so that look-ups
+/// name other hosts, and it checks regularly whether it reaches a server again.
+class ServerConnections : public ServerConnector
+{
+public:
+    explicit ServerConnections(GatewayNode &node);
+
+    std::shared_ptr<HttpClientRequest> createClient(const ServerRegistration &server,
+                                                    std::string_view label) override;
+
+    /// Whether this host, but not every other one, has lost its links to the servers.
+    bool cutOff() const { return m_links.cutOff(); }
+    bool connectsDirectly(std::string_view server) const;
+    /// Whether the host has connected to some server since the given time, or shortly before.
+    bool provenSince(TimePoint at) const;
+
+    /// This host has connected to a server itself, or could not.
+    void recordConnected(std::string_view server);
+    void recordFailed();
+    /// Another host has connected to a server for this one.
+    void recordBypassed(std::string_view server, std::int64_t startedAtMs);
+
+    /// A host that may forward requests to servers.
+    struct Forwarder
+    {
+        std::string name;
+        std::string address;
+    };
+
+    /// A random one of the live hosts that have not lost their links, except those that were tried
+    /// or failed a moment ago. Returns nothing if there is none.
+    std::optional<Forwarder> chooseForwarder(const std::set<std::string> &tried);
+    /// Whether chooseForwarder() would return a host if none had been tried.
+    bool anyForwarder() { return !forwarders({}).empty(); }
+    /// The host did not forward a request.
+    void avoid(const std::string &host);
+
+private:
+    std::vector<const HostDigest *> forwarders(const std::set<std::string> &tried);
+    void onLinksChanged();
+    void checkLinks();
+    void scheduleCheck();
+    /// A random server that accepts calls, or nullptr.
+    const ServerRegistration *anyServer() const;
+
+    GatewayNode &m_node;
+    ServerLinks m_links;
+    /// Until when hosts are not asked to forward requests, by name.
+    std::map<std::string, TimePoint> m_avoidedUntil;
+    std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
+};
+
+} // namespace dogwoodvalve
--- a/src/net/buffered_request.cpp
+++ b/src/net/buffered_request.cpp
@@ -14,9 +14,10 @@
                         public std::enable_shared_from_this<BufferedRequest>
 {
 public:
-    BufferedRequest(LoopServices &loop, std::function<void(Result<HttpResponse>)> done)
-        : m_timers(loop.timers())
-        , m_request(loop.createHttpClient())
+    BufferedRequest(TimerService &timers, std::shared_ptr<HttpClientRequest> client,
+                    std::function<void(Result<HttpResponse>)> done)
+        : m_timers(timers)
+        , m_request(std::move(client))
         , m_done(std::move(done))
     { }
 
@@ -70,10 +71,20 @@
 void sendBufferedRequest(LoopServices &loop, const boost::asio::ip::tcp::endpoint &endpoint,
                          HttpRequestHead head, const std::string &body, Duration timeout,
                          std::function<void(Result<HttpResponse>)> done)
+{
+    sendBufferedRequest(loop.timers(), loop.createHttpClient(), endpoint, std::move(head), body,
+                        timeout, std::move(done));
+}
+
+void sendBufferedRequest(TimerService &timers, std::shared_ptr<HttpClientRequest> client,
+                         const boost::asio::ip::tcp::endpoint &endpoint, HttpRequestHead head,
+                         const std::string &body, Duration timeout,
+                         std::function<void(Result<HttpResponse>)> done)
 {
     head.chunked = false;
     head.bodyBytes = body.size();
-    std::make_shared<BufferedRequest>(loop, std::move(done))->start(endpoint, head, body, timeout);
+    std::make_shared<BufferedRequest>(timers, std::move(client), std::move(done))
+        ->start(endpoint, head, body, timeout);
 }
 
 Result<std::string> bodyIfOk(Result<HttpResponse> reply)
--- a/src/net/buffered_request.h
+++ b/src/net/buffered_request.h
@@ -23,6 +23,11 @@
 void sendBufferedRequest(LoopServices &loop, const boost::asio::ip::tcp::endpoint &endpoint,
                          HttpRequestHead head, const std::string &body, Duration timeout,
                          std::function<void(Result<HttpResponse>)> done);
+/// As above, with a client that has not been started.
+void sendBufferedRequest(TimerService &timers, std::shared_ptr<HttpClientRequest> client,
+                         const boost::asio::ip::tcp::endpoint &endpoint, HttpRequestHead head,
+                         const std::string &body, Duration timeout,
+                         std::function<void(Result<HttpResponse>)> done);
 
 /// The body of a response with status 200. Errors: those of the request; Unavailable for any other
 /// status.
--- a/src/net/listening_check.cpp
+++ b/src/net/listening_check.cpp
@@ -13,8 +13,9 @@
 class ListeningCheck : public HttpClientEvents, public std::enable_shared_from_this<ListeningCheck>
 {
 public:
-    ListeningCheck(LoopServices &loop, std::function<void(std::optional<bool>)> done)
-        : m_request(loop.createHttpClient())
+    ListeningCheck(std::shared_ptr<HttpClientRequest> client,
+                   std::function<void(std::optional<bool>)> done)
+        : m_request(std::move(client))
         , m_done(std::move(done))
     { }
 
@@ -54,11 +55,12 @@
 
 } // namespace
 
-void checkListening(LoopServices &loop, const boost::asio::ip::tcp::endpoint &endpoint,
-                    const std::string &target, Duration timeout,
-                    std::function<void(std::optional<bool>)> done)
+void checkListening(std::shared_ptr<HttpClientRequest> client,
+                    const boost::asio::ip::tcp::endpoint &endpoint, const std::string &target,
+                    Duration timeout, std::function<void(std::optional<bool>)> done)
 {
-    std::make_shared<ListeningCheck>(loop, std::move(done))->start(endpoint, target, timeout);
+    std::make_shared<ListeningCheck>(std::move(client), std::move(done))
+        ->start(endpoint, target, timeout);
 }
 
 } // namespace dogwoodvalve
--- a/src/net/listening_check.h
+++ b/src/net/listening_check.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "net/loop_services.h"
+#include "net/http_client.h"
 
 #include <boost/asio/ip/tcp.hpp>
 
@@ -13,9 +13,9 @@
 /// Finds out whether a process listens at an address, without waiting for its answer: a server that
 /// is overloaded still accepts connections. Calls back with true once the connection is made, with
 /// false if it is refused, and with nothing if neither happens in time. The request for `target`
-/// may be sent before the connection is closed.
-void checkListening(LoopServices &loop, const boost::asio::ip::tcp::endpoint &endpoint,
-                    const std::string &target, Duration timeout,
-                    std::function<void(std::optional<bool>)> done);
+/// may be sent before the connection is closed. The client must not have been started.
+void checkListening(std::shared_ptr<HttpClientRequest> client,
+                    const boost::asio::ip::tcp::endpoint &endpoint, const std::string &target,
+                    Duration timeout, std::function<void(std::optional<bool>)> done);
 
 } // namespace dogwoodvalve
--- a/tests/simulation/cut_off_hosts_test.cpp
+++ b/tests/simulation/cut_off_hosts_test.cpp
@@ -35,6 +35,27 @@
     int served = 0;
 };
 
+/// A server that answers nothing.
+class HoldingServer : public HttpHandler
+{
+public:
+    void handle(const std::shared_ptr<HttpExchange> &exchange) override
+    {
+        if (exchange->target() == HealthPath)
+            return exchange->respond(200, {}, "");
+        ++runs;
+        m_held.push_back(exchange);
+        exchange->onClosed([this] { ++closed; });
+    }
+
+    int runs = 0;
+    /// Requests whose connection was closed before their answer.
+    int closed = 0;
+
+private:
+    std::vector<std::shared_ptr<HttpExchange>> m_held;
+};
+
 /// Hosts, engines and two plain servers, with ways to cut hosts off from all servers.
 class CutOffWorld : public GatewayWorld
 {
@@ -46,6 +67,23 @@
         settle();
     }
 
+    /// Replaces both plain servers.
+    void holdPlainRequests(HoldingServer &holding)
+    {
+        serveHttp(network(), PlainAddress, process("plain"), holding);
+        serveHttp(network(), SecondPlainAddress, process("plain-2"), holding);
+    }
+
+    /// The host that has an open request of another host to forward, or -1.
+    int forwardingHost(int firstCandidate) const
+    {
+        for (int i = firstCandidate; i < Hosts; ++i) {
+            if (hosts[static_cast<std::size_t>(i)]->forwarding())
+                return i;
+        }
+        return -1;
+    }
+
     void cutOff(int host, LinkLoss loss)
     {
         for (const std::string &server : serverProcesses())
@@ -163,6 +201,14 @@
     CPPUNIT_TEST(callersAreServedByHostsWhoseLinksAreReset);
     CPPUNIT_TEST(callersAreServedByHostsWhoseNewConnectionsAreRefused);
     CPPUNIT_TEST(lookUpsLeaveOutCutOffHosts);
+    CPPUNIT_TEST(requestsAreRefusedAtOnceWhenAllHostsAreCutOff);
+    CPPUNIT_TEST(crashedServersAreNotTakenForLostLinks);
+    CPPUNIT_TEST(aStreamGoesOnWhenItsForwarderIsKilled);
+    CPPUNIT_TEST(anUnsafeRequestRunsOnceWhenItsForwarderIsKilled);
+    CPPUNIT_TEST(aServerIsToldWhenTheCallerOfAForwardedRequestLeaves);
+    CPPUNIT_TEST(requestsAreForwardedOnceOnly);
+    CPPUNIT_TEST(callersCanNotHaveRequestsForwarded);
+    CPPUNIT_TEST(enginesGetTheirLayersWhileTheHolderOfTheLeaseIsCutOff);
     CPPUNIT_TEST_SUITE_END();
 
     static std::string describe(const Tally &cut, const Tally &others)
@@ -219,6 +265,118 @@
         for (const int asked : {0, Hosts - 1})
             CPPUNIT_ASSERT_EQUAL(Hosts, named(world, asked, 0, Hosts));
     }
+
+    void requestsAreRefusedAtOnceWhenAllHostsAreCutOff()
+    {
+        CutOffWorld world;
+        world.cutOff(0, Hosts, LinkLoss::Refuse);
+        world.callFor(NoticeTime);
+        const TimePoint sentAt = world.now();
+        const auto call = world.generate();
+        world.run(2s);
+        CPPUNIT_ASSERT_EQUAL(503, call->answer.status);
+        CPPUNIT_ASSERT(call->answer.endedAt - sentAt < 500ms);
+        CPPUNIT_ASSERT_EQUAL(Hosts, named(world, 0, 0, Hosts));
+    }
+
+    void crashedServersAreNotTakenForLostLinks()
+    {
+        CutOffWorld world;
+        for (int i = 0; i < Engines / 2; ++i)
+            world.engines[static_cast<std::size_t>(i)]->setFault(EngineFault::Dark);
+        world.network().stopListening(PlainAddress);
+        world.network().stopListening(SecondPlainAddress);
+        for (int i = 0; i < 20; ++i) {
+            world.callFor(200ms);
+            CPPUNIT_ASSERT_EQUAL(Hosts, named(world, Hosts - 1, 0, Hosts));
+        }
+    }
+
+    void aStreamGoesOnWhenItsForwarderIsKilled()
+    {
+        CutOffWorld world;
+        world.cutOff(0, LinkLoss::Refuse);
+        world.callFor(NoticeTime);
+        world.run(LongestCall);
+        const auto call = world.generate(0);
+        const std::string id = world.lastId();
+        world.run(200ms);
+        const int forwarder = world.forwardingHost(1);
+        CPPUNIT_ASSERT(forwarder > 0);
+        world.endHost(forwarder);
+        world.run(LongestCall);
+        CPPUNIT_ASSERT_EQUAL(200, call->answer.status);
+        CPPUNIT_ASSERT_EQUAL(ForwardingEngine::wholeStream(id), call->answer.body);
+    }
+
+    void anUnsafeRequestRunsOnceWhenItsForwarderIsKilled()
+    {
+        CutOffWorld world;
+        HoldingServer holding;
+        world.holdPlainRequests(holding);
+        world.cutOff(0, LinkLoss::Refuse);
+        world.callFor(NoticeTime);
+        world.run(LongestCall);
+        const int before = holding.runs;
+        const auto call = world.call("POST", "/write/x", {{"X-Deadline-Ms", "3000"}}, 0);
+        world.run(100ms);
+        CPPUNIT_ASSERT_EQUAL(before + 1, holding.runs);
+        world.endHost(world.forwardingHost(1));
+        world.run(4s);
+        CPPUNIT_ASSERT_EQUAL(502, call->answer.status);
+        CPPUNIT_ASSERT_EQUAL(before + 1, holding.runs);
+    }
+
+    void aServerIsToldWhenTheCallerOfAForwardedRequestLeaves()
+    {
+        CutOffWorld world;
+        HoldingServer holding;
+        world.holdPlainRequests(holding);
+        world.cutOff(0, LinkLoss::Refuse);
+        const auto call = world.call("POST", "/write/x", {}, 0);
+        world.run(300ms);
+        CPPUNIT_ASSERT_EQUAL(1, holding.runs);
+        call->client->close();
+        world.run(300ms);
+        CPPUNIT_ASSERT_EQUAL(1, holding.closed);
+    }
+
+    void requestsAreForwardedOnceOnly()
+    {
+        CutOffWorld world;
+        world.cutOff(0, Hosts, LinkLoss::Hang);
+        const auto forwarded = world.forwardThrough(1, "/forward/p-1/0/read/x", "82");
+        world.run(1s);
+        CPPUNIT_ASSERT_EQUAL(502, forwarded->answer.status);
+        for (int i = 0; i < Hosts; ++i)
+            CPPUNIT_ASSERT(!world.hosts[static_cast<std::size_t>(i)]->forwarding());
+    }
+
+    void callersCanNotHaveRequestsForwarded()
+    {
+        CutOffWorld world;
+        for (const char *port : {"80", "81"}) {
+            const auto call = world.forwardThrough(1, "/forward/p-1/0/read/x", port);
+            world.run(1s);
+            CPPUNIT_ASSERT(call->answer.ended && call->answer.status >= 400);
+        }
+        CPPUNIT_ASSERT_EQUAL(0, world.plain.runs);
+        const auto call = world.forwardThrough(1, "/forward/p-1/0/read/x", "82");
+        world.run(1s);
+        CPPUNIT_ASSERT_EQUAL(200, call->answer.status);
+        CPPUNIT_ASSERT_EQUAL(1, world.plain.runs);
+    }
+
+    void enginesGetTheirLayersWhileTheHolderOfTheLeaseIsCutOff()
+    {
+        CutOffWorld world;
+        for (int host = 0; host < Hosts - 1; ++host)
+            world.cutOff(host, LinkLoss::Refuse);
+        world.callFor(2s);
+        world.restartEngine(0);
+        world.callFor(8s);
+        CPPUNIT_ASSERT(!world.engines[0]->layers().empty());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(CutOffHostsTest);
