Look for a way to servers while it is in doubt whether the links or the servers fail

What callers saw: after a cut of all hosts had ended at the first of them, or at all, hosts went on refusing requests for up to eight seconds.

Cause: while no host reaches a server, no other host can show that the links are at fault, so each failure ejects a server, for a time that doubles. Afterwards there is no server left to which a request could show that the links are back.

Change: failures at several servers in a row, not confirmed by a host that reaches others, put the links in doubt.

--- a/include/dogwoodvalve/server_health.h
+++ b/include/dogwoodvalve/server_health.h
@@ -45,9 +45,9 @@
     /// Updates the health of a server, and ejects it if its failures reach the threshold.
     void recordEvidence(std::string_view id, std::int64_t startedAtMs, ServerEvidence evidence,
                         TimePoint now);
-    /// Connections to servers failed for lack of links, so that failures of the last seconds are no
-    /// evidence against the servers.
-    void withdrawUnreachable(TimePoint now);
+    /// The host's own links were lost, so that failures to reach servers since the given time are
+    /// no evidence against them.
+    void withdrawUnreachable(TimePoint since, TimePoint now);
     /// Several other hosts report failed probes of the server. It is not used until it answers a
     /// probe or renews its registration.
     void recordPeerSuspicion(std::string_view id, std::int64_t startedAtMs, TimePoint now);
--- a/src/core/server_health.cpp
+++ b/src/core/server_health.cpp
@@ -30,9 +30,6 @@
 /// because the store is down.
 constexpr Duration MaxHeartbeatWait = 6s;
 
-/// Lost links are noticed within this time.
-constexpr Duration MaxWithdrawalAge = 2s;
-
 /// The longest pause that a server is granted. After it, one request shows whether the server still
 /// wants none.
 constexpr Duration MaxPause = 2min;
@@ -115,14 +112,15 @@
     record.failures = 0;
 }
 
-void ServerHealth::withdrawUnreachable(TimePoint now)
+void ServerHealth::withdrawUnreachable(TimePoint since, TimePoint now)
 {
     for (auto &[id, record] : m_servers) {
-        if (!record.awaitsHeartbeat || now - record.unreachableAt > MaxWithdrawalAge)
+        if (record.unreachableAt < since)
             continue;
         record.awaitsHeartbeat = false;
         record.probeFailedAt.reset();
         record.ejectedUntil = std::min(record.ejectedUntil, now);
+        record.consecutiveEjections = 0;
     }
 }
 
--- a/src/core/server_links.cpp
+++ b/src/core/server_links.cpp
@@ -14,11 +14,19 @@
         m_bypassUntil.clear();
     m_cutOff = false;
     m_bypassed.clear();
+    m_failed.clear();
 }
 
-void ServerLinks::recordFailed()
+void ServerLinks::recordFailed(std::string_view server)
 {
     m_connections = 0;
+    m_failed.emplace(server);
+}
+
+void ServerLinks::recordUnreachable(std::string_view server)
+{
+    if (const auto it = m_failed.find(server); it != m_failed.end())
+        m_failed.erase(it);
 }
 
 void ServerLinks::recordBypassed(std::string_view server, TimePoint now)
--- a/src/gateway/engine_prober.cpp
+++ b/src/gateway/engine_prober.cpp
@@ -117,8 +117,8 @@
     const auto endpoint = parseEndpoint(server.address);
     if (!service || !endpoint)
         return;
-    checkListening(m_node.connections().createClient(server, service->healthPath), endpoint.value(),
-                   service->healthPath, ListeningTimeout,
+    checkListening(m_node.timers(), m_node.connections().createClient(server, service->healthPath),
+                   endpoint.value(), service->healthPath, ListeningTimeout,
                    [this, id = server.id, startedAtMs = server.startedAtMs,
                     alive = std::weak_ptr(m_alive)](std::optional<bool> listening) {
                        if (!alive.expired() && listening && findStart(id, startedAtMs))
--- a/src/gateway/fleet_view_notices.cpp
+++ b/src/gateway/fleet_view_notices.cpp
@@ -12,8 +12,6 @@
 {
     m_self.cutOff = cutOff;
     m_urgentUpdate = true;
-    if (cutOff)
-        m_health.withdrawUnreachable(m_timers.now());
 }
 
 std::vector<const ServerRegistration *> FleetView::availableServers(std::string_view service) const
--- a/src/gateway/forwarded_request.cpp
+++ b/src/gateway/forwarded_request.cpp
@@ -142,7 +142,7 @@
     if (m_connected)
         return answer(ForwardOutcome::Lost);
     ServerConnections &connections = m_node.connections();
-    connections.recordFailed();
+    connections.recordFailed(m_target->server);
     if (!connections.provenSince(m_startedAt))
         return answer(ForwardOutcome::LinksUnproven);
     answer(error.kind == ErrorKind::Timeout ? ForwardOutcome::TimedOut
--- a/src/gateway/server_connections.cpp
+++ b/src/gateway/server_connections.cpp
@@ -40,20 +40,24 @@
 
 bool ServerConnections::provenSince(TimePoint at) const
 {
-    return m_links.provenSince(at - RecentConnectionTime);
+    return m_links.connectedAt() >= at - RecentConnectionTime;
 }
 
 void ServerConnections::recordConnected(std::string_view server)
 {
+    const bool wasDoubtful = m_links.doubtful();
     const bool wasCutOff = cutOff();
+    const TimePoint connectedBefore = m_links.connectedAt();
     m_links.recordConnected(server, m_node.now());
-    if (wasCutOff != cutOff())
-        onLinksChanged();
+    if (wasDoubtful && !m_links.doubtful())
+        onLinksChanged(wasCutOff, connectedBefore);
 }
 
-void ServerConnections::recordFailed()
+void ServerConnections::recordFailed(std::string_view server)
 {
-    m_links.recordFailed();
+    m_links.recordFailed(server);
+    if (m_links.doubtful())
+        scheduleCheck();
 }
 
 void ServerConnections::recordBypassed(std::string_view server, std::int64_t startedAtMs)
@@ -62,16 +66,19 @@
     m_links.recordBypassed(server, m_node.now());
     m_node.view().health().recordEvidence(server, startedAtMs, ServerEvidence::ProbeSucceeded,
                                           m_node.now());
-    if (wasCutOff != cutOff())
-        onLinksChanged();
+    if (!wasCutOff && cutOff())
+        onLinksChanged(wasCutOff, m_links.connectedAt());
 }
 
-void ServerConnections::onLinksChanged()
+void ServerConnections::onLinksChanged(bool wasCutOff, TimePoint connectedBefore)
 {
-    LogEvent(cutOff() ? "server_links_lost" : "server_links_restored")
-        .field("servers", m_node.view().registry().servers().size())
-        .field("hosts", m_node.view().hosts().liveHosts(m_node.now()));
-    m_node.view().setCutOff(cutOff());
+    m_node.view().withdrawUnreachable(connectedBefore);
+    if (wasCutOff != cutOff()) {
+        LogEvent(cutOff() ? "server_links_lost" : "server_links_restored")
+            .field("servers", m_node.view().registry().servers().size())
+            .field("hosts", m_node.view().hosts().liveHosts(m_node.now()));
+        m_node.view().setCutOff(cutOff());
+    }
     if (cutOff())
         scheduleCheck();
     m_node.loop().post([this, alive = std::weak_ptr(m_alive)] {
@@ -115,11 +122,16 @@
 
 void ServerConnections::scheduleCheck()
 {
-    m_node.timers().schedule(m_node.now() + LinkCheckInterval,
-                             [this, alive = std::weak_ptr(m_alive)] {
-                                 if (!alive.expired() && cutOff())
-                                     checkLinks();
-                             });
+    if (m_checkTimer != 0)
+        return;
+    m_checkTimer = m_node.timers().schedule(m_node.now() + LinkCheckInterval,
+                                            [this, alive = std::weak_ptr(m_alive)] {
+                                                if (alive.expired())
+                                                    return;
+                                                m_checkTimer = 0;
+                                                if (m_links.doubtful())
+                                                    checkLinks();
+                                            });
 }
 
 const ServerRegistration *ServerConnections::anyServer() const
@@ -146,15 +158,21 @@
     if (!endpoint)
         return;
     m_node.view().recordRequest(server->id, server->startedAtMs);
+    // A host that knows that it is cut off looks for the end of the cut, another one for any way.
+    if (!cutOff())
+        return checkListening(m_node.timers(), createClient(*server, "link_check"),
+                              endpoint.value(), service->healthPath, LinkCheckTimeout,
+                              [](std::optional<bool>) {});
     checkListening(
-        m_node.loop().createHttpClient(), endpoint.value(), service->healthPath, LinkCheckTimeout,
+        m_node.timers(), m_node.loop().createHttpClient(), endpoint.value(), service->healthPath,
+        LinkCheckTimeout,
         [this, id = server->id, alive = std::weak_ptr(m_alive)](std::optional<bool> listening) {
             if (alive.expired())
                 return;
             if (listening.value_or(false))
                 recordConnected(id);
             else
-                recordFailed();
+                recordFailed(id);
         });
 }
 
--- a/src/gateway/server_connections.h
+++ b/src/gateway/server_connections.h
@@ -33,12 +33,16 @@
     /// Whether this host, but not every other one, has lost its links to the servers.
     bool cutOff() const { return m_links.cutOff(); }
     bool connectsDirectly(std::string_view server) const;
-    /// Whether the host has connected to some server since the given time, or shortly before.
+    /// Whether the host has connected to some server since the given time, or shortly before, so
+    /// that a failure after it is not that of all its links.
     bool provenSince(TimePoint at) const;
 
-    /// This host has connected to a server itself, or could not.
+    /// This host has connected to a server itself.
     void recordConnected(std::string_view server);
-    void recordFailed();
+    /// It could not.
+    void recordFailed(std::string_view server);
+    /// Nor could another host that connects to other servers.
+    void recordUnreachable(std::string_view server) { m_links.recordUnreachable(server); }
     /// Another host has connected to a server for this one.
     void recordBypassed(std::string_view server, std::int64_t startedAtMs);
 
@@ -59,7 +63,9 @@
 
 private:
     std::vector<const HostDigest *> forwarders(const std::set<std::string> &tried);
-    void onLinksChanged();
+    /// Uses what is now known of the links, and was not before.
+    void onLinksChanged(bool wasCutOff, TimePoint connectedBefore);
+    /// Tries to connect to some server, to notice soon that links are lost or restored.
     void checkLinks();
     void scheduleCheck();
     /// A random server that accepts calls, or nullptr.
@@ -69,6 +75,7 @@
     ServerLinks m_links;
     /// Until when hosts are not asked to forward requests, by name.
     std::map<std::string, TimePoint> m_avoidedUntil;
+    TimerId m_checkTimer = 0;
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
 
--- a/src/gateway/server_request.cpp
+++ b/src/gateway/server_request.cpp
@@ -151,10 +151,12 @@
         return;
     }
     case ForwardOutcome::Unreachable:
+        connections.recordUnreachable(m_server);
         return fail({ErrorKind::Unavailable,
                      "the server refuses connections, also of " + m_forwarder,
                      "see the server's log"});
     case ForwardOutcome::TimedOut:
+        connections.recordUnreachable(m_server);
         return fail({ErrorKind::Timeout, "connecting timed out, also at " + m_forwarder,
                      "see the server's log"});
     case ForwardOutcome::Lost:
@@ -194,7 +196,7 @@
         return fail(error);
     m_lastError = error;
     if (m_forwarder.empty())
-        m_node.connections().recordFailed();
+        m_node.connections().recordFailed(m_server);
     else
         m_node.connections().avoid(m_forwarder);
     tryForwarder();
--- a/src/net/listening_check.cpp
+++ b/src/net/listening_check.cpp
@@ -9,13 +9,16 @@
 
 namespace {
 
+constexpr Duration MaxAnswerTime = 500ms;
+
 /// Makes one connection; owns itself until it has called back.
 class ListeningCheck : public HttpClientEvents, public std::enable_shared_from_this<ListeningCheck>
 {
 public:
-    ListeningCheck(std::shared_ptr<HttpClientRequest> client,
+    ListeningCheck(TimerService &timers, std::shared_ptr<HttpClientRequest> client,
                    std::function<void(std::optional<bool>)> done)
-        : m_request(std::move(client))
+        : m_timers(timers)
+        , m_request(std::move(client))
         , m_done(std::move(done))
     { }
 
@@ -23,6 +26,11 @@
                Duration timeout)
     {
         m_self = shared_from_this();
+        m_timer =
+            m_timers.schedule(m_timers.now() + timeout + MaxAnswerTime, [weak = weak_from_this()] {
+                if (const auto self = weak.lock())
+                    self->finish(std::nullopt);
+            });
         HttpRequestHead head;
         head.method = "GET";
         head.target = target;
@@ -44,10 +52,13 @@
         const auto keep = std::move(m_self);
         if (!keep)
             return;
+        m_timers.cancel(m_timer);
         m_request->close();
         m_done(listening);
     }
 
+    TimerService &m_timers;
+    TimerId m_timer = 0;
     std::shared_ptr<HttpClientRequest> m_request;
     std::function<void(std::optional<bool>)> m_done;
     std::shared_ptr<ListeningCheck> m_self;
@@ -55,11 +66,11 @@
 
 } // namespace
 
-void checkListening(std::shared_ptr<HttpClientRequest> client,
+void checkListening(TimerService &timers, std::shared_ptr<HttpClientRequest> client,
                     const boost::asio::ip::tcp::endpoint &endpoint, const std::string &target,
                     Duration timeout, std::function<void(std::optional<bool>)> done)
 {
-    std::make_shared<ListeningCheck>(std::move(client), std::move(done))
+    std::make_shared<ListeningCheck>(timers, std::move(client), std::move(done))
         ->start(endpoint, target, timeout);
 }
 
