--- a/src/gateway/gateway_process.cpp
+++ b/src/gateway/gateway_process.cpp
@@ -44,7 +44,8 @@
         .count();
 }
 
-HttpServerLimits callerLimits()
+/// For callers and for hosts that have their requests forwarded.
+HttpServerLimits requestLimits()
 {
     HttpServerLimits limits;
     limits.maxHeaderBytes = 64 * 1024;
@@ -71,10 +72,10 @@
         , m_frontApi(m_node)
         , m_supportApi(m_node)
         , m_peerApi(m_node, m_supportApi)
-        , m_front(m_loop, m_frontApi, callerLimits())
+        , m_front(m_loop, m_frontApi, requestLimits())
         , m_lookup(m_loop, m_supportApi, {})
         , m_readiness(m_loop, m_supportApi, {})
-        , m_peerServer(m_loop, m_peerApi, callerLimits())
+        , m_peerServer(m_loop, m_peerApi, requestLimits())
         , m_metricsServer(m_loop, m_supportApi, {})
     { }
 
--- a/src/gateway/server_connections.cpp
+++ b/src/gateway/server_connections.cpp
@@ -7,6 +7,7 @@
 #include "net/endpoint.h"
 #include "net/listening_check.h"
 
+#include <algorithm>
 #include <vector>
 
 namespace dogwoodvalve {
@@ -87,28 +88,32 @@
     });
 }
 
-std::vector<const HostDigest *> ServerConnections::forwarders(const std::set<std::string> &tried)
+bool ServerConnections::mayForward(const HostTable::Peer &peer) const
 {
-    std::vector<const HostDigest *> candidates;
-    if (mutated("gateway-no-forwarders"))
-        return candidates;
+    const HostDigest &host = peer.digest;
     const TimePoint now = m_node.now();
-    std::erase_if(m_avoidedUntil, [now](const auto &entry) { return entry.second <= now; });
-    const HostTable &hosts = m_node.view().hosts();
-    for (const auto &[name, peer] : hosts.peers()) {
-        const HostDigest &host = peer.digest;
-        if (hosts.isLive(peer, now) && host.ready && !host.leaving && !host.cutOff
-            && !host.peerAddress.empty() && name != m_node.settings().name && tried.count(name) == 0
-            && m_avoidedUntil.count(name) == 0)
-            candidates.push_back(&host);
-    }
-    return candidates;
+    const auto avoided = m_avoidedUntil.find(host.name);
+    return host.ready && !host.leaving && !host.cutOff && !host.peerAddress.empty()
+        && m_node.view().hosts().isLive(peer, now) && host.name != m_node.settings().name
+        && (avoided == m_avoidedUntil.end() || avoided->second <= now)
+        && !mutated("gateway-no-forwarders");
+}
+
+bool ServerConnections::anyForwarder() const
+{
+    const auto &peers = m_node.view().hosts().peers();
+    return std::any_of(peers.begin(), peers.end(),
+                       [this](const auto &entry) { return mayForward(entry.second); });
 }
 
 std::optional<ServerConnections::Forwarder>
 ServerConnections::chooseForwarder(const std::set<std::string> &tried)
 {
-    const std::vector<const HostDigest *> candidates = forwarders(tried);
+    std::vector<const HostDigest *> candidates;
+    for (const auto &[name, peer] : m_node.view().hosts().peers()) {
+        if (tried.count(name) == 0 && mayForward(peer))
+            candidates.push_back(&peer.digest);
+    }
     if (candidates.empty())
         return std::nullopt;
     const HostDigest &chosen = *candidates[m_node.random().next() % candidates.size()];
@@ -117,7 +122,9 @@
 
 void ServerConnections::avoid(const std::string &host)
 {
-    m_avoidedUntil[host] = m_node.now() + ForwarderPause;
+    const TimePoint now = m_node.now();
+    std::erase_if(m_avoidedUntil, [now](const auto &entry) { return entry.second <= now; });
+    m_avoidedUntil[host] = now + ForwarderPause;
 }
 
 void ServerConnections::scheduleCheck()
--- a/src/gateway/server_connections.h
+++ b/src/gateway/server_connections.h
@@ -2,7 +2,7 @@
 
 #include "gateway/platform_interfaces.h"
 
-#include <dogwoodvalve/host_digest.h>
+#include <dogwoodvalve/host_table.h>
 #include <dogwoodvalve/server_links.h>
 
 #include <map>
@@ -11,7 +11,6 @@
 #include <set>
 #include <string>
 #include <string_view>
-#include <vector>
 
 namespace dogwoodvalve {
 
@@ -57,12 +56,13 @@
     /// or failed a moment ago. Returns nothing if there is none.
     std::optional<Forwarder> chooseForwarder(const std::set<std::string> &tried);
     /// Whether chooseForwarder() would return a host if none had been tried.
-    bool anyForwarder() { return !forwarders({}).empty(); }
+    bool anyForwarder() const;
     /// The host did not forward a request.
     void avoid(const std::string &host);
 
 private:
-    std::vector<const HostDigest *> forwarders(const std::set<std::string> &tried);
+    /// Whether the host is live, has not lost its links and did not fail to forward a moment ago.
+    bool mayForward(const HostTable::Peer &peer) const;
     /// Uses what is now known of the links, and was not before.
     void onLinksChanged(bool wasCutOff, TimePoint connectedBefore);
     /// Tries to connect to some server, to notice soon that links are lost or restored.
