--- a/src/core/server_links.cpp
+++ b/src/core/server_links.cpp
@@ -32,7 +32,8 @@
 void ServerLinks::recordBypassed(std::string_view server, TimePoint now)
 {
     std::erase_if(m_bypassUntil, [now](const auto &entry) { return entry.second <= now; });
-    m_bypassUntil[std::string(server)] = now + BypassTime;
+    // Requests that bypass the server meanwhile do not delay the next direct connection.
+    m_bypassUntil.try_emplace(std::string(server), now + BypassTime);
     if (m_cutOff)
         return;
     m_bypassed.emplace(server);
--- a/tests/unit/server_links_test.cpp
+++ b/tests/unit/server_links_test.cpp
@@ -78,8 +78,9 @@
     {
         ServerLinks links;
         links.recordBypassed("a", m_now);
+        links.recordBypassed("a", m_now + 1s);
         CPPUNIT_ASSERT(!links.connectsDirectly("a", m_now + 1s));
-        CPPUNIT_ASSERT(links.connectsDirectly("a", m_now + 3s));
+        CPPUNIT_ASSERT(links.connectsDirectly("a", m_now + 2500ms));
     }
 
     void evidenceOfLostLinksIsWithdrawn()
