Do not blame a host that has just started for asking a leaving engine

The log shows who sent it: a host that had started within these 0.5 s asked the engine before it heard of the others, learned of its leaving from the answer, and so knew at the next look. A start of a host now begins the count anew, as another start of the engine does already; hosts that ran all the time are checked as before.

--- a/tests/simulation/gateway_soak.cpp
+++ b/tests/simulation/gateway_soak.cpp
@@ -281,8 +281,8 @@
         m_pausingEngine.reset();
     }
 
-    /// The starts of the leaving engine that running hosts know to be leaving, or nothing if one
-    /// of them does not know.
+    /// The starts of the leaving engine that running hosts know to be leaving, and the starts of
+    /// these hosts, or nothing if one of them does not know.
     std::optional<std::vector<std::int64_t>> knownLeavingStarts() const
     {
         const std::string id = "e-" + std::to_string(*m_leavingEngine + 1);
@@ -296,6 +296,8 @@
                 || !view.health().isLeaving(id, server->startedAtMs))
                 return std::nullopt;
             starts.push_back(server->startedAtMs);
+            // A host that has started since may have asked the engine before others told it.
+            starts.push_back(view.identity().startedAtMs);
         }
         return starts;
     }
