Share the pause of reading between both proxies, and read a forwarding target once

ForwardedRequest repeated ProxySession's back-pressure, and the target of a forwarded request was decoded twice, so that a case was handled that could not occur. The limit of bodies stood in three places. A wrapper in FleetView only passed a call on. Each request looked for a host that forwards though it connects directly.

--- a/src/daemon/proxy_session.cpp
+++ b/src/daemon/proxy_session.cpp
@@ -154,14 +154,7 @@
 void ProxySession::onBody(std::string_view part)
 {
     m_exchange->write(part);
-    if (m_exchange->pendingBytes() <= HighWaterBytes)
-        return;
-    m_client->pauseReading(true);
-    m_exchange->onDrained([weak = weak_from_this()] {
-        const auto self = weak.lock();
-        if (self && !self->m_ended)
-            self->m_client->pauseReading(false);
-    });
+    pauseWhilePending(*m_exchange, m_client, HighWaterBytes);
 }
 
 void ProxySession::onEnd()
--- a/src/gateway/fleet_view.h
+++ b/src/gateway/fleet_view.h
@@ -79,11 +79,6 @@
     void setLeaving();
     /// Whether this host has lost its links to the servers.
     void setCutOff(bool cutOff);
-    /// Withdraws failures to reach servers since the given time, as those of this host's links.
-    void withdrawUnreachable(TimePoint since)
-    {
-        m_health.withdrawUnreachable(since, m_timers.now());
-    }
     void setKeyRevocation(Duration keyRevocation) { m_keyRevocation = keyRevocation; }
     bool leaving() const { return m_self.leaving; }
     /// Whether the host began to leave at least this long ago.
--- a/src/gateway/forwarded_request.cpp
+++ b/src/gateway/forwarded_request.cpp
@@ -3,7 +3,9 @@
 #include "daemon/log.h"
 #include "gateway/forwarding.h"
 #include "gateway/gateway_node.h"
+#include "gateway/request_limits.h"
 #include "net/endpoint.h"
+#include "net/http_client.h"
 #include "net/http_status.h"
 
 #include <utility>
@@ -12,7 +14,6 @@
 
 namespace {
 
-constexpr std::size_t MaxBodyBytes = 16U << 20;
 /// Shorter than the time after which the other host looks for another way.
 constexpr Duration ConnectTimeout = 120ms;
 /// Reading from the server pauses while more bytes than this wait to be sent to the other host.
@@ -23,9 +24,11 @@
                          public std::enable_shared_from_this<ForwardedRequest>
 {
 public:
-    ForwardedRequest(GatewayNode &node, std::shared_ptr<HttpExchange> exchange)
+    ForwardedRequest(GatewayNode &node, std::shared_ptr<HttpExchange> exchange,
+                     ForwardTarget target)
         : m_node(node)
         , m_exchange(std::move(exchange))
+        , m_target(std::move(target))
     { }
 
     void start();
@@ -45,7 +48,7 @@
 
     GatewayNode &m_node;
     std::shared_ptr<HttpExchange> m_exchange;
-    std::optional<ForwardTarget> m_target;
+    ForwardTarget m_target;
     std::shared_ptr<HttpClientRequest> m_client;
     TimePoint m_startedAt {};
     bool m_connected = false;
@@ -57,14 +60,11 @@
 {
     m_self = shared_from_this();
     m_node.forwardStarted();
-    m_target = decodeForwardTarget(m_exchange->target());
     m_exchange->onClosed([weak = weak_from_this()] {
         if (const auto self = weak.lock())
             self->finish("other_host_left");
     });
-    if (!m_target)
-        return answer(ForwardOutcome::Refused);
-    m_exchange->readBody(MaxBodyBytes,
+    m_exchange->readBody(MaxRequestBodyBytes,
                          [self = shared_from_this()](const Result<std::string> &body) {
                              if (!self->m_self)
                                  return;
@@ -77,8 +77,8 @@
 const ServerRegistration *ForwardedRequest::findServer() const
 {
     FleetView &view = m_node.view();
-    const ServerRegistration *server = view.registry().find(m_target->server);
-    const bool usable = server && server->startedAtMs == m_target->startedAtMs && !server->draining
+    const ServerRegistration *server = view.registry().find(m_target.server);
+    const bool usable = server && server->startedAtMs == m_target.startedAtMs && !server->draining
         && !view.health().isLeaving(server->id, server->startedAtMs);
     return usable && !view.leaving() && !m_node.connections().cutOff() ? server : nullptr;
 }
@@ -91,7 +91,7 @@
         return answer(ForwardOutcome::Refused);
     HttpRequestHead head;
     head.method = m_exchange->method();
-    head.target = m_target->target;
+    head.target = m_target.target;
     head.fields = forwardedRequestFields(m_exchange->headers());
     head.bodyBytes = body.size();
     m_startedAt = m_node.now();
@@ -103,7 +103,7 @@
 void ForwardedRequest::onConnected()
 {
     m_connected = true;
-    m_node.connections().recordConnected(m_target->server);
+    m_node.connections().recordConnected(m_target.server);
 }
 
 void ForwardedRequest::onHead(int status, std::span<const HttpField> fields)
@@ -115,14 +115,7 @@
 void ForwardedRequest::onBody(std::string_view part)
 {
     m_exchange->write(part);
-    if (m_exchange->pendingBytes() <= HighWaterBytes)
-        return;
-    m_client->pauseReading(true);
-    m_exchange->onDrained([weak = weak_from_this()] {
-        const auto self = weak.lock();
-        if (self && self->m_client)
-            self->m_client->pauseReading(false);
-    });
+    pauseWhilePending(*m_exchange, m_client, HighWaterBytes);
 }
 
 void ForwardedRequest::onEnd()
@@ -142,7 +135,7 @@
     if (m_connected)
         return answer(ForwardOutcome::Lost);
     ServerConnections &connections = m_node.connections();
-    connections.recordFailed(m_target->server);
+    connections.recordFailed(m_target.server);
     if (!connections.provenSince(m_startedAt))
         return answer(ForwardOutcome::LinksUnproven);
     answer(error.kind == ErrorKind::Timeout ? ForwardOutcome::TimedOut
@@ -168,20 +161,19 @@
         client->close();
     LogEvent::decision("forwarded_for")
         .field("request", m_node.dialect().decodeRequest(*m_exchange).id)
-        .field("server", m_target ? m_target->server : "")
+        .field("server", m_target.server)
         .field("outcome", outcome);
 }
 
 } // namespace
 
-bool isForwardedRequest(const HttpExchange &exchange)
-{
-    return decodeForwardTarget(exchange.target()).has_value();
-}
-
-void forwardRequest(GatewayNode &node, const std::shared_ptr<HttpExchange> &exchange)
+bool tryForwardRequest(GatewayNode &node, const std::shared_ptr<HttpExchange> &exchange)
 {
-    std::make_shared<ForwardedRequest>(node, exchange)->start();
+    auto target = decodeForwardTarget(exchange->target());
+    if (!target)
+        return false;
+    std::make_shared<ForwardedRequest>(node, exchange, std::move(*target))->start();
+    return true;
 }
 
 } // namespace dogwoodvalve
--- a/src/gateway/front_api.cpp
+++ b/src/gateway/front_api.cpp
@@ -1,6 +1,7 @@
 #include "gateway/front_api.h"
 
 #include "daemon/log.h"
+#include "gateway/request_limits.h"
 #include "gateway/request_session.h"
 #include "net/http_status.h"
 #include "net/http_text.h"
@@ -9,7 +10,6 @@
 
 namespace {
 
-constexpr std::size_t MaxBodyBytes = 16U << 20;
 /// A leaving host accepts requests for this long: callers cache the answer to a look-up for a few
 /// seconds, and a stream that starts within this time can still end before the process is killed.
 constexpr Duration LeavingAcceptTime = 2900ms;
@@ -94,7 +94,7 @@
 {
     auto exchange = request.exchange;
     auto shared = std::make_shared<AcceptedRequest>(std::move(request));
-    exchange->readBody(MaxBodyBytes, [this, shared](Result<std::string> body) {
+    exchange->readBody(MaxRequestBodyBytes, [this, shared](Result<std::string> body) {
         if (!body) {
             // A caller that disconnected while it sent the body needs no answer.
             if (body.error().kind != ErrorKind::Unavailable)
--- a/src/gateway/gateway_process.cpp
+++ b/src/gateway/gateway_process.cpp
@@ -6,6 +6,7 @@
 #include "gateway/peer_api.h"
 #include "gateway/peer_exchange.h"
 #include "gateway/placement_controller.h"
+#include "gateway/request_limits.h"
 #include "gateway/support_api.h"
 #include "net/asio_loop_services.h"
 #include "net/endpoint.h"
@@ -49,7 +50,7 @@
 {
     HttpServerLimits limits;
     limits.maxHeaderBytes = 64 * 1024;
-    limits.maxBodyBytes = 16U << 20;
+    limits.maxBodyBytes = MaxRequestBodyBytes;
     limits.maxConnections = 3'000;
     limits.idleTimeout = CallerIdleTimeout;
     return limits;
--- a/src/gateway/peer_api.h
+++ b/src/gateway/peer_api.h
@@ -17,9 +17,8 @@
 
     void handle(const std::shared_ptr<HttpExchange> &exchange) override
     {
-        if (isForwardedRequest(*exchange))
-            return forwardRequest(m_node, exchange);
-        m_support.handle(exchange);
+        if (!tryForwardRequest(m_node, exchange))
+            m_support.handle(exchange);
     }
 
 private:
--- a/src/gateway/server_connections.cpp
+++ b/src/gateway/server_connections.cpp
@@ -73,7 +73,7 @@
 
 void ServerConnections::onLinksChanged(bool wasCutOff, TimePoint connectedBefore)
 {
-    m_node.view().withdrawUnreachable(connectedBefore);
+    m_node.view().health().withdrawUnreachable(connectedBefore, m_node.now());
     if (wasCutOff != cutOff()) {
         LogEvent(cutOff() ? "server_links_lost" : "server_links_restored")
             .field("servers", m_node.view().registry().servers().size())
--- a/src/gateway/server_request.cpp
+++ b/src/gateway/server_request.cpp
@@ -56,7 +56,7 @@
 void ServerRequest::connect()
 {
     ServerConnections &connections = m_node.connections();
-    if (connections.anyForwarder() && !connections.connectsDirectly(m_server))
+    if (!connections.connectsDirectly(m_server) && connections.anyForwarder())
         return tryForwarder();
     connectDirectly();
 }
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -236,4 +236,16 @@
     return std::make_shared<HttpClientRequestImpl>(loop);
 }
 
+void pauseWhilePending(HttpExchange &exchange, const std::shared_ptr<HttpClientRequest> &request,
+                       std::size_t highWaterBytes)
+{
+    if (exchange.pendingBytes() <= highWaterBytes)
+        return;
+    request->pauseReading(true);
+    exchange.onDrained([weak = std::weak_ptr(request)] {
+        if (const auto paused = weak.lock())
+            paused->pauseReading(false);
+    });
+}
+
 } // namespace dogwoodvalve
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -58,4 +58,9 @@
     virtual void close() = 0;
 };
 
+/// Pauses reading the answer to a request while more than `highWaterBytes` of the response that
+/// passes it on are pending.
+void pauseWhilePending(HttpExchange &exchange, const std::shared_ptr<HttpClientRequest> &request,
+                       std::size_t highWaterBytes);
+
 } // namespace dogwoodvalve
