--- a/src/gateway/crash_inquiry.cpp
+++ b/src/gateway/fleet/crash_inquiry.cpp
@@ -1,4 +1,4 @@
-#include "gateway/crash_inquiry.h"
+#include "gateway/fleet/crash_inquiry.h"
 
 #include "gateway/gateway_node.h"
 
--- a/src/gateway/engine_prober.cpp
+++ b/src/gateway/fleet/engine_prober.cpp
@@ -1,4 +1,4 @@
-#include "gateway/engine_prober.h"
+#include "gateway/fleet/engine_prober.h"
 
 #include "core/mutation.h"
 #include "gateway/gateway_node.h"
--- a/src/gateway/fleet_view.cpp
+++ b/src/gateway/fleet/fleet_view.cpp
@@ -1,4 +1,4 @@
-#include "gateway/fleet_view.h"
+#include "gateway/fleet/fleet_view.h"
 
 #include "core/mutation.h"
 #include "daemon/log.h"
--- a/src/gateway/fleet_view.h
+++ b/src/gateway/fleet/fleet_view.h
@@ -1,8 +1,8 @@
 #pragma once
 
+#include "gateway/fleet/registrations_update.h"
+#include "gateway/fleet/restored_registrations.h"
 #include "gateway/platform_interfaces.h"
-#include "gateway/registrations_update.h"
-#include "gateway/restored_registrations.h"
 
 #include <dogwoodvalve/host_table.h>
 #include <dogwoodvalve/prompt_quarantine.h>
--- a/src/gateway/fleet_view_notices.cpp
+++ b/src/gateway/fleet/fleet_view_notices.cpp
@@ -1,6 +1,6 @@
 #include "core/mutation.h"
 #include "daemon/log.h"
-#include "gateway/fleet_view.h"
+#include "gateway/fleet/fleet_view.h"
 
 #include <algorithm>
 
--- a/src/gateway/placement_controller.cpp
+++ b/src/gateway/fleet/placement_controller.cpp
@@ -1,4 +1,4 @@
-#include "gateway/placement_controller.h"
+#include "gateway/fleet/placement_controller.h"
 
 #include "daemon/log.h"
 
--- a/src/gateway/registrations_update.cpp
+++ b/src/gateway/fleet/registrations_update.cpp
@@ -1,6 +1,6 @@
-#include "gateway/registrations_update.h"
+#include "gateway/fleet/registrations_update.h"
 
-#include "gateway/log_position_json.h"
+#include "gateway/peers/log_position_json.h"
 
 #include <nlohmann/json.hpp>
 
--- a/src/gateway/restored_registrations.cpp
+++ b/src/gateway/fleet/restored_registrations.cpp
@@ -1,4 +1,4 @@
-#include "gateway/restored_registrations.h"
+#include "gateway/fleet/restored_registrations.h"
 
 #include <algorithm>
 #include <utility>
--- a/src/gateway/gateway_node.cpp
+++ b/src/gateway/gateway_node.cpp
@@ -1,6 +1,6 @@
 #include "gateway/gateway_node.h"
 
-#include "gateway/request_session.h"
+#include "gateway/requests/request_session.h"
 
 #include <dogwoodvalve/hash.h>
 
--- a/src/gateway/gateway_node.h
+++ b/src/gateway/gateway_node.h
@@ -1,13 +1,13 @@
 #pragma once
 
-#include "gateway/crash_inquiry.h"
-#include "gateway/engine_prober.h"
-#include "gateway/fleet_view.h"
+#include "gateway/fleet/crash_inquiry.h"
+#include "gateway/fleet/engine_prober.h"
+#include "gateway/fleet/fleet_view.h"
 #include "gateway/gateway_metrics.h"
 #include "gateway/gateway_settings.h"
 #include "gateway/platform_interfaces.h"
-#include "gateway/server_connections.h"
-#include "gateway/wait_queue.h"
+#include "gateway/requests/wait_queue.h"
+#include "gateway/servers/server_connections.h"
 
 #include <dogwoodvalve/random.h>
 #include <dogwoodvalve/shared_retry_budget.h>
--- a/src/gateway/digest_router.cpp
+++ b/src/gateway/peers/digest_router.cpp
@@ -1,4 +1,4 @@
-#include "gateway/digest_router.h"
+#include "gateway/peers/digest_router.h"
 
 #include "core/mutation.h"
 #include "daemon/log.h"
--- a/src/gateway/digest_router.h
+++ b/src/gateway/peers/digest_router.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "gateway/gateway_node.h"
-#include "gateway/host_digest_codec.h"
+#include "gateway/peers/host_digest_codec.h"
 
 #include <map>
 #include <optional>
--- a/src/gateway/host_digest_codec.cpp
+++ b/src/gateway/peers/host_digest_codec.cpp
@@ -1,6 +1,6 @@
-#include "gateway/host_digest_codec.h"
+#include "gateway/peers/host_digest_codec.h"
 
-#include "gateway/log_position_json.h"
+#include "gateway/peers/log_position_json.h"
 
 #include <nlohmann/json.hpp>
 
--- a/src/gateway/peer_api.h
+++ b/src/gateway/peers/peer_api.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "gateway/forwarded_request.h"
+#include "gateway/servers/forwarded_request.h"
 #include "net/http_server.h"
 
 namespace dogwoodvalve {
--- a/src/gateway/peer_exchange.cpp
+++ b/src/gateway/peers/peer_exchange.cpp
@@ -1,7 +1,7 @@
-#include "gateway/peer_exchange.h"
+#include "gateway/peers/peer_exchange.h"
 
 #include "daemon/log.h"
-#include "gateway/host_digest_codec.h"
+#include "gateway/peers/host_digest_codec.h"
 #include "net/endpoint.h"
 
 #include <algorithm>
--- a/src/gateway/peer_exchange.h
+++ b/src/gateway/peers/peer_exchange.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "gateway/digest_router.h"
-#include "gateway/peer_reader.h"
+#include "gateway/peers/digest_router.h"
+#include "gateway/peers/peer_reader.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/udp.hpp>
--- a/src/gateway/peer_reader.cpp
+++ b/src/gateway/peers/peer_reader.cpp
@@ -1,9 +1,9 @@
-#include "gateway/peer_reader.h"
+#include "gateway/peers/peer_reader.h"
 
 #include "core/duration_math.h"
 #include "core/mutation.h"
 #include "daemon/log.h"
-#include "gateway/digest_router.h"
+#include "gateway/peers/digest_router.h"
 #include "gateway/support_api.h"
 #include "net/buffered_request.h"
 #include "net/compression.h"
--- a/src/gateway/front_api.cpp
+++ b/src/gateway/requests/front_api.cpp
@@ -1,8 +1,8 @@
-#include "gateway/front_api.h"
+#include "gateway/requests/front_api.h"
 
 #include "daemon/log.h"
-#include "gateway/request_limits.h"
-#include "gateway/request_session.h"
+#include "gateway/requests/request_limits.h"
+#include "gateway/requests/request_session.h"
 #include "net/http_status.h"
 #include "net/http_text.h"
 
--- a/src/gateway/generation_attempt.cpp
+++ b/src/gateway/requests/generation_attempt.cpp
@@ -1,4 +1,4 @@
-#include "gateway/generation_attempt.h"
+#include "gateway/requests/generation_attempt.h"
 
 #include "net/http_status.h"
 #include "net/http_text.h"
--- a/src/gateway/generation_session.cpp
+++ b/src/gateway/requests/generation_session.cpp
@@ -1,4 +1,4 @@
-#include "gateway/generation_session.h"
+#include "gateway/requests/generation_session.h"
 
 #include "core/mutation.h"
 #include "daemon/log.h"
--- a/src/gateway/generation_session.h
+++ b/src/gateway/requests/generation_session.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "gateway/generation_attempt.h"
-#include "gateway/request_session.h"
+#include "gateway/requests/generation_attempt.h"
+#include "gateway/requests/request_session.h"
 
 #include <map>
 #include <set>
--- a/src/gateway/plain_session.cpp
+++ b/src/gateway/requests/plain_session.cpp
@@ -1,4 +1,4 @@
-#include "gateway/plain_session.h"
+#include "gateway/requests/plain_session.h"
 
 #include "core/mutation.h"
 #include "daemon/log.h"
--- a/src/gateway/plain_session.h
+++ b/src/gateway/requests/plain_session.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "gateway/request_session.h"
+#include "gateway/requests/request_session.h"
 
 #include <set>
 
--- a/src/gateway/request_session.cpp
+++ b/src/gateway/requests/request_session.cpp
@@ -1,9 +1,9 @@
-#include "gateway/request_session.h"
+#include "gateway/requests/request_session.h"
 
 #include "core/duration_math.h"
 #include "core/mutation.h"
-#include "gateway/generation_session.h"
-#include "gateway/plain_session.h"
+#include "gateway/requests/generation_session.h"
+#include "gateway/requests/plain_session.h"
 #include "net/endpoint.h"
 #include "net/http_text.h"
 
--- a/src/gateway/request_session.h
+++ b/src/gateway/requests/request_session.h
@@ -2,7 +2,7 @@
 
 #include "daemon/log.h"
 #include "gateway/gateway_node.h"
-#include "gateway/wait_queue.h"
+#include "gateway/requests/wait_queue.h"
 #include "net/http_status.h"
 
 #include <memory>
--- a/src/gateway/wait_queue.cpp
+++ b/src/gateway/requests/wait_queue.cpp
@@ -1,4 +1,4 @@
-#include "gateway/wait_queue.h"
+#include "gateway/requests/wait_queue.h"
 
 #include <algorithm>
 
--- a/src/gateway/forwarded_request.cpp
+++ b/src/gateway/servers/forwarded_request.cpp
@@ -1,9 +1,9 @@
-#include "gateway/forwarded_request.h"
+#include "gateway/servers/forwarded_request.h"
 
 #include "daemon/log.h"
-#include "gateway/forwarding.h"
 #include "gateway/gateway_node.h"
-#include "gateway/request_limits.h"
+#include "gateway/requests/request_limits.h"
+#include "gateway/servers/forwarding.h"
 #include "net/endpoint.h"
 #include "net/http_client.h"
 #include "net/http_status.h"
--- a/src/gateway/forwarding.cpp
+++ b/src/gateway/servers/forwarding.cpp
@@ -1,4 +1,4 @@
-#include "gateway/forwarding.h"
+#include "gateway/servers/forwarding.h"
 
 #include "net/http_text.h"
 
--- a/src/gateway/server_connections.cpp
+++ b/src/gateway/servers/server_connections.cpp
@@ -1,9 +1,9 @@
-#include "gateway/server_connections.h"
+#include "gateway/servers/server_connections.h"
 
 #include "core/mutation.h"
 #include "daemon/log.h"
 #include "gateway/gateway_node.h"
-#include "gateway/server_request.h"
+#include "gateway/servers/server_request.h"
 #include "net/endpoint.h"
 #include "net/listening_check.h"
 
--- a/src/gateway/server_request.cpp
+++ b/src/gateway/servers/server_request.cpp
@@ -1,8 +1,8 @@
-#include "gateway/server_request.h"
+#include "gateway/servers/server_request.h"
 
 #include "daemon/log.h"
-#include "gateway/forwarding.h"
 #include "gateway/gateway_node.h"
+#include "gateway/servers/forwarding.h"
 #include "net/endpoint.h"
 #include "net/http_text.h"
 
--- a/tests/simulation/gateway_world.h
+++ b/tests/simulation/gateway_world.h
@@ -1,12 +1,12 @@
 #pragma once
 
 #include "forwarding_engine.h"
-#include "gateway/front_api.h"
+#include "gateway/fleet/placement_controller.h"
 #include "gateway/gateway_node.h"
-#include "gateway/peer_api.h"
-#include "gateway/peer_reader.h"
-#include "gateway/placement_controller.h"
-#include "gateway/request_session.h"
+#include "gateway/peers/peer_api.h"
+#include "gateway/peers/peer_reader.h"
+#include "gateway/requests/front_api.h"
+#include "gateway/requests/request_session.h"
 #include "gateway/support_api.h"
 #include "log_store.h"
 #include "net/endpoint.h"
--- a/tests/simulation/relay_world.h
+++ b/tests/simulation/relay_world.h
@@ -1,8 +1,8 @@
 #pragma once
 
-#include "gateway/digest_router.h"
-#include "gateway/host_digest_codec.h"
-#include "gateway/peer_reader.h"
+#include "gateway/peers/digest_router.h"
+#include "gateway/peers/host_digest_codec.h"
+#include "gateway/peers/peer_reader.h"
 #include "gateway/support_api.h"
 #include "log_store.h"
 #include "platform/adapter.h"
--- a/tests/simulation/store_feed_test.cpp
+++ b/tests/simulation/store_feed_test.cpp
@@ -1,4 +1,4 @@
-#include "gateway/fleet_view.h"
+#include "gateway/fleet/fleet_view.h"
 #include "platform/store_feed.h"
 #include "simulation/gateway_world.h"
 
--- a/tests/unit/forwarding_test.cpp
+++ b/tests/unit/forwarding_test.cpp
@@ -1,5 +1,5 @@
-#include "gateway/forwarding.h"
-#include "gateway/host_digest_codec.h"
+#include "gateway/peers/host_digest_codec.h"
+#include "gateway/servers/forwarding.h"
 #include "net/http_text.h"
 
 #include <dogwoodvalve/host_table.h>
--- a/tests/unit/prompt_evidence_test.cpp
+++ b/tests/unit/prompt_evidence_test.cpp
@@ -1,4 +1,4 @@
-#include "gateway/host_digest_codec.h"
+#include "gateway/peers/host_digest_codec.h"
 
 #include <dogwoodvalve/prompt_quarantine.h>
 
--- a/tests/unit/rate_limit_test.cpp
+++ b/tests/unit/rate_limit_test.cpp
@@ -1,5 +1,5 @@
-#include "gateway/fleet_view.h"
-#include "gateway/host_digest_codec.h"
+#include "gateway/fleet/fleet_view.h"
+#include "gateway/peers/host_digest_codec.h"
 #include "platform/header_dialect.h"
 
 #include <dogwoodvalve/server_rate_limits.h>
--- a/tests/unit/registrations_update_test.cpp
+++ b/tests/unit/registrations_update_test.cpp
@@ -1,4 +1,4 @@
-#include "gateway/fleet_view.h"
+#include "gateway/fleet/fleet_view.h"
 
 #include <dogwoodvalve/timer_service.h>
 
