Admit by rank and workspace while the fleet has too little room

Cause: a workspace's priority replaced the route's, so that all requests ranked alike, each host admitted alone and first come first served until the engines' memory was full, and more streams began at the engines with the first layers than these run at the same time.

Change: rank is the workspace's priority, then the route's. An engine without free slots begins no path. Queues are ordered by rank. In effect only for services whose requests can differ in rank and while all hosts report the demand.

Not kept: hold time by Little's law over the fleet (unit tests refused callers while the load grew).

--- a/include/dogwoodvalve/fleet_configuration.h
+++ b/include/dogwoodvalve/fleet_configuration.h
@@ -3,8 +3,10 @@
 #include <dogwoodvalve/timer_service.h>
 
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <span>
 #include <string>
 #include <string_view>
@@ -113,10 +115,17 @@
 struct WorkspaceRule
 {
     std::string name;
-    /// Overrides the route's priority.
+    /// Takes precedence over the route's priority, which orders the requests of workspaces with
+    /// equal priority.
     std::optional<int> priority;
 };
 
+/// The place of a request in the order of urgency, by the priorities of its workspace and its
+/// route; lower is more urgent. Without a priority of the workspace the route's stands for it.
+int requestRank(int routePriority, std::optional<int> workspacePriority);
+/// The priority that decides a rank first.
+int priorityOf(int rank);
+
 /// One immutable version of the operator's configuration. The cost of finding a route or a
 /// workspace does not grow with the number of routes or keys.
 class FleetConfiguration
@@ -137,6 +146,8 @@
     const RouteRule *findRoute(std::string_view host, std::string_view path) const;
     /// Returns nullptr if there is no such service.
     const ServiceRule *findService(std::string_view name) const;
+    /// The different ranks that requests to a service can have, the most urgent first.
+    std::vector<int> ranks(std::string_view service) const;
     /// The workspace that an API key belongs to, or nullptr.
     const WorkspaceRule *findWorkspace(std::string_view key) const;
 
@@ -145,6 +156,9 @@
     std::vector<RouteRule> m_routes;
     std::vector<ServiceRule> m_services;
     std::vector<std::unique_ptr<WorkspaceRule>> m_workspaces;
+    /// Priorities of the routes to each service, and of the workspaces that override them.
+    std::map<std::string, std::set<int>, std::less<>> m_routePriorities;
+    std::set<std::optional<int>> m_workspacePriorities;
     /// Index into the routes, by host, separator and path prefix.
     std::unordered_map<std::string, std::size_t> m_routeByPrefix;
     std::unordered_map<std::string, const WorkspaceRule *> m_workspaceByKey;
--- a/include/dogwoodvalve/host_digest.h
+++ b/include/dogwoodvalve/host_digest.h
@@ -1,12 +1,14 @@
 #pragma once
 
 #include <dogwoodvalve/crash_report.h>
+#include <dogwoodvalve/demand.h>
 #include <dogwoodvalve/log_position.h>
 #include <dogwoodvalve/rate_limit_report.h>
 #include <dogwoodvalve/timer_service.h>
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -48,7 +50,7 @@
     /// Time that servers need for the prefill of prompts that this host has sent them and that are
     /// still unprocessed, in ms, by server id.
     std::map<std::string, double> backlogMs;
-    /// Requests in flight at servers of plain services, by server id.
+    /// Requests in flight at the servers that this host has sent them to, by server id.
     std::map<std::string, int> inFlight;
     /// Ids of servers that did not answer a recent probe by this host.
     std::vector<std::string> failedProbes;
@@ -62,6 +64,8 @@
     CrashReports crashes;
     /// Request rates that servers accept, as far as the host knows of limits.
     RateLimitReports rateLimits;
+    /// What this host's callers ask of layered services. Absent from hosts of earlier versions.
+    std::optional<DemandTotals> demand;
 };
 
 } // namespace dogwoodvalve
--- a/include/dogwoodvalve/host_table.h
+++ b/include/dogwoodvalve/host_table.h
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
@@ -114,6 +115,9 @@
     double committedByPeers(std::string_view server, TimePoint now);
     double backlogMsByPeers(std::string_view server, TimePoint now);
     int inFlightByPeers(std::string_view server, TimePoint now);
+    /// What callers ask of the other live hosts. Nothing if some of them do not report it, as those
+    /// of earlier versions.
+    std::optional<DemandTotals> demandByPeers(TimePoint now);
     /// The slowness factor that another host reported last; 1 if there is no recent report.
     double reportedSlowness(std::string_view server, TimePoint now) const;
     /// Number of other hosts that recently reported a failed probe of the server.
@@ -143,6 +147,12 @@
     /// its streams go on.
     static constexpr Duration SilentHostLoadAge = 10s;
 
+    /// Hosts measure slowness about every second and report it with each digest.
+    static constexpr Duration SlownessReportMaxAge = 3s;
+    /// A host that reports more servers than this is probably disconnected itself, and is not
+    /// believed.
+    static constexpr std::size_t MaxCredibleFailedProbes = 8;
+
     /// The last slowness factor that any host reported for a server, and when it arrived.
     struct SlownessReport
     {
@@ -160,6 +170,8 @@
     void addReports(RelayDigest &digest, const HostDigest &self, TimePoint now) const;
     /// Hosts of a zone that were heard recently.
     void addRoster(RelayDigest &digest, std::string_view zone, TimePoint now) const;
+    /// The demand in the digests that have arrived here.
+    DemandReport peerDemand() const;
     /// Load of the other hosts on a server.
     LoadTotals loadByPeers(std::string_view server, TimePoint now);
     /// Live hosts that are not leaving share the tasks.
--- a/include/dogwoodvalve/relay_digest.h
+++ b/include/dogwoodvalve/relay_digest.h
@@ -15,7 +15,7 @@
     double committed = 0;
     /// Prefill time of prompts that are not processed yet, in ms.
     double backlogMs = 0;
-    /// Requests of plain services in flight.
+    /// Requests in flight at the server that hosts have sent them to.
     int inFlight = 0;
 
     void add(const LoadTotals &other)
@@ -58,6 +58,8 @@
     std::map<std::string, std::int64_t> leavingServers;
     /// Crashes of servers that the relay knows of.
     CrashReports crashes;
+    /// What callers of the hosts in the totals ask of layered services.
+    DemandReport demand;
     /// Request rates that servers accept, as far as the relay knows of limits.
     RateLimitReports rateLimits;
     /// Hosts that the relay knows. Sent less often than the loads, as hosts change rarely.
--- a/include/dogwoodvalve/relayed_loads.h
+++ b/include/dogwoodvalve/relayed_loads.h
@@ -47,6 +47,10 @@
     const std::map<std::string, LoadTotals, std::less<>> &totals() const { return m_totals; }
     /// Number of hosts in the totals.
     int hosts() const { return m_hosts; }
+    /// The demand at other hosts, as far as relays report it.
+    DemandReport demand() const;
+    /// The demand at all reported hosts; in a member, this host is one of them.
+    const DemandReport &totalDemand() const { return m_demand; }
 
     /// Without a newer report of a zone, the last one is used for this long: while a host is cut
     /// off, the other hosts' load is better estimated by what it was than by none.
@@ -62,6 +66,7 @@
         std::uint64_t sequence = 0;
         int hosts = 0;
         std::map<std::string, LoadTotals> totals;
+        DemandReport demand;
         TimePoint receivedAt {};
     };
 
@@ -73,7 +78,9 @@
     std::map<std::string, Report> m_reports;
     std::map<std::string, LoadTotals, std::less<>> m_totals;
     int m_hosts = 0;
+    DemandReport m_demand;
     std::map<std::string, LoadTotals, std::less<>> m_ownLoad;
+    DemandTotals m_ownDemand;
 };
 
 } // namespace dogwoodvalve
--- a/src/core/fleet_configuration.cpp
+++ b/src/core/fleet_configuration.cpp
@@ -7,6 +7,8 @@
 namespace {
 
 constexpr double BytesPerMb = 1e6;
+/// Priorities beyond these count as the lowest.
+constexpr int PriorityLevels = 100;
 
 /// Key of the route map. Neither host names nor paths contain a line feed.
 std::string prefixKey(std::string_view host, std::string_view prefix)
@@ -44,10 +46,15 @@
 {
     for (std::size_t i = 0; i < m_routes.size(); ++i)
         m_routeByPrefix.emplace(prefixKey(m_routes[i].host, m_routes[i].pathPrefix), i);
+    for (const RouteRule &route : m_routes) {
+        for (const WeightedService &it : route.services)
+            m_routePriorities[it.service].insert(route.priority);
+    }
 }
 
 void FleetConfiguration::addWorkspace(WorkspaceRule workspace, std::span<const std::string> keys)
 {
+    m_workspacePriorities.insert(workspace.priority);
     m_workspaces.push_back(std::make_unique<WorkspaceRule>(std::move(workspace)));
     for (const std::string &key : keys)
         m_workspaceByKey.emplace(key, m_workspaces.back().get());
@@ -73,12 +80,40 @@
     return it == m_services.end() ? nullptr : &*it;
 }
 
+std::vector<int> FleetConfiguration::ranks(std::string_view service) const
+{
+    const auto it = m_routePriorities.find(service);
+    if (it == m_routePriorities.end())
+        return {};
+    std::set<std::optional<int>> workspaces = m_workspacePriorities;
+    if (workspaces.empty())
+        workspaces.insert(std::nullopt);
+    std::set<int> ranks;
+    for (const int route : it->second) {
+        for (const std::optional<int> workspace : workspaces)
+            ranks.insert(requestRank(route, workspace));
+    }
+    return {ranks.begin(), ranks.end()};
+}
+
 const WorkspaceRule *FleetConfiguration::findWorkspace(std::string_view key) const
 {
     const auto it = m_workspaceByKey.find(std::string(key));
     return it == m_workspaceByKey.end() ? nullptr : it->second;
 }
 
+int requestRank(int routePriority, std::optional<int> workspacePriority)
+{
+    const int route = std::clamp(routePriority, 0, PriorityLevels - 1);
+    const int workspace = std::clamp(workspacePriority.value_or(route), 0, PriorityLevels - 1);
+    return workspace * PriorityLevels + route;
+}
+
+int priorityOf(int rank)
+{
+    return rank / PriorityLevels;
+}
+
 const WeightedService *chooseService(const RouteRule &route, double fraction)
 {
     double total = 0;
--- a/src/core/relayed_loads.cpp
+++ b/src/core/relayed_loads.cpp
@@ -39,7 +39,8 @@
             <= std::pair(known->second.startedAtMs, known->second.sequence))
         return false;
     m_reports[relay.name] = {relay.zone,   relay.startedAtMs, relay.sequence,
-                             digest.hosts, digest.totals,     now};
+                             digest.hosts, digest.totals,     digest.demand,
+                             now};
     sumUp();
     return true;
 }
@@ -61,6 +62,7 @@
         m_ownLoad[server].backlogMs = ms;
     for (const auto &[server, n] : digest.inFlight)
         m_ownLoad[server].inFlight = n;
+    m_ownDemand = digest.demand.value_or(DemandTotals {});
 }
 
 bool RelayedLoads::isUsed(const Report &report) const
@@ -91,9 +93,11 @@
             best = &report;
     }
     m_totals.clear();
+    m_demand = {};
     m_hosts = 0;
     for (const auto &[zone, report] : bestOfZone) {
         m_hosts += report->hosts;
+        m_demand.add(report->demand);
         for (const auto &[server, load] : report->totals)
             m_totals[server].add(load);
     }
@@ -113,4 +117,19 @@
     return load;
 }
 
+DemandReport RelayedLoads::demand() const
+{
+    DemandReport demand = m_demand;
+    if (m_mode != ExchangeMode::Member)
+        return demand;
+    demand.hosts = std::max(0, demand.hosts - 1);
+    for (const auto &[key, own] : m_ownDemand) {
+        const auto it = demand.totals.find(key);
+        if (it == demand.totals.end())
+            continue;
+        it->second.subtract(own);
+    }
+    return demand;
+}
+
 } // namespace dogwoodvalve
--- a/src/gateway/fleet/fleet_view.cpp
+++ b/src/gateway/fleet/fleet_view.cpp
@@ -23,8 +23,6 @@
 constexpr std::uint64_t RemovedServerRetentionRecords = 20'000;
 /// Factors below this are normal variation under load.
 constexpr double MinSlowness = 1.15;
-/// Probes renew a finding about every second.
-constexpr Duration SlownessTimeToLive = 3s;
 /// Number of hosts that must report a server as unanswered before hosts without a probe of their
 /// own eject it. A single host may itself be cut off from the server.
 constexpr int SuspicionQuorum = 2;
@@ -80,85 +78,6 @@
     return m_configurationConfirmed && configurationAge() < m_keyRevocation - KeyCheckMargin;
 }
 
-HostDigest FleetView::identity() const
-{
-    HostDigest identity = m_self;
-    identity.ready = ready();
-    return identity;
-}
-
-HostDigest FleetView::nextDigest()
-{
-    ++m_self.sequence;
-    HostDigest digest = identity();
-    digest.configurationVersion = configurationVersion();
-    digest.configurationAge = std::min(configurationAge(), HostDigest::MaxAge);
-    digest.registrationsEnd = m_serversEnd;
-    digest.registrationsAge = std::min(serversAge(), HostDigest::MaxAge);
-    for (const auto &[id, load] : m_loads) {
-        if (load->committed > 0)
-            digest.commitments.emplace(id, load->committed);
-        if (load->backlogMs > 0)
-            digest.backlogMs.emplace(id, load->backlogMs);
-        if (load->inFlight > 0)
-            digest.inFlight.emplace(id, load->inFlight);
-    }
-    const TimePoint now = m_timers.now();
-    digest.failedProbes = m_health.failedProbes(now);
-    for (const auto &[id, found] : m_slowness) {
-        if (now - found.second <= SlownessTimeToLive)
-            digest.slowness.emplace(id, found.first);
-    }
-    for (const auto &[id, server] : m_registry.servers()) {
-        if (m_health.isLeaving(id, server.startedAtMs))
-            digest.leavingServers.emplace(id, server.startedAtMs);
-    }
-    updateRateShares();
-    digest.rateLimits = m_rateLimits.reports(now);
-    m_quarantine.refresh(now);
-    noteQuarantineChanges(true);
-    digest.crashes = m_quarantine.reports(now);
-    m_urgentUpdate = false;
-    return digest;
-}
-
-void FleetView::applyDigest(const HostDigest &digest)
-{
-    const TimePoint now = m_timers.now();
-    const bool known = m_hosts.peers().count(digest.name) > 0;
-    if (digest.name == m_self.name || !m_hosts.applyDigest(digest, now))
-        return;
-    if (!known)
-        LogEvent("host_discovered").field("host", digest.name).field("zone", digest.zone);
-    for (const std::string &server : digest.failedProbes)
-        applySuspicion(server);
-    applyDepartures(digest.leavingServers, digest.name);
-    applyCrashes(digest.crashes);
-    applyRateLimits(digest.rateLimits, digest.name);
-    applyConfirmation(digest, now);
-}
-
-void FleetView::applyRelayDigest(const RelayDigest &digest)
-{
-    const TimePoint now = m_timers.now();
-    const std::size_t known = m_hosts.peers().size();
-    if (!m_hosts.applyRelayDigest(digest, m_self.name, now))
-        return;
-    if (m_hosts.peers().size() > known)
-        LogEvent("hosts_discovered")
-            .field("relay", digest.relay.name)
-            .field("new", m_hosts.peers().size() - known)
-            .field("known", m_hosts.peers().size());
-    for (const auto &[server, hosts] : digest.failedProbes)
-        applySuspicion(server);
-    applyDepartures(digest.leavingServers, digest.relay.name);
-    applyCrashes(digest.crashes);
-    applyRateLimits(digest.rateLimits, digest.relay.name);
-    applyConfirmation(digest.relay, now);
-    for (const RelayedHost &host : digest.roster)
-        applyConfirmation(host.state, now - host.age);
-}
-
 void FleetView::recordReportedVersion(std::uint64_t version)
 {
     if (version <= m_reportedVersion)
@@ -173,15 +92,6 @@
         .field("reported", m_reportedVersion);
 }
 
-void FleetView::applyConfirmation(const HostDigest &digest, TimePoint sentAt)
-{
-    recordReportedVersion(digest.configurationVersion);
-    const bool sameVersion =
-        m_configuration && digest.configurationVersion == m_configuration->version();
-    if (sameVersion && digest.configurationAge < m_keyRevocation)
-        onConfigurationConfirmed(sentAt - digest.configurationAge);
-}
-
 void FleetView::applySuspicion(const std::string &id)
 {
     const TimePoint now = m_timers.now();
@@ -282,7 +192,7 @@
         part.id = server->id;
         part.zone = server->zone;
         part.layers = layers;
-        part.acceptsRequests = acceptsRequest(*server);
+        part.acceptsRequests = acceptsRequest(*server) && hasFreeSlot(*server);
         const double slow = slowness(server->id);
         part.stepMsPerLayer = slow * profile.stepMs * kind->stepTimeFactor / profile.layers;
         part.prefillMsPerTokenLayer =
--- a/src/gateway/fleet/fleet_view.h
+++ b/src/gateway/fleet/fleet_view.h
@@ -4,6 +4,7 @@
 #include "gateway/fleet/restored_registrations.h"
 #include "gateway/platform_interfaces.h"
 
+#include <dogwoodvalve/demand_meter.h>
 #include <dogwoodvalve/host_table.h>
 #include <dogwoodvalve/prompt_quarantine.h>
 #include <dogwoodvalve/server_health.h>
@@ -26,7 +27,7 @@
     double committed = 0;
     /// Expected prefill time of the prompts sent to the server and not processed yet, in ms.
     double backlogMs = 0;
-    /// Requests of plain services in flight.
+    /// Requests in flight that the server has received from this host, not along a path.
     int inFlight = 0;
     /// Streams whose path includes the server.
     int streams = 0;
@@ -111,6 +112,10 @@
 
     /// This host's load on a server. The entry is created if there is none.
     std::shared_ptr<ServerLoad> load(std::string_view server);
+    /// What this host's callers ask of layered services.
+    DemandMeter &demand() { return m_demand; }
+    /// The same of all hosts. Nothing if some of them do not report it.
+    std::optional<DemandTotals> fleetDemand();
     /// Layers that a server holds, by its own report if there is one since its start, else by its
     /// registration.
     LayerSpan layersOf(const ServerRegistration &server) const;
@@ -180,6 +185,9 @@
     LogPosition serversEnd() const override { return m_serversEnd; }
 
 private:
+    /// Probes renew a finding about every second.
+    static constexpr Duration SlownessTimeToLive = std::chrono::seconds(3);
+
     /// Layers by the server's own report, with when it was received.
     struct ReportedLayers
     {
@@ -198,6 +206,9 @@
     void applyAbsence(const std::string &id, LogPosition end);
     /// A registered server has renewed its registration.
     void recordRenewal(const ServerRegistration &registration);
+    /// Whether an engine can run one more request that it receives itself, by what all hosts have
+    /// in flight there.
+    bool hasFreeSlot(const ServerRegistration &server);
     /// Ejects servers that enough hosts report as unanswered, unless this host has had a sign of
     /// life from them.
     void applySuspicion(const std::string &server);
@@ -248,6 +259,7 @@
     ServerHealth m_health;
     HostTable m_hosts;
     std::map<std::string, std::shared_ptr<ServerLoad>, std::less<>> m_loads;
+    DemandMeter m_demand;
     std::map<std::string, ReportedLayers, std::less<>> m_reportedLayers;
     /// Factor and time of the last probe of each engine that this host found slow.
     std::map<std::string, std::pair<double, TimePoint>, std::less<>> m_slowness;
--- a/src/gateway/fleet/fleet_view_notices.cpp
+++ b/src/gateway/fleet/fleet_view_notices.cpp
@@ -8,6 +8,14 @@
 
 namespace dogwoodvalve {
 
+namespace {
+
+/// Share of an engine's slots that are filled. The rest is for requests that other hosts have sent
+/// and not announced yet; beyond the slots, requests wait in the engine without an answer.
+constexpr double MaxSlotShare = 0.9;
+
+} // namespace
+
 void FleetView::setCutOff(bool cutOff)
 {
     m_self.cutOff = cutOff;
@@ -23,6 +31,13 @@
     return servers;
 }
 
+bool FleetView::hasFreeSlot(const ServerRegistration &server)
+{
+    const int inFlight =
+        load(server.id)->inFlight + m_hosts.inFlightByPeers(server.id, m_timers.now());
+    return inFlight < server.slots * MaxSlotShare || mutated("gateway-ignore-slots");
+}
+
 std::optional<TimePoint> FleetView::servesAgainAt(const ServiceRule &service)
 {
     const TimePoint now = m_timers.now();
--- a/src/gateway/gateway_metrics.cpp
+++ b/src/gateway/gateway_metrics.cpp
@@ -21,6 +21,8 @@
                                        "Orders to load layers by outcome"))
     , m_serverNotices(buildCounterFamily(m_registry, "dogwoodvalve_server_notices_total",
                                          "Announcements of servers in their answers by kind"))
+    , m_notAdmitted(buildCounterFamily(m_registry, "dogwoodvalve_not_admitted_total",
+                                       "Requests refused for others by reason and rank"))
     , m_firstByte(buildHistogram(m_registry, "dogwoodvalve_first_byte_seconds",
                                  "Time from arrival of a request to the first byte of its answer",
                                  LatencyBounds))
@@ -76,6 +78,12 @@
     m_serverNotices.Add({{"kind", std::string(kind)}}).Increment();
 }
 
+void GatewayMetrics::countNotAdmitted(std::string_view reason, int rank)
+{
+    m_notAdmitted.Add({{"reason", std::string(reason)}, {"rank", std::to_string(rank)}})
+        .Increment();
+}
+
 void GatewayMetrics::setConfiguration(std::uint64_t version, Duration age)
 {
     m_configurationVersion.Set(static_cast<double>(version));
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -24,6 +24,8 @@
     /// Counts what servers announce in answers to this host. Kinds: leaving (once for each start
     /// of a server), pause.
     void countServerNotice(std::string_view kind);
+    /// Counts requests that the fleet did not admit, by reason and rank.
+    void countNotAdmitted(std::string_view reason, int rank);
     void observeFirstByte(Duration duration) { m_firstByte.Observe(inSeconds(duration)); }
     void observeEventGap(Duration duration) { m_eventGap.Observe(inSeconds(duration)); }
     void observeFailover(Duration duration) { m_failover.Observe(inSeconds(duration)); }
@@ -48,6 +50,7 @@
     prometheus::Family<prometheus::Counter> &m_dispatches;
     prometheus::Family<prometheus::Counter> &m_layerOrders;
     prometheus::Family<prometheus::Counter> &m_serverNotices;
+    prometheus::Family<prometheus::Counter> &m_notAdmitted;
     prometheus::Histogram &m_firstByte;
     prometheus::Histogram &m_eventGap;
     prometheus::Histogram &m_failover;
--- a/src/gateway/gateway_node.cpp
+++ b/src/gateway/gateway_node.cpp
@@ -54,6 +54,7 @@
     , m_connections(*this)
     , m_survey(*this)
     , m_crashes(*this)
+    , m_admission(*this)
     , m_random(stableHash(settings.name, static_cast<std::uint64_t>(startedAtMs)))
 {
     m_view.setSuspicionHandler([this](const std::string &server) { checkSuspicion(server); });
--- a/src/gateway/gateway_node.h
+++ b/src/gateway/gateway_node.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "gateway/fleet/admission_control.h"
 #include "gateway/fleet/crash_inquiry.h"
 #include "gateway/fleet/engine_prober.h"
 #include "gateway/fleet/fleet_view.h"
@@ -38,6 +39,7 @@
     GatewayPlatform &platform() { return m_platform; }
     EngineProber &survey() { return m_survey; }
     CrashInquiry &crashes() { return m_crashes; }
+    AdmissionControl &admission() { return m_admission; }
     ServerConnections &connections() { return m_connections; }
     const CallerDialect &dialect() const { return *m_platform.dialect; }
     GatewayMetrics &metrics() { return m_metrics; }
@@ -85,6 +87,7 @@
     ServerConnections m_connections;
     EngineProber m_survey;
     CrashInquiry m_crashes;
+    AdmissionControl m_admission;
     GatewayMetrics m_metrics;
     Random m_random;
     std::map<std::string, WaitQueue> m_queues;
--- a/src/gateway/peers/host_digest_codec.cpp
+++ b/src/gateway/peers/host_digest_codec.cpp
@@ -5,6 +5,7 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <charconv>
 #include <cmath>
 
 namespace dogwoodvalve {
@@ -18,6 +19,8 @@
 constexpr const char *LeavingKey = "l";
 constexpr const char *CrashesKey = "c";
 constexpr const char *RateLimitsKey = "r";
+constexpr const char *DemandKeyName = "d";
+constexpr const char *DemandHostsKey = "dh";
 
 /// An age as it is sent, in ms.
 std::int64_t ageMillis(Duration age)
@@ -134,6 +137,41 @@
     return reports;
 }
 
+/// By service, rank and workspace: tokens asked per second, held, and released per second, and the
+/// token-seconds of the latter.
+json encodeDemand(const DemandTotals &totals)
+{
+    json value = json::object();
+    for (const auto &[key, demand] : totals)
+        value[key.service][std::to_string(key.rank)][key.workspace] = {
+            std::llround(demand.askedPerSecond), std::llround(demand.held),
+            std::llround(demand.servedPerSecond), std::llround(demand.servedTokenSeconds)};
+    return value;
+}
+
+int decodeRank(const std::string &text)
+{
+    int rank = 0;
+    std::from_chars(text.data(), text.data() + text.size(), rank);
+    return rank;
+}
+
+DemandTotals decodeDemand(const json &value)
+{
+    DemandTotals totals;
+    for (const auto &[service, ranks] : value.items()) {
+        for (const auto &[rank, workspaces] : ranks.items()) {
+            for (const auto &[workspace, demand] : workspaces.items())
+                totals[{service, decodeRank(rank), workspace}] = {
+                    std::max(0.0, demand.at(0).get<double>()),
+                    std::max(0.0, demand.at(1).get<double>()),
+                    std::max(0.0, demand.at(2).get<double>()),
+                    std::max(0.0, demand.at(3).get<double>())};
+        }
+    }
+    return totals;
+}
+
 Error unreadable(const json::exception &e)
 {
     return {ErrorKind::Malformed, std::string("unreadable digest: ") + e.what(),
@@ -155,6 +193,8 @@
     digest.leavingServers = decodeLeaving(value);
     digest.crashes = decodeCrashes(value);
     digest.rateLimits = decodeRateLimits(value);
+    if (const auto it = value.find(DemandKeyName); it != value.end())
+        digest.demand = decodeDemand(*it);
     return digest;
 }
 
@@ -176,6 +216,8 @@
     digest.leavingServers = decodeLeaving(value);
     digest.crashes = decodeCrashes(value);
     digest.rateLimits = decodeRateLimits(value);
+    if (const auto it = value.find(DemandKeyName); it != value.end())
+        digest.demand = {value.value(DemandHostsKey, 0), decodeDemand(*it)};
     return digest;
 }
 
@@ -189,15 +231,17 @@
     json backlog = json::object();
     for (const auto &[server, ms] : digest.backlogMs)
         backlog[server] = std::llround(ms);
-    const json value = {{"n", encodeState(digest)},
-                        {"k", std::move(commitments)},
-                        {"q", std::move(backlog)},
-                        {"i", digest.inFlight},
-                        {"u", digest.failedProbes},
-                        {"w", digest.slowness},
-                        {LeavingKey, digest.leavingServers},
-                        {CrashesKey, encodeCrashes(digest.crashes)},
-                        {RateLimitsKey, encodeRateLimits(digest.rateLimits)}};
+    json value = {{"n", encodeState(digest)},
+                  {"k", std::move(commitments)},
+                  {"q", std::move(backlog)},
+                  {"i", digest.inFlight},
+                  {"u", digest.failedProbes},
+                  {"w", digest.slowness},
+                  {LeavingKey, digest.leavingServers},
+                  {CrashesKey, encodeCrashes(digest.crashes)},
+                  {RateLimitsKey, encodeRateLimits(digest.rateLimits)}};
+    if (digest.demand)
+        value[DemandKeyName] = encodeDemand(*digest.demand);
     return json::to_cbor(value);
 }
 
@@ -227,7 +271,9 @@
                         {"o", std::move(roster)},
                         {LeavingKey, digest.leavingServers},
                         {CrashesKey, encodeCrashes(digest.crashes)},
-                        {RateLimitsKey, encodeRateLimits(digest.rateLimits)}};
+                        {RateLimitsKey, encodeRateLimits(digest.rateLimits)},
+                        {DemandHostsKey, digest.demand.hosts},
+                        {DemandKeyName, encodeDemand(digest.demand.totals)}};
     return json::to_cbor(value);
 }
 
--- a/src/gateway/requests/front_api.cpp
+++ b/src/gateway/requests/front_api.cpp
@@ -68,7 +68,7 @@
         return refuse(exchange, request.caller, StatusNotFound,
                       {ErrorKind::NotFound, "no route for this host and path",
                        "see the routes in the configuration"});
-    request.priority = request.route->priority;
+    request.rank = requestRank(request.route->priority, std::nullopt);
     if (!request.route->allowUnauthenticated && request.configuration->hasWorkspaces()) {
         if (!view.keysFresh())
             return refuse(
@@ -79,7 +79,7 @@
             return refuse(exchange, request.caller, StatusUnauthorized,
                           {ErrorKind::Unauthorized, "unknown key", "use a valid key"});
         request.workspace = workspace->name;
-        request.priority = workspace->priority.value_or(request.priority);
+        request.rank = requestRank(request.route->priority, workspace->priority);
     }
     const WeightedService *service = chooseService(*request.route, m_node.random().fraction());
     request.service = service ? request.configuration->findService(service->service) : nullptr;
--- a/src/gateway/requests/generation_attempt.cpp
+++ b/src/gateway/requests/generation_attempt.cpp
@@ -38,6 +38,7 @@
         ++part.load->streams;
         node.view().health().recordDispatch(part.server, part.startedAtMs, m_startedAt);
     }
+    ++m_parts.front().load->inFlight;
 }
 
 GenerationAttempt::~GenerationAttempt()
@@ -55,6 +56,7 @@
         part.load->committed -= part.committed;
         --part.load->streams;
     }
+    --m_parts.front().load->inFlight;
     if (const auto client = std::exchange(m_client, nullptr))
         client->close();
 }
--- a/src/gateway/requests/generation_attempt.h
+++ b/src/gateway/requests/generation_attempt.h
@@ -88,6 +88,7 @@
     /// Whether the answer has neither a length nor chunks, so that its end is that of its
     /// connection.
     bool endsWithConnection() const { return m_endsWithConnection; }
+    TimePoint startedAt() const { return m_startedAt; }
     /// When the head of the stream arrived.
     TimePoint begunAt() const { return m_begunAt; }
     /// Whether the answer has begun, and not long enough ago to show that its prompt does not crash
--- a/src/gateway/requests/generation_session.cpp
+++ b/src/gateway/requests/generation_session.cpp
@@ -24,9 +24,6 @@
 /// A request that may have crashed an engine is not sent to another one for this long. If it is one
 /// of several that do, all hosts know by then.
 constexpr Duration CrashRetryHold = 1s;
-/// Engines have ten levels of urgency and admit 0 first; the middle one stands for routes of
-/// rank 1.
-constexpr int MaxUrgency = 9;
 constexpr Duration MinStallTimeout = GenerationAttempt::MinStallTimeout;
 
 std::string describePath(std::span<const PathServer> servers, std::span<const PathPart> parts)
@@ -50,6 +47,7 @@
     m_size = *m_request.caller.size;
     if (m_size.answerTokens <= 0)
         m_size.answerTokens = m_request.service->engine->usualAnswerTokens;
+    m_measured = m_node.admission().measures(*m_request.service);
 }
 
 GenerationSession::~GenerationSession()
@@ -57,6 +55,20 @@
     m_node.timers().cancel(m_holdTimer);
 }
 
+DemandKey GenerationSession::demandKey() const
+{
+    return {m_request.service->name, rank(), m_request.workspace};
+}
+
+AdmissionDecision GenerationSession::admission()
+{
+    if (!m_measured)
+        return {};
+    m_node.admission().recordAsked(demandKey(), m_size.total());
+    return m_node.admission().decide(*m_request.service,
+                                     {rank(), m_request.workspace, m_size.total()}, timeLeft());
+}
+
 // A stream that has begun can't be refused any more, so it waits until its deadline. Callers that
 // are no longer interested disconnect.
 Duration GenerationSession::maxFailoverWait() const
@@ -113,10 +125,12 @@
     if (m_eventOrder.lastDeliveredId())
         request.lastEventId = m_eventOrder.lastDeliveredId();
     request.path = dispatched;
-    request.urgency = std::clamp(m_request.priority, 0, MaxUrgency);
+    request.urgency = m_node.admission().urgency(*m_request.service, rank());
     auto attempt = std::make_shared<GenerationAttempt>(
         m_node, *this, m_request.caller.id, std::move(path), std::move(reserved), m_pathText);
     m_open.push_back(attempt);
+    if (m_measured)
+        m_node.admission().recordStarted(demandKey(), m_size.total());
     attempt->setClient(
         dispatch(*first, request, m_attempts == 0 ? "least_time" : "continue", *attempt));
     scheduleStallCheck(
@@ -126,6 +140,8 @@
 void GenerationSession::closeAttempt(GenerationAttempt &attempt)
 {
     attempt.close();
+    if (m_measured)
+        m_node.admission().recordEnded(demandKey(), m_size.total());
     m_node.queue(m_request.service->name).predictor().recordCompleted(m_size.total(), m_node.now());
     std::erase_if(m_open, [&attempt](const auto &it) { return it.get() == &attempt; });
 }
@@ -382,6 +398,8 @@
                            true);
     }
     recordServed(attempt);
+    if (m_measured)
+        m_node.admission().recordServed(demandKey(), m_size.total(), attempt.startedAt());
     if (!std::exchange(m_responded, true))
         m_request.exchange->beginStream(attempt.answer().status, attempt.answerFields());
     for (const ReservedPart &part : attempt.parts())
--- a/src/gateway/requests/generation_session.h
+++ b/src/gateway/requests/generation_session.h
@@ -30,6 +30,7 @@
     void onAttemptError(GenerationAttempt &attempt, const Error &error) override;
 
 protected:
+    AdmissionDecision admission() override;
     Duration maxFailoverWait() const override;
     void closeAttempts() override;
     bool attemptOpen() const override { return !m_open.empty(); }
@@ -37,6 +38,7 @@
     void addOutcomeFields(LogEvent &event) const override;
 
 private:
+    DemandKey demandKey() const;
     ReservedPart reservedPart(const PathServer &server, LayerSpan layers) const;
     void startAttempt(std::span<const PathServer> servers, EnginePath path);
     void closeAttempt(GenerationAttempt &attempt);
@@ -79,6 +81,8 @@
     void reportEvidence(const ReservedPart &part, ServerEvidence evidence);
 
     SequenceSize m_size;
+    /// The demand for the service is measured, and this request counts.
+    bool m_measured = false;
     std::vector<std::shared_ptr<GenerationAttempt>> m_open;
     /// Expectations of the last path.
     Duration m_expectedFirstEvent {};
--- a/src/gateway/requests/request_session.cpp
+++ b/src/gateway/requests/request_session.cpp
@@ -120,7 +120,9 @@
     m_isWaiting = false;
     if (endIfQuarantined())
         return;
-    if ((atFront || !queue.blocksArrivals()) && tryStart())
+    if (!atFront && refuseUnlessAdmitted())
+        return;
+    if ((atFront || !queue.blocksArrivals(rank())) && tryStart())
         return;
     if (m_ended || endIfServersPauseLonger(atFront ? maxFailoverWait() : maxUsefulWait()))
         return;
@@ -130,7 +132,7 @@
         return queue.pushFront(shared_from_this());
     }
     const TimePoint now = m_node.now();
-    const Duration wait = queue.predictor().timeToComplete(queue.waitingWork() + work(), now);
+    const Duration wait = queue.predictor().timeToComplete(queue.waitingWork(rank()) + work(), now);
     const WaitDecision decision =
         decideWait(wait, maxUsefulWait(), timeLeft(), m_node.random().fraction());
     LogEvent::decision(decision.wait ? "queued" : "shed")
@@ -149,6 +151,28 @@
            decision.retryAfter);
 }
 
+bool RequestSession::refuseUnlessAdmitted()
+{
+    const AdmissionDecision decision = admission();
+    if (decision.outcome == AdmissionOutcome::Admitted)
+        return false;
+    LogEvent::decision("not_admitted")
+        .field("request", m_request.caller.id)
+        .field("service", m_request.service->name)
+        .field("workspace", m_request.workspace)
+        .field("rank", rank())
+        .field("reason", toString(decision.outcome))
+        .field("load", decision.load)
+        .field("retry_after_ms", decision.retryAfter.count() / 1000);
+    m_node.metrics().countNotAdmitted(toString(decision.outcome), rank());
+    const std::string_view reason = decision.outcome == AdmissionOutcome::OverShare
+        ? "the workspace has its share of the servers"
+        : "more urgent requests need the servers";
+    refuse(StatusUnavailable, {ErrorKind::Overloaded, std::string(reason), "send it again later"},
+           decision.retryAfter);
+    return true;
+}
+
 bool RequestSession::endIfServersPauseLonger(Duration longestWait)
 {
     const auto at = m_node.view().servesAgainAt(*m_request.service);
@@ -210,7 +234,7 @@
     if (m_mayHaveRun || m_responded)
         return fail(StatusBadGateway, error);
     const WaitQueue &queue = m_node.queue(m_request.service->name);
-    const Duration wait = queue.predictor().timeToComplete(queue.waitingWork(), m_node.now());
+    const Duration wait = queue.predictor().timeToComplete(queue.waitingWork(rank()), m_node.now());
     refuse(StatusUnavailable, error,
            decideWait(wait, Duration::zero(), timeLeft(), m_node.random().fraction()).retryAfter);
 }
--- a/src/gateway/requests/request_session.h
+++ b/src/gateway/requests/request_session.h
@@ -18,7 +18,8 @@
     const RouteRule *route = nullptr;
     const ServiceRule *service = nullptr;
     std::string workspace;
-    int priority = 5;
+    /// As requestRank().
+    int rank = 0;
     std::shared_ptr<HttpExchange> exchange;
     CallerRequest caller;
     std::string body;
@@ -47,6 +48,7 @@
 
     bool isWaiting() const override { return m_isWaiting && !m_ended; }
     bool isInterrupted() const override { return m_responded || attemptOpen(); }
+    int rank() const override { return m_request.rank; }
     /// Gives the request its final answer because the process exits before its deadline.
     void endAtExit();
     /// Ends a waiting request if its wait is over before the servers that want a pause can serve
@@ -71,6 +73,8 @@
     /// Whether an open attempt has delivered a part of the answer.
     virtual bool attemptDelivers() const { return false; }
 
+    /// Whether a new request may start, or be queued. Requests that were sent before are not asked.
+    virtual AdmissionDecision admission() { return {}; }
     /// How long a request whose attempt failed may wait for another server.
     virtual Duration maxFailoverWait() const = 0;
     /// Starts an attempt if servers have capacity, or queues the request. A request that was sent
@@ -125,6 +129,8 @@
     /// ended the request.
     bool endIfServersPauseLonger(Duration longestWait);
     void onWaitTimeout();
+    /// Refuses a new request that the fleet does not admit. Returns whether it did.
+    bool refuseUnlessAdmitted();
     /// Whether the request may have crashed a server a short while ago.
     bool isSuspect() const;
     void startWhenHoldEnds(bool atFront, TimePoint holdEndsAt);
--- a/src/gateway/requests/wait_queue.cpp
+++ b/src/gateway/requests/wait_queue.cpp
@@ -9,15 +9,27 @@
 /// How many requests that do not fit are passed over behind the first one.
 constexpr int LookAhead = 4;
 
-/// The request if it still waits and new ones must queue behind it, or nullptr.
-std::shared_ptr<WaitingRequest> lockIfBlocking(const std::weak_ptr<WaitingRequest> &waiting)
+/// The request if it still waits and new ones of a rank must queue behind it, or nullptr.
+std::shared_ptr<WaitingRequest> lockIfBlocking(const std::weak_ptr<WaitingRequest> &waiting,
+                                               int rank)
 {
     auto request = waiting.lock();
-    return request && request->isWaiting() && !request->isInterrupted() ? request : nullptr;
+    return request && request->isWaiting() && !request->isInterrupted() && request->rank() <= rank
+        ? request
+        : nullptr;
 }
 
 } // namespace
 
+void WaitQueue::push(const std::shared_ptr<WaitingRequest> &request)
+{
+    const auto mayPrecede = [rank = request->rank()](const std::weak_ptr<WaitingRequest> &it) {
+        const auto waiting = it.lock();
+        return !waiting || waiting->isInterrupted() || waiting->rank() <= rank;
+    };
+    m_waiting.insert(std::find_if_not(m_waiting.begin(), m_waiting.end(), mayPrecede), request);
+}
+
 void WaitQueue::admitWaiting()
 {
     // A request that is started or ended here may call this again, or queue itself again.
@@ -43,17 +55,17 @@
     m_admitting = false;
 }
 
-bool WaitQueue::blocksArrivals() const
+bool WaitQueue::blocksArrivals(int rank) const
 {
     return std::any_of(m_waiting.begin(), m_waiting.end(),
-                       [](const auto &it) { return lockIfBlocking(it) != nullptr; });
+                       [rank](const auto &it) { return lockIfBlocking(it, rank) != nullptr; });
 }
 
-double WaitQueue::waitingWork() const
+double WaitQueue::waitingWork(int rank) const
 {
     double work = 0;
     for (const auto &it : m_waiting) {
-        if (const auto request = lockIfBlocking(it))
+        if (const auto request = lockIfBlocking(it, rank))
             work += request->work();
     }
     return work;
--- a/src/gateway/requests/wait_queue.h
+++ b/src/gateway/requests/wait_queue.h
@@ -18,17 +18,20 @@
     /// Whether the request's answer has begun or may still come from a server. Such a request is
     /// tried first, but doesn't block new ones.
     virtual bool isInterrupted() const = 0;
+    /// 0 is the most urgent.
+    virtual int rank() const = 0;
     /// The request's work, in the unit of the queue's predictor.
     virtual double work() const = 0;
 };
 
-/// The waiting requests of one service, in order of arrival. If the first one is too large for the
-/// free capacity, a few behind it are tried, so that small requests can use the capacity.
-/// Interrupted requests don't block others.
+/// The waiting requests of one service, by rank and in order of arrival. If the first one is too
+/// large for the free capacity, a few behind it are tried, so that small requests can use the
+/// capacity. Interrupted requests don't block others.
 class WaitQueue
 {
 public:
-    void push(const std::shared_ptr<WaitingRequest> &request) { m_waiting.push_back(request); }
+    /// Queues a request behind those of the same or a higher rank.
+    void push(const std::shared_ptr<WaitingRequest> &request);
     /// Queues a request that was sent before, such as an interrupted stream, ahead of all others.
     void pushFront(const std::shared_ptr<WaitingRequest> &request)
     {
@@ -38,10 +41,11 @@
     void admitWaiting();
     bool empty() const { return m_waiting.empty(); }
     std::size_t size() const { return m_waiting.size(); }
-    /// Whether a new request must queue behind others.
-    bool blocksArrivals() const;
-    /// Sum of the work of the waiting requests, without interrupted ones.
-    double waitingWork() const;
+    /// Whether a new request of this rank must queue behind others.
+    bool blocksArrivals(int rank) const;
+    /// Sum of the work of the waiting requests of this rank or a higher one, without interrupted
+    /// ones.
+    double waitingWork(int rank) const;
 
     WaitPredictor &predictor() { return m_predictor; }
     const WaitPredictor &predictor() const { return m_predictor; }
--- a/tests/unit/fleet_configuration_test.cpp
+++ b/tests/unit/fleet_configuration_test.cpp
@@ -25,6 +25,8 @@
     CPPUNIT_TEST(unmatchedPathsHaveNoRoute);
     CPPUNIT_TEST(keysIdentifyTheirWorkspace);
     CPPUNIT_TEST(servicesGetRequestsByWeight);
+    CPPUNIT_TEST(aWorkspacesPriorityTakesPrecedence);
+    CPPUNIT_TEST(theRanksOfAServiceAreThoseOfItsRoutesAndWorkspaces);
     CPPUNIT_TEST_SUITE_END();
 
     void theLongestPrefixWins()
@@ -68,6 +70,31 @@
         rule.services.clear();
         CPPUNIT_ASSERT(chooseService(rule, 0.5) == nullptr);
     }
+
+    void aWorkspacesPriorityTakesPrecedence()
+    {
+        CPPUNIT_ASSERT(requestRank(5, 0) < requestRank(0, 1));
+        CPPUNIT_ASSERT(requestRank(0, 1) < requestRank(1, 1));
+        CPPUNIT_ASSERT_EQUAL(requestRank(2, std::nullopt), requestRank(2, 2));
+    }
+
+    void theRanksOfAServiceAreThoseOfItsRoutesAndWorkspaces()
+    {
+        RouteRule urgent = route("a", "/urgent/");
+        urgent.priority = 0;
+        RouteRule other = route("a", "/other/");
+        other.priority = 2;
+        other.services = {{"s", 1}, {"t", 1}};
+        FleetConfiguration configuration(1, {urgent, other}, {});
+        const std::vector<int> withoutWorkspaces {requestRank(0, std::nullopt),
+                                                  requestRank(2, std::nullopt)};
+        CPPUNIT_ASSERT(configuration.ranks("s") == withoutWorkspaces);
+        CPPUNIT_ASSERT_EQUAL(std::size_t {1}, configuration.ranks("t").size());
+        CPPUNIT_ASSERT(configuration.ranks("unknown").empty());
+        configuration.addWorkspace({"w", 1}, {});
+        const std::vector<int> inWorkspace {requestRank(0, 1), requestRank(2, 1)};
+        CPPUNIT_ASSERT(configuration.ranks("s") == inWorkspace);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(FleetConfigurationTest);
