Let requests wait for room that is taken only for the moment

Found by ScarceRoomTest: the most urgent were told that more urgent requests need the servers when all room was held (10 of 54 in the test), and lower ranks were refused although all together asked for less than there is. The first rank is now left to the choice of a path and the queue, and a lower rank without scarcity waits its useful time in the queue, where admission is asked again. Callers wait for a third of their remaining time at most, so times to return stay below it (0.3).

--- a/include/dogwoodvalve/fleet_admission.h
+++ b/include/dogwoodvalve/fleet_admission.h
@@ -33,9 +33,11 @@
     double tokens = 0;
 };
 
-/// Why a request is not admitted.
+/// Whether a request is admitted, and if not, why.
 enum class AdmissionOutcome {
     Admitted,
+    /// The room is taken for the moment, though there is enough for all. The request may wait.
+    NoRoomYet,
     /// More urgent requests need the room.
     KeptForHigherRanks,
     /// The workspace holds its share of the room, and others ask for theirs.
@@ -50,8 +52,14 @@
     /// Share of the room that requests of the same or a higher rank need; above 1 if not all of
     /// them can be served.
     double load = 0;
-    /// When the caller should return; zero for an admitted request.
+    /// When the caller should return; zero if it need not.
     Duration retryAfter {};
+
+    bool isRefused() const
+    {
+        return outcome == AdmissionOutcome::KeptForHigherRanks
+            || outcome == AdmissionOutcome::OverShare;
+    }
 };
 
 /// Decides which requests of one service start while all hosts together are asked for more than its
--- a/src/core/fleet_admission.cpp
+++ b/src/core/fleet_admission.cpp
@@ -16,8 +16,8 @@
 /// times as much of the room is left for those that must not wait.
 constexpr double HeadroomFactor = 1.5;
 constexpr Duration MinRetryAfter = 200ms;
-/// Callers are told to retry within this fraction of their remaining time.
-constexpr int RetryAfterDivisor = 3;
+/// Callers wait for a third of their remaining time at most. The rest is for the way to them.
+constexpr double MaxRetryShare = 0.3;
 /// The time is spread by a factor between 0.75 and 1.25.
 constexpr double MinRetrySpread = 0.75;
 constexpr double RetrySpreadRange = 0.5;
@@ -55,6 +55,8 @@
     switch (outcome) {
     case AdmissionOutcome::Admitted:
         return "admitted";
+    case AdmissionOutcome::NoRoomYet:
+        return "no_room_yet";
     case AdmissionOutcome::KeptForHigherRanks:
         return "kept_for_higher_ranks";
     case AdmissionOutcome::OverShare:
@@ -146,17 +148,24 @@
     const Rank *rank = findRank(request.rank);
     if (!rank || m_usable <= 0)
         return decision;
-    const bool hasRoom = m_room.held + rank->shortOfHigher + request.tokens <= rank->limit
+    // Whether a server has room for the most urgent ones is seen when one is chosen.
+    const bool hasRoom = rank == &m_ranks.front()
+        || m_room.held + rank->shortOfHigher + request.tokens <= rank->limit
         || mutated("admission-ignore-ranks");
     const bool isScarce = decision.load > 1;
     if (hasRoom && (!isScarce || isWithinShare(*rank, request)))
         return decision;
+    if (!isScarce) {
+        decision.outcome = AdmissionOutcome::NoRoomYet;
+        return decision;
+    }
     const bool higherTakeAll = rank->available <= 0 || rank->needed <= m_usable;
-    decision.outcome =
-        higherTakeAll ? AdmissionOutcome::KeptForHigherRanks : AdmissionOutcome::OverShare;
+    decision.outcome = higherTakeAll && rank != &m_ranks.front()
+        ? AdmissionOutcome::KeptForHigherRanks
+        : AdmissionOutcome::OverShare;
     // After this time as much room has become free as is needed beyond what there is.
     const Duration wait = scaled(m_holdTime, decision.load);
-    const Duration most = std::max<Duration>(MinRetryAfter, timeLeft / RetryAfterDivisor);
+    const Duration most = std::max<Duration>(MinRetryAfter, scaled(timeLeft, MaxRetryShare));
     decision.retryAfter = std::clamp<Duration>(
         scaled(wait, MinRetrySpread + RetrySpreadRange * jitter), MinRetryAfter, most);
     return decision;
--- a/src/gateway/requests/generation_session.cpp
+++ b/src/gateway/requests/generation_session.cpp
@@ -65,6 +65,11 @@
     if (!m_measured)
         return {};
     m_node.admission().recordAsked(demandKey(), m_size.total());
+    return decideAdmission();
+}
+
+AdmissionDecision GenerationSession::decideAdmission()
+{
     return m_node.admission().decide(*m_request.service,
                                      {rank(), m_request.workspace, m_size.total()}, timeLeft());
 }
@@ -78,6 +83,9 @@
 
 bool GenerationSession::tryStart()
 {
+    const bool isNew = m_attempts == 0;
+    if (m_measured && isNew && decideAdmission().outcome != AdmissionOutcome::Admitted)
+        return false;
     const EngineProfile &profile = *m_request.service->engine;
     std::vector<PathServer> servers = m_node.view().pathServers(*m_request.service);
     std::erase_if(servers, [this](const PathServer &server) {
--- a/src/gateway/requests/generation_session.h
+++ b/src/gateway/requests/generation_session.h
@@ -39,6 +39,7 @@
 
 private:
     DemandKey demandKey() const;
+    AdmissionDecision decideAdmission();
     ReservedPart reservedPart(const PathServer &server, LayerSpan layers) const;
     void startAttempt(std::span<const PathServer> servers, EnginePath path);
     void closeAttempt(GenerationAttempt &attempt);
--- a/src/gateway/requests/request_session.cpp
+++ b/src/gateway/requests/request_session.cpp
@@ -154,7 +154,7 @@
 bool RequestSession::refuseUnlessAdmitted()
 {
     const AdmissionDecision decision = admission();
-    if (decision.outcome == AdmissionOutcome::Admitted)
+    if (!decision.isRefused())
         return false;
     LogEvent::decision("not_admitted")
         .field("request", m_request.caller.id)
