--- a/src/gateway/fleet/admission_control.cpp
+++ b/src/gateway/fleet/admission_control.cpp
@@ -45,22 +45,12 @@
     return std::clamp(priorityOf(known.front()) + position, 0, MaxUrgency);
 }
 
-void AdmissionControl::recordAsked(const DemandKey &key, double tokens)
-{
-    m_node.view().demand().recordAsked(key, tokens, m_node.now());
-}
-
 void AdmissionControl::recordStarted(const DemandKey &key, double tokens)
 {
     m_node.view().demand().recordStarted(key, tokens);
     m_services[key.service].admission.recordStarted({key.rank, key.workspace, tokens});
 }
 
-void AdmissionControl::recordServed(const DemandKey &key, double tokens, TimePoint startedAt)
-{
-    m_node.view().demand().recordServed(key, tokens, startedAt, m_node.now());
-}
-
 void AdmissionControl::recordEnded(const DemandKey &key, double tokens)
 {
     m_node.view().demand().recordEnded(key, tokens);
@@ -103,4 +93,43 @@
         .field("hold_ms", state.admission.holdTime().count() / 1000);
 }
 
+RequestDemand::RequestDemand(GatewayNode &node, const ServiceRule &service, int rank,
+                             std::string workspace)
+    : m_node(node)
+    , m_service(service)
+    , m_key {service.name, rank, std::move(workspace)}
+    , m_measured(node.admission().measures(service))
+{ }
+
+void RequestDemand::recordAsked()
+{
+    if (m_measured)
+        m_node.view().demand().recordAsked(m_key, m_tokens, m_node.now());
+}
+
+AdmissionDecision RequestDemand::decide(Duration timeLeft)
+{
+    if (!m_measured)
+        return {};
+    return m_node.admission().decide(m_service, {m_key.rank, m_key.workspace, m_tokens}, timeLeft);
+}
+
+void RequestDemand::recordStarted()
+{
+    if (m_measured)
+        m_node.admission().recordStarted(m_key, m_tokens);
+}
+
+void RequestDemand::recordEnded()
+{
+    if (m_measured)
+        m_node.admission().recordEnded(m_key, m_tokens);
+}
+
+void RequestDemand::recordServed(TimePoint startedAt)
+{
+    if (m_measured)
+        m_node.view().demand().recordServed(m_key, m_tokens, startedAt, m_node.now());
+}
+
 } // namespace dogwoodvalve
--- a/src/gateway/fleet/admission_control.h
+++ b/src/gateway/fleet/admission_control.h
@@ -14,7 +14,7 @@
 struct ServiceRule;
 
 /// Keeps the admission decisions of this host supplied with what it knows of the fleet. Only
-/// layered services whose requests differ in priority are controlled, and only while all live hosts
+/// layered services whose requests differ in rank are controlled, and only while all live hosts
 /// report what is asked of them.
 class AdmissionControl
 {
@@ -27,16 +27,12 @@
     bool measures(const ServiceRule &service);
     /// The urgency that engines are told for requests of a rank, from 0 for the most urgent to 9.
     int urgency(const ServiceRule &service, int rank);
-    /// A request of this key has arrived.
-    void recordAsked(const DemandKey &key, double tokens);
     /// Whether a request may start now.
     AdmissionDecision decide(const ServiceRule &service, const FleetAdmissionRequest &request,
                              Duration timeLeft);
     /// A request has begun to hold context memory, or has released it.
     void recordStarted(const DemandKey &key, double tokens);
     void recordEnded(const DemandKey &key, double tokens);
-    /// A request that began at the given time has been served to its end.
-    void recordServed(const DemandKey &key, double tokens, TimePoint startedAt);
 
 private:
     struct Service
@@ -57,4 +53,31 @@
     std::uint64_t m_ranksVersion = 0;
 };
 
+/// The part of one request in the demand for its service. Without effect, and always admitted, if
+/// the demand is not measured.
+class RequestDemand
+{
+public:
+    /// The node and the service must outlive this object.
+    RequestDemand(GatewayNode &node, const ServiceRule &service, int rank, std::string workspace);
+
+    /// Sets the expected size of the request's context.
+    void setTokens(double tokens) { m_tokens = tokens; }
+    /// Counts the arrival of the request.
+    void recordAsked();
+    AdmissionDecision decide(Duration timeLeft);
+    /// An attempt has begun to hold context memory, or has released it.
+    void recordStarted();
+    void recordEnded();
+    /// The request has been served to its end by an attempt that began at the given time.
+    void recordServed(TimePoint startedAt);
+
+private:
+    GatewayNode &m_node;
+    const ServiceRule &m_service;
+    DemandKey m_key;
+    double m_tokens = 0;
+    bool m_measured = false;
+};
+
 } // namespace dogwoodvalve
--- a/src/gateway/requests/generation_session.cpp
+++ b/src/gateway/requests/generation_session.cpp
@@ -42,12 +42,13 @@
 
 GenerationSession::GenerationSession(GatewayNode &node, AcceptedRequest request)
     : RequestSession(node, std::move(request))
+    , m_demand(node, *m_request.service, m_request.rank, m_request.workspace)
     , m_eventOrder(m_request.caller.lastEventId)
 {
     m_size = *m_request.caller.size;
     if (m_size.answerTokens <= 0)
         m_size.answerTokens = m_request.service->engine->usualAnswerTokens;
-    m_measured = m_node.admission().measures(*m_request.service);
+    m_demand.setTokens(m_size.total());
 }
 
 GenerationSession::~GenerationSession()
@@ -55,23 +56,10 @@
     m_node.timers().cancel(m_holdTimer);
 }
 
-DemandKey GenerationSession::demandKey() const
-{
-    return {m_request.service->name, rank(), m_request.workspace};
-}
-
 AdmissionDecision GenerationSession::admission()
 {
-    if (!m_measured)
-        return {};
-    m_node.admission().recordAsked(demandKey(), m_size.total());
-    return decideAdmission();
-}
-
-AdmissionDecision GenerationSession::decideAdmission()
-{
-    return m_node.admission().decide(*m_request.service,
-                                     {rank(), m_request.workspace, m_size.total()}, timeLeft());
+    m_demand.recordAsked();
+    return m_demand.decide(timeLeft());
 }
 
 // A stream that has begun can't be refused any more, so it waits until its deadline. Callers that
@@ -84,7 +72,7 @@
 bool GenerationSession::tryStart()
 {
     const bool isNew = m_attempts == 0;
-    if (m_measured && isNew && decideAdmission().outcome != AdmissionOutcome::Admitted)
+    if (isNew && m_demand.decide(timeLeft()).outcome != AdmissionOutcome::Admitted)
         return false;
     const EngineProfile &profile = *m_request.service->engine;
     std::vector<PathServer> servers = m_node.view().pathServers(*m_request.service);
@@ -137,8 +125,7 @@
     auto attempt = std::make_shared<GenerationAttempt>(
         m_node, *this, m_request.caller.id, std::move(path), std::move(reserved), m_pathText);
     m_open.push_back(attempt);
-    if (m_measured)
-        m_node.admission().recordStarted(demandKey(), m_size.total());
+    m_demand.recordStarted();
     attempt->setClient(
         dispatch(*first, request, m_attempts == 0 ? "least_time" : "continue", *attempt));
     scheduleStallCheck(
@@ -148,8 +135,7 @@
 void GenerationSession::closeAttempt(GenerationAttempt &attempt)
 {
     attempt.close();
-    if (m_measured)
-        m_node.admission().recordEnded(demandKey(), m_size.total());
+    m_demand.recordEnded();
     m_node.queue(m_request.service->name).predictor().recordCompleted(m_size.total(), m_node.now());
     std::erase_if(m_open, [&attempt](const auto &it) { return it.get() == &attempt; });
 }
@@ -406,8 +392,7 @@
                            true);
     }
     recordServed(attempt);
-    if (m_measured)
-        m_node.admission().recordServed(demandKey(), m_size.total(), attempt.startedAt());
+    m_demand.recordServed(attempt.startedAt());
     if (!std::exchange(m_responded, true))
         m_request.exchange->beginStream(attempt.answer().status, attempt.answerFields());
     for (const ReservedPart &part : attempt.parts())
--- a/src/gateway/requests/generation_session.h
+++ b/src/gateway/requests/generation_session.h
@@ -38,8 +38,6 @@
     void addOutcomeFields(LogEvent &event) const override;
 
 private:
-    DemandKey demandKey() const;
-    AdmissionDecision decideAdmission();
     ReservedPart reservedPart(const PathServer &server, LayerSpan layers) const;
     void startAttempt(std::span<const PathServer> servers, EnginePath path);
     void closeAttempt(GenerationAttempt &attempt);
@@ -82,8 +80,7 @@
     void reportEvidence(const ReservedPart &part, ServerEvidence evidence);
 
     SequenceSize m_size;
-    /// The demand for the service is measured, and this request counts.
-    bool m_measured = false;
+    RequestDemand m_demand;
     std::vector<std::shared_ptr<GenerationAttempt>> m_open;
     /// Expectations of the last path.
     Duration m_expectedFirstEvent {};
