Revert "Divide memory between layers and context by what lets most requests end"

Each zone held the model three times in place of four, and groups of engines that crash together left zones without a complete path.

--- a/include/dogwoodvalve/layer_planner.h
+++ b/include/dogwoodvalve/layer_planner.h
@@ -2,7 +2,6 @@
 
 #include <dogwoodvalve/fleet_configuration.h>
 #include <dogwoodvalve/layer_span.h>
-#include <dogwoodvalve/memory_division.h>
 
 #include <optional>
 #include <span>
@@ -29,8 +28,8 @@
 };
 
 /// Plans which layers each server holds. The model is divided into blocks of equal size. A server
-/// holds as many consecutive blocks as MemoryDivision gives to its kind, so that every server that
-/// holds a block can replace another one. Ranges that servers already hold
+/// holds as many consecutive blocks as leave the intended share of its memory for the KV cache, so
+/// that every server that holds a block can replace another one. Ranges that servers already hold
 /// are kept; a server without layers gets the blocks with the least KV cache capacity in its zone,
 /// in tokens.
 ///
@@ -47,14 +46,12 @@
     /// an unknown kind, or whose memory is too small for one block, get none.
     std::vector<LayerAssignment> assign(std::span<const PlannedServer> servers) const;
 
-    /// Most layers that an accelerator should hold; 0 if it can't hold one block.
+    /// Number of layers that an accelerator should hold; 0 if it can't hold one block.
     int layersFor(const AcceleratorKind &kind) const;
     /// KV cache capacity of a zone in tokens, which is that of its scarcest block.
     double zoneCapacity(std::span<const PlannedServer> servers, std::string_view zone) const;
 
 private:
-    /// The layers that servers of each kind should hold in this pool.
-    LayersByKind divideMemory(std::span<const PlannedServer> servers) const;
     /// KV cache capacity in tokens of each block, summed over the servers of a zone.
     std::vector<double> blockCapacities(std::span<const PlannedServer> servers,
                                         std::string_view zone) const;
--- a/src/core/layer_planner.cpp
+++ b/src/core/layer_planner.cpp
@@ -47,19 +47,6 @@
     return blocks * m_blockSize;
 }
 
-LayersByKind LayerPlanner::divideMemory(std::span<const PlannedServer> servers) const
-{
-    LayersByKind most;
-    for (const AcceleratorKind &kind : m_profile.kinds) {
-        if (const int layers = layersFor(kind); layers > 0)
-            most[kind.name] = layers;
-    }
-    std::map<std::string, KindCounts, std::less<>> zones;
-    for (const PlannedServer &server : servers)
-        ++zones[server.zone][server.kind];
-    return MemoryDivision(m_profile, std::move(most), m_blockSize).divide(zones);
-}
-
 /// Tokens whose KV cache fits on a server that holds this many layers.
 double LayerPlanner::kvCacheTokens(const AcceleratorKind &kind, int layers) const
 {
@@ -130,15 +117,13 @@
     std::stable_sort(order.begin(), order.end(), [&](std::size_t a, std::size_t b) {
         return speed(known[a]) < speed(known[b]);
     });
-    const LayersByKind layers = divideMemory(servers);
     std::vector<LayerAssignment> assignments;
     for (const std::size_t i : order) {
         PlannedServer &server = known[i];
         const AcceleratorKind *kind = m_profile.findKind(server.kind);
-        const auto held = layers.find(server.kind);
-        if (!kind || !server.layers.empty() || held == layers.end())
+        const int length = kind ? layersFor(*kind) : 0;
+        if (!server.layers.empty() || length <= 0)
             continue;
-        const int length = held->second;
         server.layers = leastCapacityRange(blockCapacities(known, server.zone), length,
                                            kvCacheTokens(*kind, length));
         assignments.push_back({server.id, server.layers});
