Count the demand of other zones once while hosts change to relays; test what is left for higher ranks

A host of another zone that does not use relays yet sends its digest to relays, which leave its load out, as its own relays report it. Its demand was added a second time.

--- a/src/gateway/peers/digest_router.cpp
+++ b/src/gateway/peers/digest_router.cpp
@@ -285,6 +285,8 @@
             state.commitments.clear();
             state.backlogMs.clear();
             state.inFlight.clear();
+            if (state.demand)
+                state.demand->clear();
         } else {
             m_subscribers[state.peerAddress] = now;
         }
--- a/tests/unit/fleet_admission_test.cpp
+++ b/tests/unit/fleet_admission_test.cpp
@@ -132,6 +132,7 @@
     CPPUNIT_TEST(noRoomIsKeptForCallersThatStopAsking);
     CPPUNIT_TEST(aWorkspaceWithinItsShareIsServedBesideALargeOne);
     CPPUNIT_TEST(whatOneWorkspaceDoesNotNeedGoesToTheOthers);
+    CPPUNIT_TEST(roomThatTheMostUrgentNeedIsLeftForThem);
     CPPUNIT_TEST(lessUrgentCallersReturnLater);
     CPPUNIT_TEST(returnTimesStayWithinTheTimeLeft);
     CPPUNIT_TEST(theRoomIsThatOfTheScarcestLayer);
@@ -231,6 +232,25 @@
         CPPUNIT_ASSERT(outcome("c") == AdmissionOutcome::OverShare);
     }
 
+    // The load: the most urgent ask for twice of what they hold so far, beside few others.
+    void roomThatTheMostUrgentNeedIsLeftForThem()
+    {
+        FleetAdmission admission;
+        DemandTotals demand;
+        demand[key(0, "a")] = {30000, 20000, 10000, 20000};
+        demand[key(2, "a")] = {5000, 30000, 5000, 10000};
+        admission.update({100000, 50000}, demand, Service, Tokens);
+        const auto outcome = [&](int rank) {
+            return admission.decide({rank, "a", Tokens}, TimeLeft, 0.5).outcome;
+        };
+        CPPUNIT_ASSERT(outcome(0) == AdmissionOutcome::Admitted);
+        // There is enough for all, so that a short wait is of use.
+        CPPUNIT_ASSERT(outcome(2) == AdmissionOutcome::NoRoomYet);
+        demand[key(0, "a")].held = 60000;
+        admission.update({100000, 60000}, demand, Service, Tokens);
+        CPPUNIT_ASSERT(outcome(2) == AdmissionOutcome::Admitted);
+    }
+
     void lessUrgentCallersReturnLater()
     {
         FleetAdmission admission;
