Leave a load of one rank to the queues, as before

Cause, from the logs: requests to routes that were just added made a second rank with next to no demand, so that the one rank with load counted as a lower one; 141 requests were refused by rank or share at 0.85 of the room. Ranks below a twentieth of what is needed no longer count as others, and with one rank left nobody is refused by admission.

--- a/src/core/fleet_admission.cpp
+++ b/src/core/fleet_admission.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <cmath>
 #include <limits>
+#include <numeric>
 
 namespace dogwoodvalve {
 
@@ -15,6 +16,8 @@
 /// Arrivals vary by about the square root of their number. While not all can be served, this many
 /// times as much of the room is left for those that must not wait.
 constexpr double HeadroomFactor = 1.5;
+/// Ranks with a smaller share of all that is needed do not count as others to give way to.
+constexpr double MinRankShare = 0.05;
 constexpr Duration MinRetryAfter = 200ms;
 /// Callers wait for a third of their remaining time at most. The rest is for the way to them.
 constexpr double MaxRetryShare = 0.3;
@@ -105,6 +108,15 @@
         rank.held += workspace.held;
         rank.needed += workspace.needed;
     }
+    const double needed =
+        std::accumulate(m_ranks.begin(), m_ranks.end(), 0.0,
+                        [](double sum, const Rank &rank) { return sum + rank.needed; });
+    const auto competing = std::count_if(m_ranks.begin(), m_ranks.end(), [needed](const Rank &it) {
+        return it.needed >= needed * MinRankShare;
+    });
+    // Requests of one rank are served in the order of their arrival.
+    if (competing < 2 && !mutated("admission-of-one-rank"))
+        m_ranks.clear();
     double available = m_usable;
     double neededSoFar = 0;
     double shortOfHigher = 0;
