--- a/src/gateway/fleet/admission_control.cpp
+++ b/src/gateway/fleet/admission_control.cpp
@@ -13,6 +13,25 @@
 constexpr Duration RefreshInterval = 200ms;
 constexpr Duration LogInterval = 1s;
 constexpr int MaxUrgency = 9;
+/// Routes of a priority with a smaller share of what is asked do not count as competing.
+constexpr double MinRouteShare = 0.05;
+
+/// Whether routes of different priority ask for the service. Workspaces alone do not make a service
+/// scarce for some of its callers: without such routes, all wait in the same queues.
+bool routesCompete(const DemandTotals &demand, std::string_view service)
+{
+    std::map<int, double> askedByPriority;
+    double asked = 0;
+    for (auto it = demand.lower_bound({std::string(service), 0, {}});
+         it != demand.end() && it->first.service == service; ++it) {
+        const int rank = it->first.rank;
+        askedByPriority[rank - requestRank(0, priorityOf(rank))] += it->second.askedPerSecond;
+        asked += it->second.askedPerSecond;
+    }
+    return std::count_if(askedByPriority.begin(), askedByPriority.end(),
+                         [asked](const auto &it) { return it.second >= asked * MinRouteShare; })
+        > 1;
+}
 
 } // namespace
 
@@ -73,7 +92,7 @@
     FleetView &view = m_node.view();
     state.updatedAt = m_node.now();
     const auto demand = view.fleetDemand();
-    const bool active = demand.has_value();
+    const bool active = demand && routesCompete(*demand, service.name);
     if (active != state.active)
         LogEvent("admission_control").field("service", service.name).field("active", active);
     state.active = active;
