--- a/src/gateway/fleet/crash_inquiry.cpp
+++ b/src/gateway/fleet/crash_inquiry.cpp
@@ -1,5 +1,6 @@
 #include "gateway/fleet/crash_inquiry.h"
 
+#include "daemon/log.h"
 #include "gateway/gateway_node.h"
 
 #include <algorithm>
@@ -57,6 +58,8 @@
         if (crashed)
             report(server, opened);
         if (crashed || now - opened.openedAt >= MaxInquiryTime) {
+            if (!crashed)
+                logEnd(server, opened, "unknown");
             it = m_cases.erase(it);
             continue;
         }
@@ -81,8 +84,10 @@
 void CrashInquiry::onProbeAnswer(const std::string &server)
 {
     const auto it = m_cases.find(server);
-    if (it != m_cases.end() && it->second.connectionEnded)
-        m_cases.erase(it);
+    if (it == m_cases.end() || !it->second.connectionEnded)
+        return;
+    logEnd(server, it->second, "answers");
+    m_cases.erase(it);
 }
 
 void CrashInquiry::onProbeFailure(const std::string &server)
@@ -95,8 +100,17 @@
     report(server, opened);
 }
 
+void CrashInquiry::logEnd(const std::string &server, const Case &opened, std::string_view outcome)
+{
+    LogEvent::decision("crash_inquiry")
+        .field("server", server)
+        .field("outcome", outcome)
+        .field("requests", opened.requests.size());
+}
+
 void CrashInquiry::report(const std::string &server, const Case &opened)
 {
+    logEnd(server, opened, "crashed");
     for (const StoppedRequest &request : opened.requests)
         m_node.view().recordCrash(server, opened.startedAtMs, request.suspects, request.undelivered,
                                   opened.openedAt);
--- a/src/gateway/fleet/crash_inquiry.h
+++ b/src/gateway/fleet/crash_inquiry.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace dogwoodvalve {
@@ -62,6 +63,7 @@
     void check();
     void scheduleCheck();
     void report(const std::string &server, const Case &opened);
+    static void logEnd(const std::string &server, const Case &opened, std::string_view outcome);
 
     GatewayNode &m_node;
     std::map<std::string, Case> m_cases;
--- a/src/gateway/gateway_metrics.cpp
+++ b/src/gateway/gateway_metrics.cpp
@@ -23,6 +23,8 @@
                                          "Announcements of servers in their answers by kind"))
     , m_notAdmitted(buildCounterFamily(m_registry, "dogwoodvalve_not_admitted_total",
                                        "Requests refused for others by reason and rank"))
+    , m_retries(buildCounterFamily(m_registry, "dogwoodvalve_retries_total",
+                                   "Retries asked of the shared budgets by outcome"))
     , m_firstByte(buildHistogram(m_registry, "dogwoodvalve_first_byte_seconds",
                                  "Time from arrival of a request to the first byte of its answer",
                                  LatencyBounds))
@@ -78,6 +80,11 @@
     m_serverNotices.Add({{"kind", std::string(kind)}}).Increment();
 }
 
+void GatewayMetrics::countRetry(bool granted)
+{
+    m_retries.Add({{"outcome", granted ? "granted" : "denied"}}).Increment();
+}
+
 void GatewayMetrics::countNotAdmitted(std::string_view reason, int rank)
 {
     m_notAdmitted.Add({{"reason", std::string(reason)}, {"rank", std::to_string(rank)}})
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -24,6 +24,8 @@
     /// Counts what servers announce in answers to this host. Kinds: leaving (once for each start
     /// of a server), pause.
     void countServerNotice(std::string_view kind);
+    /// Counts retries that were asked of a retry budget.
+    void countRetry(bool granted);
     /// Counts requests that the fleet did not admit, by reason and rank.
     void countNotAdmitted(std::string_view reason, int rank);
     void observeFirstByte(Duration duration) { m_firstByte.Observe(inSeconds(duration)); }
@@ -51,6 +53,7 @@
     prometheus::Family<prometheus::Counter> &m_layerOrders;
     prometheus::Family<prometheus::Counter> &m_serverNotices;
     prometheus::Family<prometheus::Counter> &m_notAdmitted;
+    prometheus::Family<prometheus::Counter> &m_retries;
     prometheus::Histogram &m_firstByte;
     prometheus::Histogram &m_eventGap;
     prometheus::Histogram &m_failover;
--- a/src/gateway/gateway_node.cpp
+++ b/src/gateway/gateway_node.cpp
@@ -1,5 +1,6 @@
 #include "gateway/gateway_node.h"
 
+#include "daemon/log.h"
 #include "gateway/requests/request_session.h"
 
 #include <dogwoodvalve/hash.h>
@@ -105,7 +106,16 @@
 
 bool GatewayNode::tryConsumeRetry(const std::string &service)
 {
-    return retryBudget(service).tryAcquire(now(), m_view.hosts().liveHosts(now()));
+    SharedRetryBudget &budget = retryBudget(service);
+    const int hosts = m_view.hosts().liveHosts(now());
+    const bool granted = budget.tryAcquire(now(), hosts);
+    m_metrics.countRetry(granted);
+    LogEvent::decision("retry")
+        .field("service", service)
+        .field("granted", granted)
+        .field("remaining", budget.remaining(now(), hosts))
+        .field("hosts", hosts);
+    return granted;
 }
 
 void GatewayNode::recordNotice(std::string_view id, std::int64_t startedAtMs,
--- a/src/gateway/servers/forwarded_request.cpp
+++ b/src/gateway/servers/forwarded_request.cpp
@@ -53,6 +53,7 @@
     TimePoint m_startedAt {};
     bool m_connected = false;
     bool m_answered = false;
+    int m_status = 0;
     std::shared_ptr<ForwardedRequest> m_self;
 };
 
@@ -109,6 +110,7 @@
 void ForwardedRequest::onHead(int status, std::span<const HttpField> fields)
 {
     m_answered = true;
+    m_status = status;
     m_exchange->beginStream(status, forwardedAnswerFields(fields));
 }
 
@@ -162,6 +164,7 @@
     LogEvent::decision("forwarded_for")
         .field("request", m_node.dialect().decodeRequest(*m_exchange).id)
         .field("server", m_target.server)
+        .field("status", m_status)
         .field("outcome", outcome);
 }
 
