Keep retries within the shared budget when hosts are restarted, freeze or hear nobody

Cause: each process counted its retries in its own memory and divided the slack by the hosts that it heard at the moment. A start granted the whole share anew, and while other hosts were frozen, killed or cut off, the rest spent their share a second time. The class: an allowance that all hosts share is granted by a start, or by silence.

A host now divides the slack by all hosts that may be alive: silent ones count for ten minutes, those that announced that they leave for 30 s. In the first window after its start a process uses the margin that SpendableShare leaves: 0.3 of the ratio and 0.06 of its slack, so that five processes of a host in one window fit.

The division of servers' limits already keeps the share of hosts that are silent for less than 10 s, and its rule excuses hosts that were restarted, frozen or cut off; it stays.

--- a/include/dogwoodvalve/host_table.h
+++ b/include/dogwoodvalve/host_table.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <dogwoodvalve/host_census.h>
 #include <dogwoodvalve/host_digest.h>
 #include <dogwoodvalve/relayed_loads.h>
 #include <dogwoodvalve/timer_service.h>
@@ -93,6 +94,9 @@
     /// Otherwise each of many cut-off hosts would take all tasks and the whole retry budget for
     /// itself.
     int liveHosts(TimePoint now) const;
+    /// Number of hosts that may be alive, including this one and those that are silent. What all
+    /// hosts share is divided by it.
+    int knownHosts(TimePoint now) const;
     /// Whether this host uses relays and hears nobody.
     bool isolated(TimePoint now) const
     {
@@ -185,6 +189,7 @@
     std::map<std::string, Peer, std::less<>> m_peers;
     /// Totals over the digests that have arrived here.
     std::map<std::string, LoadTotals, std::less<>> m_totals;
+    HostCensus m_census;
     RelayedLoads m_relayedLoads;
     std::map<std::string, TimePoint, std::less<>> m_suspendedRelays;
     std::map<std::string, SlownessReport, std::less<>> m_slownessReports;
--- a/include/dogwoodvalve/shared_retry_budget.h
+++ b/include/dogwoodvalve/shared_retry_budget.h
@@ -3,6 +3,7 @@
 #include <dogwoodvalve/timer_service.h>
 
 #include <deque>
+#include <optional>
 
 namespace dogwoodvalve {
 
@@ -21,11 +22,18 @@
 /// Limits the retries of one host so that all hosts together stay within an allowance, without
 /// coordination per retry: each host may use the ratio of its own requests, and an equal part of
 /// the slack.
+///
+/// Earlier processes of this host may have used up their part in the same window, and no host
+/// remembers it if all were restarted. So in the first window after its start, a host uses what the
+/// other windows leave as a margin: a smaller share of the ratio, and hardly any slack.
 class SharedRetryBudget
 {
 public:
-    explicit SharedRetryBudget(RetryAllowance allowance)
+    /// Without the time of the process's start, the process is not new.
+    explicit SharedRetryBudget(RetryAllowance allowance,
+                               std::optional<TimePoint> startedAt = std::nullopt)
         : m_allowance(allowance)
+        , m_startedAt(startedAt)
     { }
 
     /// Requests and retries recorded so far still count.
@@ -33,7 +41,7 @@
     /// Records the first attempt of a request.
     void recordRequest(TimePoint now);
     /// Records a retry and returns true if the budget allows one. `hosts` is the number of hosts
-    /// that share the slack.
+    /// that share the slack, including those that may be alive but are not heard.
     bool tryAcquire(TimePoint now, int hosts);
     /// Number of retries that are allowed now. It can be fractional, or negative after the
     /// allowance or the number of requests in the window has decreased.
@@ -44,6 +52,7 @@
     void evictExpired(TimePoint now);
 
     RetryAllowance m_allowance;
+    std::optional<TimePoint> m_startedAt;
     std::deque<TimePoint> m_requests;
     std::deque<TimePoint> m_retries;
 };
--- a/src/core/host_table.cpp
+++ b/src/core/host_table.cpp
@@ -44,6 +44,7 @@
     if (!known.name.empty() && older)
         return false;
     noteHeard(now);
+    m_census.recordSeen(digest.name, digest.leaving, now);
     m_changed = m_changed || !sameStanding(known, digest)
         || known.failedProbes != digest.failedProbes
         || known.slowness.size() != digest.slowness.size();
@@ -80,6 +81,7 @@
     updated.inFlight = std::move(known.inFlight);
     updated.demand = std::move(known.demand);
     known = std::move(updated);
+    m_census.recordSeen(known.name, known.leaving, seenAt);
     peer.lastSeenAt = std::max(peer.lastSeenAt, seenAt);
 }
 
@@ -90,6 +92,7 @@
         return;
     it->second.digest = identity;
     it->second.lastSeenAt = now;
+    m_census.recordSeen(identity.name, false, now);
 }
 
 std::vector<std::string> HostTable::zones() const
@@ -129,6 +132,7 @@
 void HostTable::expire(TimePoint now)
 {
     removeStaleFromTotals(now);
+    m_census.expire(now);
     m_relayedLoads.expire(now);
     std::erase_if(m_suspendedRelays, [now](const auto &entry) { return entry.second <= now; });
     std::erase_if(m_peers, [now](const auto &entry) {
@@ -198,6 +202,11 @@
     return n;
 }
 
+int HostTable::knownHosts(TimePoint now) const
+{
+    return mutated("gateway-count-heard-hosts-only") ? liveHosts(now) : 1 + m_census.count(now);
+}
+
 bool HostTable::isTopRanked(std::string_view self, std::string_view task, int count,
                             TimePoint now) const
 {
--- a/src/core/shared_retry_budget.cpp
+++ b/src/core/shared_retry_budget.cpp
@@ -1,3 +1,5 @@
+#include "core/mutation.h"
+
 #include <dogwoodvalve/shared_retry_budget.h>
 
 #include <algorithm>
@@ -10,6 +12,10 @@
 /// for a moment on the number of live hosts, and requests may leave the window before the retries
 /// that were allowed because of them.
 constexpr double SpendableShare = 0.7;
+/// Shares that a new process uses. Hosts may be restarted several times in a window; the slack of
+/// five processes of a host fits into the margin.
+constexpr double NewProcessRatioShare = 1 - SpendableShare;
+constexpr double NewProcessSlackShare = (1 - SpendableShare) / 5;
 
 } // namespace
 
@@ -31,9 +37,13 @@
 double SharedRetryBudget::remaining(TimePoint now, int hosts)
 {
     evictExpired(now);
-    const double allowed = m_allowance.ratio * static_cast<double>(m_requests.size())
-        + m_allowance.slack / std::max(1, hosts);
-    return SpendableShare * allowed - static_cast<double>(m_retries.size());
+    const bool isNew = m_startedAt && now - *m_startedAt < m_allowance.window
+        && !mutated("gateway-retry-at-start");
+    const double ratioShare = isNew ? NewProcessRatioShare : SpendableShare;
+    const double slackShare = isNew ? NewProcessSlackShare : SpendableShare;
+    return ratioShare * m_allowance.ratio * static_cast<double>(m_requests.size())
+        + slackShare * m_allowance.slack / std::max(1, hosts)
+        - static_cast<double>(m_retries.size());
 }
 
 bool SharedRetryBudget::tryAcquire(TimePoint now, int hosts)
--- a/src/gateway/gateway_node.cpp
+++ b/src/gateway/gateway_node.cpp
@@ -49,6 +49,7 @@
 GatewayNode::GatewayNode(LoopServices &loop, const GatewaySettings &settings,
                          GatewayPlatform platform, std::int64_t startedAtMs)
     : m_loop(loop)
+    , m_startedAt(loop.timers().now())
     , m_settings(settings)
     , m_platform(std::move(platform))
     , m_view(loop.timers(), initialDigest(settings, startedAtMs), settings.keyRevocation)
@@ -101,13 +102,13 @@
 
 SharedRetryBudget &GatewayNode::retryBudget(const std::string &service)
 {
-    return m_budgets.try_emplace(service, m_settings.retries).first->second;
+    return m_budgets.try_emplace(service, m_settings.retries, m_startedAt).first->second;
 }
 
 bool GatewayNode::tryConsumeRetry(const std::string &service)
 {
     SharedRetryBudget &budget = retryBudget(service);
-    const int hosts = m_view.hosts().liveHosts(now());
+    const int hosts = m_view.hosts().knownHosts(now());
     const bool granted = budget.tryAcquire(now(), hosts);
     m_metrics.countRetry(granted);
     LogEvent::decision("retry")
--- a/src/gateway/gateway_node.h
+++ b/src/gateway/gateway_node.h
@@ -81,6 +81,7 @@
     void checkSuspicion(const std::string &server);
 
     LoopServices &m_loop;
+    TimePoint m_startedAt;
     GatewaySettings m_settings;
     GatewayPlatform m_platform;
     FleetView m_view;
--- a/tests/process/gateway_hosts.cpp
+++ b/tests/process/gateway_hosts.cpp
@@ -33,12 +33,13 @@
     return file;
 }
 
-void GatewayHosts::start(int i)
+void GatewayHosts::start(int i, const std::string &moreSettings)
 {
     auto &process = m_processes[static_cast<std::size_t>(i)];
     process.reset();
     process = std::make_unique<ChildProcess>(
-        std::vector<std::string> {programs().valve, "gateway", "--settings", writeSettings(i)},
+        std::vector<std::string> {programs().valve, "gateway", "--settings",
+                                  writeSettings(i, moreSettings)},
         m_folder + "/host-" + std::to_string(i) + ".log");
 }
 
--- a/tests/process/gateway_hosts.h
+++ b/tests/process/gateway_hosts.h
@@ -19,8 +19,8 @@
     GatewayHosts &operator=(const GatewayHosts &) = delete;
 
     int count() const { return static_cast<int>(m_stores.size()); }
-    /// Starts a host, anew if it has ended.
-    void start(int i);
+    /// Starts a host, anew if it has ended. More lines of YAML may follow the usual settings.
+    void start(int i, const std::string &moreSettings = "");
     /// Returns the file's path. More lines of YAML may follow the usual ones.
     std::string writeSettings(int i, const std::string &more = "") const;
     ChildProcess &process(int i) { return *m_processes[static_cast<std::size_t>(i)]; }
--- a/tools/testtool/path_fleet.cpp
+++ b/tools/testtool/path_fleet.cpp
@@ -16,11 +16,13 @@
 
 void StampedService::handle(const std::shared_ptr<HttpExchange> &exchange)
 {
-    ++m_runs[std::string(exchange->header("X-Request-Id"))];
-    const std::vector<HttpField> fields {
-        {"X-Request-Id", std::string(exchange->header("X-Request-Id"))},
-        {"X-Server-Stamp", "service"}};
-    exchange->respond(200, fields, "served " + std::string(exchange->target()) + "\n");
+    const std::string id(exchange->header("X-Request-Id"));
+    if (m_onArrival && !id.empty())
+        m_onArrival(id);
+    ++m_runs[id];
+    std::vector<HttpField> fields {{"X-Request-Id", id}, {"X-Server-Stamp", "service"}};
+    fields.insert(fields.end(), m_extraFields.begin(), m_extraFields.end());
+    exchange->respond(m_status, fields, "served " + std::string(exchange->target()) + "\n");
 }
 
 PathFleet::PathFleet(boost::asio::io_context &loop, TimerService &timers, int engines,
--- a/tools/testtool/path_fleet.h
+++ b/tools/testtool/path_fleet.h
@@ -7,9 +7,12 @@
 #include <boost/asio/io_context.hpp>
 
 #include <array>
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
+#include <string_view>
+#include <utility>
 #include <vector>
 
 namespace dogwoodvalve::testtool {
@@ -21,9 +24,23 @@
     void handle(const std::shared_ptr<HttpExchange> &exchange) override;
     /// Runs by the caller's request id.
     const std::map<std::string, int> &runs() const { return m_runs; }
+    /// Answers each further call with this status and these fields besides the usual ones.
+    void setAnswer(int status, std::vector<HttpField> fields)
+    {
+        m_status = status;
+        m_extraFields = std::move(fields);
+    }
+    /// The handler is called with the request id of each call that arrives.
+    void setArrivalHandler(std::function<void(std::string_view id)> handler)
+    {
+        m_onArrival = std::move(handler);
+    }
 
 private:
     std::map<std::string, int> m_runs;
+    std::vector<HttpField> m_extraFields;
+    std::function<void(std::string_view)> m_onArrival;
+    int m_status = 200;
 };
 
 /// A pretended platform for gateway hosts in one process: the store on the first port, engines on
@@ -46,6 +63,7 @@
     LogStore &store() { return m_store; }
     ForwardingEngine &engine(int i) { return *m_engines[static_cast<std::size_t>(i)]; }
     const ForwardingEngine &engine(int i) const { return *m_engines[static_cast<std::size_t>(i)]; }
+    StampedService &service(int i) { return m_services[static_cast<std::size_t>(i)]; }
     const StampedService &service(int i) const { return m_services[static_cast<std::size_t>(i)]; }
 
     static constexpr int Services = 2;
