Do not forward requests to a server that has asked this host for a pause

Cause: a host that forwards for hosts that are cut off did not look at the pauses that the server had asked of it, and did not hand the server's notice to its own view, though the server can't tell who asked it to forward. The class: what one host was told, another one sends against.

The notice of a forwarded answer counts for the host that forwarded it, also one to leave or to limit requests in recordNotice's terms.

--- a/src/gateway/servers/forwarded_request.cpp
+++ b/src/gateway/servers/forwarded_request.cpp
@@ -1,5 +1,6 @@
 #include "gateway/servers/forwarded_request.h"
 
+#include "core/mutation.h"
 #include "daemon/log.h"
 #include "gateway/gateway_node.h"
 #include "gateway/requests/request_limits.h"
@@ -90,6 +91,11 @@
     const auto endpoint = parseEndpoint(server ? server->address : "");
     if (!server || !endpoint)
         return answer(ForwardOutcome::Refused);
+    ServerHealth &health = m_node.view().health();
+    if (health.pausedUntil(server->id, server->startedAtMs, m_node.now())
+        && !mutated("gateway-forward-to-paused-servers"))
+        return answer(ForwardOutcome::Paused);
+    health.recordDispatch(server->id, server->startedAtMs, m_node.now());
     HttpRequestHead head;
     head.method = m_exchange->method();
     head.target = m_target.target;
@@ -111,6 +117,10 @@
 {
     m_answered = true;
     m_status = status;
+    const std::string id = m_node.dialect().decodeRequest(*m_exchange).id;
+    // The server can't tell the host that forwards from the one that asked it to.
+    m_node.recordNotice(m_target.server, m_target.startedAtMs,
+                        m_node.dialect().decodeAnswer(status, fields, id).notice);
     m_exchange->beginStream(status, forwardedAnswerFields(fields));
 }
 
--- a/src/gateway/servers/forwarding.cpp
+++ b/src/gateway/servers/forwarding.cpp
@@ -16,12 +16,13 @@
 constexpr std::string_view FieldPrefix = "Forward-";
 constexpr const char *OutcomeField = "Forward-Outcome";
 
-constexpr std::array<std::pair<ForwardOutcome, std::string_view>, 6> Outcomes {
+constexpr std::array<std::pair<ForwardOutcome, std::string_view>, 7> Outcomes {
     {{ForwardOutcome::Answered, "answered"},
      {ForwardOutcome::Unreachable, "unreachable"},
      {ForwardOutcome::TimedOut, "timed_out"},
      {ForwardOutcome::LinksUnproven, "links_unproven"},
      {ForwardOutcome::Lost, "lost"},
+     {ForwardOutcome::Paused, "paused"},
      {ForwardOutcome::Refused, "refused"}}};
 
 bool isLengthField(std::string_view name)
--- a/src/gateway/servers/forwarding.h
+++ b/src/gateway/servers/forwarding.h
@@ -40,6 +40,8 @@
     LinksUnproven,
     /// The server's connection was lost before its answer; the request may have run.
     Lost,
+    /// The server wants no request from the host for a while. Nothing was sent.
+    Paused,
     /// The host does not forward this request. Nothing was sent.
     Refused,
 };
--- a/src/gateway/servers/server_request.cpp
+++ b/src/gateway/servers/server_request.cpp
@@ -166,6 +166,10 @@
         // The links of both hosts may be at fault, which says nothing about the server.
         m_lastError.kind = ErrorKind::Timeout;
         return tryForwarder();
+    case ForwardOutcome::Paused:
+        m_lastError = {ErrorKind::Unavailable, "the server wants no request from " + m_forwarder,
+                       "send it again later"};
+        return tryForwarder();
     case ForwardOutcome::Refused:
         connections.avoid(m_forwarder);
         return tryForwarder();
--- a/tests/simulation/gateway_world.h
+++ b/tests/simulation/gateway_world.h
@@ -333,10 +333,12 @@
 
     /// Lets engines crash that begin to answer a request with this part. A crashed engine starts
     /// again after a while, without layers.
-    void setCrashingPart(const std::string &part)
+    void setCrashingPart(const std::string &part,
+                         testtool::CrashMoment moment = testtool::CrashMoment::AfterHead)
     {
         for (std::size_t i = 0; i < engines.size(); ++i)
-            engines[i]->setCrashingPart(part, [this, i] { onEngineCrash(static_cast<int>(i)); });
+            engines[i]->setCrashingPart(
+                part, [this, i] { onEngineCrash(static_cast<int>(i)); }, moment);
     }
 
     /// Sends a generation whose prompt has these parts, and one of its own.
--- a/tests/simulation/paused_servers_test.cpp
+++ b/tests/simulation/paused_servers_test.cpp
@@ -1,4 +1,4 @@
-#include "simulation/gateway_world.h"
+#include "simulation/link_loss.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -45,6 +45,7 @@
     CPPUNIT_TEST(waitingRequestsDoNotAllArriveAsThePauseEnds);
     CPPUNIT_TEST(waitingRequestsAreRefusedWhenTheLastServerPauses);
     CPPUNIT_TEST(aPausedEngineGetsNoProbesOrdersOrStreams);
+    CPPUNIT_TEST(aServerGetsNoForwardedRequestsInItsPause);
     CPPUNIT_TEST_SUITE_END();
 
     /// Sends requests until the first plain server has refused one.
@@ -233,6 +234,39 @@
         }
         CPPUNIT_ASSERT(engine.received() > received);
     }
+
+    void aServerGetsNoForwardedRequestsInItsPause()
+    {
+        constexpr int Hosts = 6;
+        constexpr int ArrivalsInPause = 2;
+        GatewayWorld world(Hosts);
+        FakePlainServer other;
+        world.addPlainServer(other);
+        world.settle();
+        for (int i = 1; i < Hosts; ++i)
+            loseServerLinks(world, i, LinkLoss::Refuse);
+        const auto callAll = [&world](Duration time) {
+            for (Duration elapsed {}; elapsed < time; elapsed += 50ms) {
+                for (int i = 0; i < Hosts; ++i)
+                    world.call("GET", "/read/x", {}, i);
+                world.run(50ms);
+            }
+        };
+        callAll(4s);
+        world.plain.extraFields = retryAfter("10");
+        world.plain.refuses = true;
+        const int before = world.plain.runs;
+        while (world.plain.runs == before) {
+            world.call("GET", "/read/x");
+            world.run(50ms);
+        }
+        world.run(500ms);
+        const int refused = world.plain.runs;
+        const int servedBefore = other.runs;
+        callAll(9s);
+        CPPUNIT_ASSERT_LESSEQUAL(ArrivalsInPause, world.plain.runs - refused);
+        CPPUNIT_ASSERT(other.runs - servedBefore > 9 * 20 * Hosts * 9 / 10);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(PausedServersTest);
--- a/tests/simulation/prompt_quarantine_test.cpp
+++ b/tests/simulation/prompt_quarantine_test.cpp
@@ -40,6 +40,10 @@
 {
     CPPUNIT_TEST_SUITE(PromptQuarantineTest);
     CPPUNIT_TEST(requestsThatCrashEnginesAreStoppedOnAllHosts);
+    CPPUNIT_TEST(requestsThatCrashEnginesBeforeTheHeadAreStopped);
+    CPPUNIT_TEST(requestsThatCrashEnginesLongAfterTheHeadAreStopped);
+    CPPUNIT_TEST(aCrashingPartFarBackInThePromptIsStopped);
+    CPPUNIT_TEST(aCrashingPartWithALongIdIsStopped);
     CPPUNIT_TEST(soundRequestsBesideCrashingOnesAreServed);
     CPPUNIT_TEST(aRequestThatCrashedAnEngineDoesNotCrashAnotherAtOnce);
     CPPUNIT_TEST(twoCrashingPartsAreStopped);
@@ -62,13 +66,17 @@
     {
         std::vector<Sent> sound;
         std::vector<Sent> crashing;
+        /// Parts of all prompts, before the others.
+        std::string firstParts;
+        std::string crashingPart = CrashingPart;
 
         void play(GatewayWorld &world, Duration time)
         {
             const TimePoint end = world.now() + time;
             for (int i = 0; world.now() < end; ++i) {
                 const bool crashes = i % CrashingShare == CrashingShare - 1;
-                const std::string parts = crashes ? crashingParts() : soundParts(i);
+                const std::string parts = firstParts
+                    + (crashes ? std::string(SharedPart) + ',' + crashingPart : soundParts(i));
                 const auto call = world.generateWith(parts, i % Hosts);
                 (crashes ? crashing : sound).push_back({call, world.lastId(), world.now()});
                 world.run(RequestInterval);
@@ -100,13 +108,14 @@
             && sent.call->answer.body == ForwardingEngine::wholeStream(sent.id);
     }
 
-    void requestsThatCrashEnginesAreStoppedOnAllHosts()
+    /// Plays crashing requests beside sound ones, checks that hardly any runs long after the fifth
+    /// crash, and returns the number of crashes.
+    static std::size_t checkStopped(Traffic traffic, CrashMoment moment)
     {
         GatewayWorld world(Hosts, Engines);
         world.settle();
-        Traffic traffic;
         traffic.play(world, 1s);
-        world.setCrashingPart(CrashingPart);
+        world.setCrashingPart(traffic.crashingPart, moment);
         traffic.crashing.clear();
         traffic.play(world, 15s);
         world.run(5s);
@@ -118,7 +127,37 @@
         for (const Sent &sent : traffic.crashing)
             late += sent.at > bound ? world.runsOf(sent.id) : 0;
         CPPUNIT_ASSERT_LESSEQUAL(RequestsBeyondBound, late);
-        CPPUNIT_ASSERT_LESSEQUAL(CrashLimit, world.crashes.size());
+        return world.crashes.size();
+    }
+
+    void requestsThatCrashEnginesAreStoppedOnAllHosts()
+    {
+        CPPUNIT_ASSERT_LESSEQUAL(CrashLimit, checkStopped({}, CrashMoment::AfterHead));
+    }
+
+    void requestsThatCrashEnginesBeforeTheHeadAreStopped()
+    {
+        checkStopped({}, CrashMoment::BeforeHead);
+    }
+
+    void requestsThatCrashEnginesLongAfterTheHeadAreStopped()
+    {
+        checkStopped({}, CrashMoment::BeforeFirstEvent);
+    }
+
+    void aCrashingPartFarBackInThePromptIsStopped()
+    {
+        Traffic traffic;
+        for (int i = 0; i < 60; ++i)
+            traffic.firstParts += "turn" + std::to_string(i) + ":20,";
+        checkStopped(traffic, CrashMoment::AfterHead);
+    }
+
+    void aCrashingPartWithALongIdIsStopped()
+    {
+        Traffic traffic;
+        traffic.crashingPart = std::string(200, 'b') + ":30";
+        checkStopped(traffic, CrashMoment::AfterHead);
     }
 
     void soundRequestsBesideCrashingOnesAreServed()
--- a/tests/unit/forwarding_test.cpp
+++ b/tests/unit/forwarding_test.cpp
@@ -72,7 +72,8 @@
         CPPUNIT_ASSERT(decodeForwardOutcome({}) == ForwardOutcome::Refused);
         for (const auto outcome :
              {ForwardOutcome::Answered, ForwardOutcome::Unreachable, ForwardOutcome::TimedOut,
-              ForwardOutcome::LinksUnproven, ForwardOutcome::Lost, ForwardOutcome::Refused})
+              ForwardOutcome::LinksUnproven, ForwardOutcome::Lost, ForwardOutcome::Paused,
+              ForwardOutcome::Refused})
             CPPUNIT_ASSERT(decodeForwardOutcome(forwardOutcomeFields(outcome)) == outcome);
     }
 
--- a/tools/testtool/forwarding_engine.cpp
+++ b/tools/testtool/forwarding_engine.cpp
@@ -19,6 +19,8 @@
 constexpr int SkippedEvent = 7;
 constexpr int BrokenEvent = 5;
 constexpr Duration CrashDelay = 50ms;
+/// Time from the head of an answer to a crash before its first event.
+constexpr Duration LateCrashDelay = 600ms;
 constexpr std::size_t MaxBody = 1U << 20;
 constexpr int FloodPieces = 64;
 constexpr std::size_t FloodPieceBytes = 1U << 20;
@@ -194,16 +196,25 @@
             closed->closed = true;
     });
     fields.push_back({"Content-Type", "text/event-stream"});
-    exchange->beginStream(200, fields);
-    if (m_fault == EngineFault::EndsAtOnce)
-        return exchange->endStream();
     std::erase_if(m_streams, [](const auto &it) { return it.expired(); });
     m_streams.push_back(stream);
     const bool crashes = !m_crashingPart.empty()
         && exchange->header("X-Prompt-Prefix").find(m_crashingPart) != std::string_view::npos;
-    if (!crashes)
-        return emit(stream);
-    m_timers.schedule(m_timers.now() + CrashDelay, [this, stream] {
+    if (!crashes || m_crashMoment != CrashMoment::BeforeHead)
+        exchange->beginStream(200, fields);
+    if (m_fault == EngineFault::EndsAtOnce)
+        return exchange->endStream();
+    if (crashes)
+        crashBecauseOf(stream);
+    else
+        emit(stream);
+}
+
+void ForwardingEngine::crashBecauseOf(const std::shared_ptr<Stream> &stream)
+{
+    const Duration delay =
+        m_crashMoment == CrashMoment::BeforeFirstEvent ? LateCrashDelay : CrashDelay;
+    m_timers.schedule(m_timers.now() + delay, [this, stream] {
         if (stream->closed || standsStill())
             return;
         m_crashedByPrompt = true;
--- a/tools/testtool/forwarding_engine.h
+++ b/tools/testtool/forwarding_engine.h
@@ -39,6 +39,16 @@
     Ended,
 };
 
+/// When an engine crashes that a prompt crashes.
+enum class CrashMoment {
+    /// Shortly after the head of the answer.
+    AfterHead,
+    /// Before the head, so that no byte of the answer is sent.
+    BeforeHead,
+    /// Long after the head, as the first event is due.
+    BeforeFirstEvent,
+};
+
 class ForwardingEngine;
 
 /// The engines of a run by address, so that the first of a path can look at the others.
@@ -64,12 +74,14 @@
     void setExtraFields(std::vector<HttpField> fields) { m_extraFields = std::move(fields); }
     void setLayers(LayerSpan layers) { m_layers = layers; }
     LayerSpan layers() const { return m_layers; }
-    /// The engine crashes soon after it has begun to answer a request whose prompt has this part.
-    /// The handler is called when it does.
-    void setCrashingPart(std::string part, std::function<void()> onCrash)
+    /// The engine crashes as it begins to answer a request whose prompt has this part. The handler
+    /// is called when it does.
+    void setCrashingPart(std::string part, std::function<void()> onCrash,
+                         CrashMoment moment = CrashMoment::AfterHead)
     {
         m_crashingPart = std::move(part);
         m_onCrash = std::move(onCrash);
+        m_crashMoment = moment;
     }
     bool crashedByPrompt() const { return m_crashedByPrompt; }
     /// Ends all streams without their end, and every request until the fault is removed.
@@ -103,6 +115,7 @@
     /// The address of a part that can't be run, or nothing.
     std::string brokenPart(const std::string &path, int &status) const;
     void emit(const std::shared_ptr<Stream> &stream);
+    void crashBecauseOf(const std::shared_ptr<Stream> &stream);
     bool pathMoves(const Stream &stream) const;
 
     TimerService &m_timers;
@@ -120,6 +133,7 @@
     std::vector<HttpField> m_extraFields;
     double m_slowness = 1;
     std::string m_crashingPart;
+    CrashMoment m_crashMoment = CrashMoment::AfterHead;
     bool m_crashedByPrompt = false;
     std::function<void()> m_onCrash;
     std::vector<std::weak_ptr<Stream>> m_streams;
