Grant servers the pause that they ask for, up to ten minutes

The bound of ten minutes is the one that aHugePauseIsBounded sets; a server that asks for more than thirty can still get a third request in that time.

--- a/src/core/server_health.cpp
+++ b/src/core/server_health.cpp
@@ -32,7 +32,7 @@
 
 /// The longest pause that a server is granted. After it, one request shows whether the server still
 /// wants none.
-constexpr Duration MaxPause = 2min;
+constexpr Duration MaxPause = 10min;
 /// Granted to a server that asks for a pause of unreadable length.
 constexpr Duration UnreadablePause = 1s;
 /// The first request after a pause may be answered late. The next one is sent after this time.
--- a/tests/unit/server_notice_test.cpp
+++ b/tests/unit/server_notice_test.cpp
@@ -58,6 +58,7 @@
     CPPUNIT_TEST(unreadablePausesAreTold);
     CPPUNIT_TEST(onlyARefusalAsksForAPause);
     CPPUNIT_TEST(aHugePauseIsBounded);
+    CPPUNIT_TEST(aPauseOfTenMinutesIsGranted);
     CPPUNIT_TEST(aPauseHoldsForThisLifeOnly);
     CPPUNIT_TEST(afterAPauseOneRequestIsSentUntilItIsAccepted);
     CPPUNIT_TEST(aServiceIsServedAgainAtTheEarliestEnd);
@@ -109,6 +110,14 @@
         CPPUNIT_ASSERT(health.recordPause("v", 5, Duration::max(), at(0s)) <= 10min);
     }
 
+    void aPauseOfTenMinutesIsGranted()
+    {
+        ServerHealth health;
+        health.recordPause("s", 5, noticeOf("600").pause, at(0s));
+        CPPUNIT_ASSERT(health.pausedUntil("s", 5, at(599s)));
+        CPPUNIT_ASSERT(!health.pausedUntil("s", 5, at(600s)));
+    }
+
     void aPauseHoldsForThisLifeOnly()
     {
         ServerHealth health;
