Try a part of prompts before it is quarantined

Cause: two crashes, or three, decided alone. Servers that crash for another reason crash with whatever they run, and a quarantine lets no answer through that could clear the part. The class: a verdict that prevents the evidence against itself.

A part with this evidence is now in doubt. If the server of such a trial crashes, the part is quarantined on all hosts; if its answer goes on, it is cleared. A part that is still in doubt 2 s after its fifth crash is quarantined without a trial. A trial that finds no server is refused at once. A request sent after its server's crash is no suspect. Whole requests are quarantined as before, since nothing else shares them.

Crash reports in digests have one more value; builds before read the first three, and reports of theirs have none.

--- a/include/dogwoodvalve/crash_report.h
+++ b/include/dogwoodvalve/crash_report.h
@@ -26,6 +26,8 @@
     int position = 0;
     /// The server had begun an answer to a prompt with the part and not delivered any of it.
     bool undelivered = false;
+    /// The server ran a request that was to show whether the part crashes servers.
+    bool tried = false;
 
     bool operator==(const SuspectedPart &other) const = default;
 };
--- a/include/dogwoodvalve/host_table.h
+++ b/include/dogwoodvalve/host_table.h
@@ -102,6 +102,8 @@
     {
         return exchangeMode() != ExchangeMode::Direct && now - m_heardAt > IsolationTimeout;
     }
+    /// Number of live hosts with a higher rendezvous hash for a task. Leaving hosts are not ranked.
+    int rank(std::string_view self, std::string_view task, TimePoint now) const;
     /// Whether this host is among the `count` live hosts with the highest rendezvous hash for a
     /// task. Leaving hosts are not ranked.
     bool isTopRanked(std::string_view self, std::string_view task, int count, TimePoint now) const;
--- a/include/dogwoodvalve/prompt_quarantine.h
+++ b/include/dogwoodvalve/prompt_quarantine.h
@@ -14,7 +14,7 @@
 
 namespace dogwoodvalve {
 
-/// A suspect with which no request is sent to a server, and until when.
+/// A suspect with which no request is sent to a server, or only one at a time, and until when.
 struct QuarantinedPart
 {
     std::string id;
@@ -35,6 +35,11 @@
 /// failure of many servers at once could explain fewer. A crash that a quarantined part explains is
 /// no evidence against other parts.
 ///
+/// Many requests share a part of a prompt, so a wrong quarantine costs many callers their answers,
+/// and servers that crash for another reason crash with whatever they run. Before a part is
+/// quarantined it is therefore in doubt, in which hosts send one request with it at a time. Such a
+/// trial either crashes its server too, or is answered and clears the part.
+///
 /// Hosts exchange their reports and merge them, in any order.
 class PromptQuarantine
 {
@@ -50,12 +55,15 @@
     static constexpr std::size_t MaxReportedCrashes = 16;
     /// Bound of the memory of answered parts, which callers choose.
     static constexpr std::size_t MaxServedParts = 16'384;
+    /// Fingerprints of whole requests begin with this, which no id of a part contains.
+    static constexpr std::string_view RequestPrefix = "request:";
 
     /// A start of a server has crashed while it began to answer a prompt with these shared parts,
-    /// in their order. `undelivered` tells that no event of that answer had been delivered.
+    /// in their order. `undelivered` tells that no event of that answer had been delivered. `tried`
+    /// is the part for which the request was a trial, or empty.
     void recordCrash(std::string_view server, std::int64_t startedAtMs,
                      std::span<const std::string> parts, bool undelivered, TimePoint crashedAt,
-                     TimePoint now);
+                     TimePoint now, std::string_view tried = {});
     /// An answer to a prompt with these parts, which began at the given time, has gone on past its
     /// beginning.
     void recordServed(std::span<const std::string> parts, TimePoint begunAt, TimePoint now);
@@ -70,16 +78,22 @@
     CrashReports reports(TimePoint now) const;
     /// The first of these parts that is in quarantine.
     std::optional<QuarantinedPart> find(std::span<const std::string> parts, TimePoint now) const;
+    /// The first of these parts that is in doubt.
+    std::optional<QuarantinedPart> findDoubtful(std::span<const std::string> parts,
+                                                TimePoint now) const;
     /// Whether a crash since the given time speaks against this part, of which no answer is known
     /// to have gone on past its beginning.
     bool isSuspect(const std::string &part, TimePoint since) const;
     /// Whether no answer to a prompt with one of these parts is known here to have gone on past its
     /// beginning.
     bool anyUnproven(std::span<const std::string> parts) const;
-    /// Parts that came into quarantine, and those that left it, since the last call.
+    /// When this start of a server crashed, if it is known to have crashed.
+    std::optional<TimePoint> crashedAt(std::string_view server, std::int64_t startedAtMs) const;
+    /// Parts that came into quarantine or doubt, and those that left them, since the last call.
     struct Changes
     {
         std::vector<QuarantinedPart> added;
+        std::vector<QuarantinedPart> doubted;
         std::vector<std::string> removed;
     };
     Changes takeChanges();
@@ -116,12 +130,18 @@
     void dropOldCrashes(TimePoint now);
     void evaluate(TimePoint now);
     std::map<std::string, Evidence> evidence(TimePoint now);
+    /// Whether the evidence against a part is enough to stop all requests with it.
+    static bool isProven(const std::string &part, const Evidence &against, TimePoint now);
+    /// Replaces the parts in quarantine and in doubt, and notes what has changed.
+    void replace(std::map<std::string, TimePoint> quarantined,
+                 std::map<std::string, TimePoint> doubtful);
     /// The part with the strongest evidence among the crashes that are not explained yet, if it is
     /// enough.
     static const std::string *strongest(const std::map<std::string, Evidence> &evidence);
 
     std::map<std::string, Crash> m_crashes;
     std::map<std::string, TimePoint> m_quarantined;
+    std::map<std::string, TimePoint> m_doubtful;
     /// When the latest answer with a part that went on had begun. The older half is dropped when
     /// the newer one is full.
     std::map<std::string, TimePoint> m_served;
--- a/src/core/host_table.cpp
+++ b/src/core/host_table.cpp
@@ -207,8 +207,7 @@
     return mutated("gateway-count-heard-hosts-only") ? liveHosts(now) : 1 + m_census.count(now);
 }
 
-bool HostTable::isTopRanked(std::string_view self, std::string_view task, int count,
-                            TimePoint now) const
+int HostTable::rank(std::string_view self, std::string_view task, TimePoint now) const
 {
     const std::uint64_t own = rendezvousWeight(task, self);
     int before = 0;
@@ -216,7 +215,13 @@
         if (isEligibleForTasks(peer, now) && rendezvousWeight(task, name) > own)
             ++before;
     }
-    return before < count;
+    return before;
+}
+
+bool HostTable::isTopRanked(std::string_view self, std::string_view task, int count,
+                            TimePoint now) const
+{
+    return rank(self, task, now) < count;
 }
 
 std::vector<const HostTable::Peer *> HostTable::topRankedPeers(std::string_view self,
--- a/src/core/prompt_quarantine.cpp
+++ b/src/core/prompt_quarantine.cpp
@@ -16,25 +16,31 @@
 constexpr Duration DisturbanceTime = 100ms;
 constexpr int CrashesAgainstUnproven = 2;
 constexpr int CrashesAgainstServed = 3;
+/// A part that is still in doubt for a while after this many crashes is quarantined without a
+/// trial.
+constexpr int ConclusiveCrashes = 5;
+constexpr Duration LongestDoubt = 2s;
 /// Time in which all hosts report on a crash.
 constexpr Duration ReportTime = 1s;
 /// A crash without suspects is reported for this long, so that all hosts learn what has cleared its
 /// parts.
 constexpr Duration ClearedReportTime = 30s;
 
-/// The number of crashes that are at least `gap` later than the one counted before.
-int countSeparateTimes(std::vector<TimePoint> times, Duration gap)
+/// Sorts the times, and leaves out those that are less than `gap` later than the one before.
+void keepSeparateTimes(std::vector<TimePoint> &times, Duration gap)
 {
     std::sort(times.begin(), times.end());
-    int n = 0;
-    TimePoint last {};
+    std::size_t n = 0;
     for (const TimePoint time : times) {
-        if (n > 0 && time - last < gap)
-            continue;
-        last = time;
-        ++n;
+        if (n == 0 || time - times[n - 1] >= gap)
+            times[n++] = time;
     }
-    return n;
+    times.resize(n);
+}
+
+std::string crashKey(std::string_view server, std::int64_t startedAtMs)
+{
+    return std::string(server) + ':' + std::to_string(startedAtMs);
 }
 
 bool isNotCleared(const SuspectedPart &part)
@@ -46,7 +52,8 @@
 auto suspicion(const std::string &part, const SuspectedPart &suspected)
 {
     return std::tuple(isNotCleared(suspected), suspected.undelivered,
-                      suspected.standing == PartStanding::Unproven, suspected.position, part);
+                      suspected.standing == PartStanding::Unproven,
+                      part.starts_with(PromptQuarantine::RequestPrefix), suspected.position, part);
 }
 
 } // namespace
@@ -71,16 +78,16 @@
 
 void PromptQuarantine::recordCrash(std::string_view server, std::int64_t startedAtMs,
                                    std::span<const std::string> parts, bool undelivered,
-                                   TimePoint crashedAt, TimePoint now)
+                                   TimePoint crashedAt, TimePoint now, std::string_view tried)
 {
     if (parts.empty() || mutated("gateway-forget-crashes"))
         return;
-    const std::string key = std::string(server) + ':' + std::to_string(startedAtMs);
+    const std::string key = crashKey(server, startedAtMs);
     Crash &crash = m_crashes.try_emplace(key, Crash {crashedAt, {}, false}).first->second;
     bool changed = false;
     for (std::size_t i = 0; i < parts.size(); ++i) {
         const SuspectedPart suspected {standingOf(parts[i], crash.at), static_cast<int>(i),
-                                       undelivered};
+                                       undelivered, parts[i] == tried};
         changed = addPart(crash, parts[i], suspected) || changed;
     }
     if (changed)
@@ -106,7 +113,8 @@
     }
     const SuspectedPart merged {std::max(known->second.standing, suspected.standing),
                                 std::max(known->second.position, suspected.position),
-                                known->second.undelivered || suspected.undelivered};
+                                known->second.undelivered || suspected.undelivered,
+                                known->second.tried || suspected.tried};
     if (merged == known->second)
         return false;
     known->second = merged;
@@ -121,16 +129,17 @@
         m_servedEarlier = std::move(m_served);
         m_served.clear();
     }
-    bool cleared = false;
     for (const std::string &part : parts) {
         TimePoint &served = m_served[part];
         served = std::max(served, begunAt);
-        for (auto &[key, crash] : m_crashes) {
-            const auto it = crash.parts.find(part);
-            if (it == crash.parts.end() || begunAt < crash.at || !isNotCleared(it->second)
+    }
+    bool cleared = false;
+    for (auto &[key, crash] : m_crashes) {
+        for (auto &[part, suspected] : crash.parts) {
+            if (!isNotCleared(suspected) || standingOf(part, crash.at) != PartStanding::Cleared
                 || mutated("gateway-clear-no-parts"))
                 continue;
-            it->second.standing = PartStanding::Cleared;
+            suspected.standing = PartStanding::Cleared;
             cleared = true;
         }
     }
@@ -172,8 +181,9 @@
             m_crashes.try_emplace(key, Crash {now - report.age, {}, false}).first->second;
         for (const auto &[part, reported] : report.parts) {
             const PartStanding standing = std::max(reported.standing, standingOf(part, crash.at));
-            changed = addPart(crash, part, {standing, reported.position, reported.undelivered})
-                || changed;
+            SuspectedPart suspected = reported;
+            suspected.standing = standing;
+            changed = addPart(crash, part, suspected) || changed;
         }
     }
     if (changed)
@@ -209,6 +219,24 @@
     return std::nullopt;
 }
 
+std::optional<QuarantinedPart> PromptQuarantine::findDoubtful(std::span<const std::string> parts,
+                                                              TimePoint now) const
+{
+    for (const std::string &part : parts) {
+        const auto it = m_doubtful.find(part);
+        if (it != m_doubtful.end() && it->second > now)
+            return QuarantinedPart {part, it->second};
+    }
+    return std::nullopt;
+}
+
+std::optional<TimePoint> PromptQuarantine::crashedAt(std::string_view server,
+                                                     std::int64_t startedAtMs) const
+{
+    const auto it = m_crashes.find(crashKey(server, startedAtMs));
+    return it == m_crashes.end() ? std::nullopt : std::optional(it->second.at);
+}
+
 bool PromptQuarantine::isSuspect(const std::string &part, TimePoint since) const
 {
     return std::any_of(m_crashes.begin(), m_crashes.end(), [&](const auto &entry) {
@@ -242,10 +270,11 @@
 
 void PromptQuarantine::refresh(TimePoint now)
 {
+    const auto passed = [&](TimePoint time) { return m_evaluatedAt < time && time <= now; };
     const bool due = std::any_of(m_crashes.begin(), m_crashes.end(), [&](const auto &entry) {
-        const TimePoint reported = entry.second.at + ReportTime;
-        return (m_evaluatedAt < reported && reported <= now)
-            || now - entry.second.at >= CrashRetention;
+        const TimePoint crashedAt = entry.second.at;
+        return passed(crashedAt + ReportTime) || passed(crashedAt + LongestDoubt)
+            || now - crashedAt >= CrashRetention;
     });
     if (due)
         evaluate(now);
@@ -281,8 +310,8 @@
                 times.push_back(crash->at);
         }
         const bool unproven = against.standing == PartStanding::Unproven;
-        const int crashes =
-            countSeparateTimes(std::move(times), unproven ? SimultaneousTime : DisturbanceTime);
+        keepSeparateTimes(times, unproven ? SimultaneousTime : DisturbanceTime);
+        const int crashes = static_cast<int>(times.size());
         if (crashes < (unproven ? CrashesAgainstUnproven : CrashesAgainstServed))
             continue;
         const std::tuple rank {unproven, crashes, against.position};
@@ -294,6 +323,20 @@
     return best;
 }
 
+bool PromptQuarantine::isProven(const std::string &part, const Evidence &against, TimePoint now)
+{
+    if (part.starts_with(RequestPrefix) || mutated("gateway-try-no-parts"))
+        return true;
+    std::vector<TimePoint> times;
+    for (const Crash *crash : against.crashes) {
+        if (crash->parts.at(part).tried)
+            return true;
+        times.push_back(crash->at);
+    }
+    keepSeparateTimes(times, DisturbanceTime);
+    return times.size() >= ConclusiveCrashes && now - times[ConclusiveCrashes - 1] >= LongestDoubt;
+}
+
 void PromptQuarantine::evaluate(TimePoint now)
 {
     dropOldCrashes(now);
@@ -302,23 +345,37 @@
         crash.explained = false;
     const std::map<std::string, Evidence> all = evidence(now);
     std::map<std::string, TimePoint> quarantined;
+    std::map<std::string, TimePoint> doubtful;
     while (const std::string *part = strongest(all)) {
         TimePoint until {};
         for (Crash *crash : all.at(*part).crashes) {
             crash->explained = true;
             until = std::max(until, crash->at + CrashRetention);
         }
-        quarantined[*part] = until;
+        (isProven(*part, all.at(*part), now) ? quarantined : doubtful)[*part] = until;
     }
+    replace(std::move(quarantined), std::move(doubtful));
+}
+
+void PromptQuarantine::replace(std::map<std::string, TimePoint> quarantined,
+                               std::map<std::string, TimePoint> doubtful)
+{
     for (const auto &[part, until] : quarantined) {
         if (m_quarantined.count(part) == 0)
             m_changes.added.push_back({part, until});
     }
-    for (const auto &[part, until] : m_quarantined) {
-        if (quarantined.count(part) == 0)
-            m_changes.removed.push_back(part);
+    for (const auto &[part, until] : doubtful) {
+        if (m_doubtful.count(part) == 0)
+            m_changes.doubted.push_back({part, until});
+    }
+    for (const auto *before : {&m_quarantined, &m_doubtful}) {
+        for (const auto &[part, until] : *before) {
+            if (quarantined.count(part) == 0 && doubtful.count(part) == 0)
+                m_changes.removed.push_back(part);
+        }
     }
     m_quarantined = std::move(quarantined);
+    m_doubtful = std::move(doubtful);
 }
 
 } // namespace dogwoodvalve
--- a/src/gateway/fleet/crash_inquiry.cpp
+++ b/src/gateway/fleet/crash_inquiry.cpp
@@ -21,11 +21,17 @@
 void CrashInquiry::open(const std::string &server, std::int64_t startedAtMs, StoppedRequest request,
                         AnswerLoss loss)
 {
-    const bool known = m_cases.count(server) > 0;
-    if (request.suspects.empty() || (!known && m_cases.size() >= MaxCases))
+    const auto it = m_cases.find(server);
+    const bool known = it != m_cases.end() && it->second.startedAtMs == startedAtMs;
+    const auto crashedAt = known ? std::optional(it->second.openedAt)
+                                 : m_node.view().quarantine().crashedAt(server, startedAtMs);
+    // A request that was sent after the crash has not caused it.
+    if (crashedAt && request.sentAt > *crashedAt)
+        return;
+    if (request.suspects.empty() || (it == m_cases.end() && m_cases.size() >= MaxCases))
         return;
     Case &opened = m_cases[server];
-    if (!known || opened.startedAtMs != startedAtMs)
+    if (!known)
         opened = {startedAtMs, m_node.now(), false, {}};
     opened.connectionEnded = opened.connectionEnded || loss == AnswerLoss::ConnectionEnded;
     if (opened.requests.size() < MaxRequestsPerCase)
@@ -113,7 +119,7 @@
     logEnd(server, opened, "crashed");
     for (const StoppedRequest &request : opened.requests)
         m_node.view().recordCrash(server, opened.startedAtMs, request.suspects, request.undelivered,
-                                  opened.openedAt);
+                                  opened.openedAt, request.tried);
 }
 
 } // namespace dogwoodvalve
--- a/src/gateway/fleet/crash_inquiry.h
+++ b/src/gateway/fleet/crash_inquiry.h
@@ -28,6 +28,10 @@
     std::vector<std::string> suspects;
     /// No event of the answer had arrived.
     bool undelivered = false;
+    /// The part for which the request was a trial, or empty.
+    std::string tried;
+    /// When the request was sent to the server.
+    TimePoint sentAt {};
 };
 
 /// Finds out whether a server has crashed when an answer stops soon after its beginning: a server
--- a/src/gateway/fleet/fleet_view.h
+++ b/src/gateway/fleet/fleet_view.h
@@ -145,9 +145,11 @@
     const ServerRateLimits &rateLimits() const { return m_rateLimits; }
 
     /// A start of a server has crashed when it had just begun to answer a prompt with these shared
-    /// parts, and whether it had not delivered any event of the answer.
+    /// parts, and whether it had not delivered any event of the answer. `tried` is the part for
+    /// which the request was a trial, or empty.
     void recordCrash(const std::string &server, std::int64_t startedAtMs,
-                     std::span<const std::string> parts, bool undelivered, TimePoint crashedAt);
+                     std::span<const std::string> parts, bool undelivered, TimePoint crashedAt,
+                     std::string_view tried = {});
     /// An answer to a prompt with these shared parts has gone on past its beginning.
     void recordServed(std::span<const std::string> parts, TimePoint begunAt);
 
--- a/src/gateway/fleet/fleet_view_notices.cpp
+++ b/src/gateway/fleet/fleet_view_notices.cpp
@@ -172,14 +172,16 @@
 
 void FleetView::recordCrash(const std::string &server, std::int64_t startedAtMs,
                             std::span<const std::string> parts, bool undelivered,
-                            TimePoint crashedAt)
+                            TimePoint crashedAt, std::string_view tried)
 {
     LogEvent::decision("server_crashed")
         .field("server", server)
         .field("started_ms", startedAtMs)
-        .field("prompt_parts", parts)
-        .field("undelivered", undelivered);
-    m_quarantine.recordCrash(server, startedAtMs, parts, undelivered, crashedAt, m_timers.now());
+        .field("prompt_parts", loggedParts(parts))
+        .field("undelivered", undelivered)
+        .field("tried", tried);
+    m_quarantine.recordCrash(server, startedAtMs, parts, undelivered, crashedAt, m_timers.now(),
+                             tried);
     noteQuarantineChanges(true);
 }
 
@@ -208,6 +210,10 @@
             .field("part", part.id)
             .field("for_ms", (part.until - m_timers.now()).count() / 1000)
             .field("source", ownFinding ? "own" : "hosts");
+    for (const QuarantinedPart &part : changes.doubted)
+        LogEvent("prompt_part_doubted")
+            .field("part", part.id)
+            .field("source", ownFinding ? "own" : "hosts");
     for (const std::string &part : changes.removed)
         LogEvent("prompt_part_released").field("part", part);
     if (!changes.added.empty() && m_quarantineHandler)
--- a/src/gateway/gateway_node.h
+++ b/src/gateway/gateway_node.h
@@ -7,6 +7,7 @@
 #include "gateway/gateway_metrics.h"
 #include "gateway/gateway_settings.h"
 #include "gateway/platform_interfaces.h"
+#include "gateway/requests/prompt_trials.h"
 #include "gateway/requests/wait_queue.h"
 #include "gateway/servers/server_connections.h"
 
@@ -36,9 +37,11 @@
     /// name and the addresses keep their values.
     void applySettings(const GatewaySettings &settings);
     FleetView &view() { return m_view; }
+    const FleetView &view() const { return m_view; }
     GatewayPlatform &platform() { return m_platform; }
     EngineProber &survey() { return m_survey; }
     CrashInquiry &crashes() { return m_crashes; }
+    PromptTrials &trials() { return m_trials; }
     AdmissionControl &admission() { return m_admission; }
     ServerConnections &connections() { return m_connections; }
     const CallerDialect &dialect() const { return *m_platform.dialect; }
@@ -88,6 +91,7 @@
     ServerConnections m_connections;
     EngineProber m_survey;
     CrashInquiry m_crashes;
+    PromptTrials m_trials;
     AdmissionControl m_admission;
     GatewayMetrics m_metrics;
     Random m_random;
--- a/src/gateway/peers/host_digest_codec.cpp
+++ b/src/gateway/peers/host_digest_codec.cpp
@@ -74,8 +74,8 @@
                              : it->get<std::map<std::string, std::int64_t>>();
 }
 
-/// By server and start: the age, and for each part its standing, position and whether an answer
-/// with it was undelivered.
+/// By server and start: the age, and for each part its standing, its position, whether an answer
+/// with it was undelivered, and whether it was tried there.
 json encodeCrashes(const CrashReports &reports)
 {
     json value = json::object();
@@ -83,7 +83,7 @@
         json parts = json::object();
         for (const auto &[part, suspected] : report.parts)
             parts[part] = {static_cast<int>(suspected.standing), suspected.position,
-                           suspected.undelivered};
+                           suspected.undelivered, suspected.tried};
         value[server] = {ageMillis(report.age), std::move(parts)};
     }
     return value;
@@ -102,8 +102,10 @@
         for (const auto &[part, suspected] : report.at(1).items()) {
             const int standing =
                 std::clamp(suspected.at(0).get<int>(), 0, static_cast<int>(PartStanding::Cleared));
+            // Hosts of earlier versions do not send the last one.
+            const bool tried = suspected.size() > 3 && suspected.at(3).get<bool>();
             decoded.parts[part] = {static_cast<PartStanding>(standing), suspected.at(1),
-                                   suspected.at(2)};
+                                   suspected.at(2), tried};
         }
     }
     return reports;
--- a/src/gateway/platform_interfaces.h
+++ b/src/gateway/platform_interfaces.h
@@ -10,6 +10,7 @@
 #include <dogwoodvalve/path_selector.h>
 #include <dogwoodvalve/server_notice.h>
 
+#include <algorithm>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -211,6 +212,13 @@
     std::vector<std::string> sharedPromptParts;
 };
 
+/// The first of these parts of a prompt, of which callers choose the number, for a log line.
+inline std::span<const std::string> loggedParts(std::span<const std::string> parts)
+{
+    constexpr std::size_t MaxLoggedParts = 16;
+    return parts.first(std::min(parts.size(), MaxLoggedParts));
+}
+
 /// The values that a dispatch adds to a caller's request or replaces in it.
 struct DispatchRequest
 {
--- a/src/gateway/requests/generation_session.cpp
+++ b/src/gateway/requests/generation_session.cpp
@@ -161,7 +161,7 @@
         return;
     for (const ReservedPart *part : servers)
         m_node.crashes().open(part->server, part->startedAtMs,
-                              {m_crashSuspects, !attempt.anyEvent()}, loss);
+                              stoppedRequest(!attempt.anyEvent(), attempt.startedAt()), loss);
 }
 
 bool GenerationSession::mayHaveCrashed(const GenerationAttempt &attempt) const
@@ -180,7 +180,7 @@
             if (!self || self->m_ended)
                 return;
             self->m_holdTimer = 0;
-            self->startOrEnqueue(true);
+            self->startUnlessSuspect(true);
         });
 }
 
@@ -444,7 +444,8 @@
     const bool sent = attempt.anyByteSent();
     recordFailure(attempt.parts().front(),
                   sent ? ServerEvidence::Failed : ServerEvidence::Unreachable);
-    inquireCrash(attempt, std::array {&attempt.parts().front()}, AnswerLoss::ConnectionEnded);
+    if (sent)
+        inquireCrash(attempt, std::array {&attempt.parts().front()}, AnswerLoss::ConnectionEnded);
     failAttempt(attempt, error.message, sent);
 }
 
@@ -471,13 +472,15 @@
         .field("since_progress_ms", attempt.silence().count() / 1000)
         .field("may_have_run", ran)
         .field("answer_begun", attempt.isStream())
-        .field("prompt_parts", m_request.caller.sharedPromptParts)
+        .field("prompt_parts", loggedParts(m_request.caller.sharedPromptParts))
         .field("open_attempts", m_open.size() - 1);
     if (m_interruptedAt == TimePoint {})
         m_interruptedAt = attempt.lastProgressAt();
     countRun(attempt, ran);
     const bool held = ran && mayHaveCrashed(attempt);
     closeAttempt(attempt);
+    if (!attemptOpen())
+        endTrial();
     if (attemptOpen())
         return resumeBesideSilentAttempts();
     m_mayHaveRun = m_ranAttempts > 0;
--- a/src/gateway/requests/plain_session.cpp
+++ b/src/gateway/requests/plain_session.cpp
@@ -137,7 +137,8 @@
     const bool sent = m_client && m_client->anyByteSent();
     if (sent)
         m_node.crashes().open(m_server, m_serverStartedAtMs,
-                              {m_crashSuspects, m_answerBody.empty()}, AnswerLoss::ConnectionEnded);
+                              stoppedRequest(m_answerBody.empty(), m_sentAt),
+                              AnswerLoss::ConnectionEnded);
     handleFailedAttempt(sent ? ServerEvidence::Failed : ServerEvidence::Unreachable, error.message,
                         sent);
 }
@@ -152,6 +153,7 @@
         .field("may_have_run", ran);
     m_mayHaveRun = ran || m_ranAttempts > 0;
     closeAttempts();
+    endTrial();
     if (tryBeginRetry(ran))
         return startUnlessSuspect(true);
     giveUp({ErrorKind::Unavailable, std::string(reason), "send it again later"}, RetryAfterRefusal);
--- a/src/gateway/requests/request_session.cpp
+++ b/src/gateway/requests/request_session.cpp
@@ -27,6 +27,8 @@
 /// longer than this, in which the findings of other hosts arrive in a fleet without relays.
 constexpr Duration MaxSuspectHold = 300ms;
 constexpr Duration HoldCheckInterval = 20ms;
+/// When a caller should retry whose request waited for a trial in vain.
+constexpr Duration RetryAfterDoubt = 1s;
 /// Repeats of a request are held that may have crashed a server within this time.
 constexpr Duration SuspicionTime = 10s;
 /// Fraction of the route's target for the first byte that a request may wait here; the rest is left
@@ -50,7 +52,8 @@
           request.caller.key, std::string_view(request.body)})
         hash = stableHash(text, hash);
     std::array<char, 32> text {};
-    std::snprintf(text.data(), text.size(), "request:%016" PRIx64, hash);
+    std::snprintf(text.data(), text.size(), "%s%016" PRIx64, PromptQuarantine::RequestPrefix.data(),
+                  hash);
     return text.data();
 }
 
@@ -99,7 +102,11 @@
     if (endIfQuarantined())
         return;
     const TimePoint now = m_node.now();
-    if (now >= holdEndsAt || !isSuspect() || mutated("gateway-hold-no-suspects"))
+    const auto doubtful = m_node.view().quarantine().findDoubtful(m_crashSuspects, now);
+    if (doubtful && endIfDoubtful(doubtful->id))
+        return;
+    const bool suspect = now < holdEndsAt && isSuspect() && !mutated("gateway-hold-no-suspects");
+    if (!suspect && !(doubtful && waitsForTrial(*doubtful)))
         return startOrEnqueue(atFront);
     m_suspectTimer = m_node.timers().schedule(now + HoldCheckInterval,
                                               [weak = weak_from_this(), atFront, holdEndsAt] {
@@ -109,6 +116,48 @@
                                               });
 }
 
+bool RequestSession::endIfDoubtful(std::string_view part)
+{
+    const TimePoint now = m_node.now();
+    if (!m_doubtedSince)
+        m_doubtedSince = now;
+    if (m_ranAttempts == 0 && now - *m_doubtedSince < std::min(PromptTrials::MaxHold, timeLeft()))
+        return false;
+    giveUp({ErrorKind::Unavailable,
+            "part " + std::string(part) + " of the prompt may crash servers",
+            "send it again later"},
+           RetryAfterDoubt);
+    return true;
+}
+
+bool RequestSession::waitsForTrial(const QuarantinedPart &doubtful)
+{
+    PromptTrials &trials = m_node.trials();
+    if (m_triedPart == doubtful.id)
+        return false;
+    if (!trials.mayBegin(doubtful.id, doubtful.until - PromptQuarantine::CrashRetention))
+        return true;
+    endTrial();
+    m_triedPart = doubtful.id;
+    trials.begin(m_triedPart);
+    LogEvent::decision("prompt_part_trial")
+        .field("request", m_request.caller.id)
+        .field("part", m_triedPart)
+        .field("held_ms", (m_node.now() - *m_doubtedSince).count() / 1000);
+    return false;
+}
+
+void RequestSession::endTrial()
+{
+    if (!m_triedPart.empty())
+        m_node.trials().end(std::exchange(m_triedPart, {}));
+}
+
+StoppedRequest RequestSession::stoppedRequest(bool undelivered, TimePoint sentAt) const
+{
+    return {m_crashSuspects, undelivered, m_triedPart, sentAt};
+}
+
 Duration RequestSession::maxUsefulWait() const
 {
     return scaled(m_request.route->firstByteTarget, MaxWaitFraction);
@@ -126,6 +175,11 @@
         return;
     if (m_ended || endIfServersPauseLonger(atFront ? maxFailoverWait() : maxUsefulWait()))
         return;
+    // Trials that waited for capacity would all begin when it returns.
+    if (!m_triedPart.empty() && !attemptOpen())
+        return giveUp({ErrorKind::Overloaded, "no server has capacity to try a part of the prompt",
+                       "send it again later"},
+                      RetryAfterDoubt);
     m_isWaiting = true;
     if (atFront) {
         startWaitTimer(maxFailoverWait());
@@ -194,7 +248,9 @@
 bool RequestSession::endIfQuarantined()
 {
     const auto part = m_node.view().quarantine().find(m_crashSuspects, m_node.now());
-    if (!part || m_ended || attemptDelivers() || mutated("gateway-ignore-quarantine"))
+    // A trial under way shows more than the evidence that came while it ran.
+    const bool onTrial = !m_triedPart.empty() && attemptOpen();
+    if (!part || m_ended || attemptDelivers() || onTrial || mutated("gateway-ignore-quarantine"))
         return false;
     const bool whole = part->id == m_request.fingerprint;
     const Error error {ErrorKind::Unavailable,
@@ -327,6 +383,7 @@
     m_node.timers().cancel(m_suspectTimer);
     const bool hadOpenAttempt = attemptOpen();
     closeAttempts();
+    endTrial();
     m_node.metrics().countRequest(outcome);
     const bool failed = outcome == "failed" || outcome == "cut";
     LogEvent event = failed ? LogEvent::failure("request") : LogEvent::decision("request");
--- a/src/gateway/requests/request_session.h
+++ b/src/gateway/requests/request_session.h
@@ -82,8 +82,13 @@
     /// gets its final answer then, unless an attempt is open.
     void startOrEnqueue(bool atFront);
     /// As startOrEnqueue(), but while the request may have crashed a server, only after a moment:
-    /// other hosts may be about to tell of another crash.
+    /// other hosts may be about to tell of another crash. A request that has a part in doubt waits
+    /// until a trial has shown whether the part crashes servers, or is the trial.
     void startUnlessSuspect(bool atFront);
+    /// What may have crashed a server on which this request's answer has stopped.
+    StoppedRequest stoppedRequest(bool undelivered, TimePoint sentAt) const;
+    /// An attempt has ended without showing whether the part in doubt crashes servers.
+    void endTrial();
     /// Limits the time in the queue, from now on.
     void startWaitTimer(Duration time);
     void leaveQueue();
@@ -133,11 +138,21 @@
     bool refuseUnlessAdmitted();
     /// Whether the request may have crashed a server a short while ago.
     bool isSuspect() const;
+    /// Ends a request with a part in doubt that may have crashed a server itself, or that has
+    /// waited for a trial too long. Returns whether it did.
+    bool endIfDoubtful(std::string_view part);
+    /// Whether the request has to wait for the trial of a part in doubt. Makes the request the
+    /// trial if it may be.
+    bool waitsForTrial(const QuarantinedPart &doubtful);
     void startWhenHoldEnds(bool atFront, TimePoint holdEndsAt);
 
     TimerId m_deadlineTimer = 0;
     TimerId m_waitTimer = 0;
     TimerId m_suspectTimer = 0;
+    /// Since when the request waits because of a part in doubt.
+    std::optional<TimePoint> m_doubtedSince;
+    /// The part in doubt for which this request is the trial.
+    std::string m_triedPart;
     /// The next attempt was taken from the retry budget and waits to be sent. It is not kept for
     /// later, when the budget may count it no more.
     bool m_retryTaken = false;
