Suspect requests whatever had arrived of their answer when its server crashed

Cause: a lost connection led to the question whether its server had crashed only if the head of the answer had arrived less than 0.5 s before. A process that ends with unread input resets its connections, which discards what the caller has not read, and an engine may send the head with the first event, or long before it. The class: evidence that depends on where the bytes were cut.

Now an attempt counts as beginning until its first event has been delivered for 0.5 s, with or without a head, unless nothing was sent.

--- a/src/gateway/requests/generation_attempt.cpp
+++ b/src/gateway/requests/generation_attempt.cpp
@@ -73,6 +73,7 @@
     m_answer = m_node.dialect().decodeAnswer(status, fields, m_requestId);
     recordNotices();
     m_isStream = status == StatusOk && m_answer.stamped && m_answer.idMatches && !m_answer.encoded;
+    m_headArrived = true;
     m_begunAt = m_node.now();
     m_endsWithConnection = findField(fields, "Content-Length").empty()
         && findField(fields, "Transfer-Encoding").empty();
@@ -123,7 +124,9 @@
 
 bool GenerationAttempt::isBeginning() const
 {
-    return m_isStream && m_node.now() - m_begunAt < PromptQuarantine::BeginningTime;
+    if (!m_anyEvent)
+        return !m_headArrived || m_isStream;
+    return m_node.now() - m_begunAt < PromptQuarantine::BeginningTime;
 }
 
 void GenerationAttempt::pauseReading(bool paused)
@@ -134,8 +137,9 @@
 
 void GenerationAttempt::recordProgress()
 {
-    m_anyEvent = true;
     m_lastProgressAt = m_node.now();
+    if (!std::exchange(m_anyEvent, true))
+        m_begunAt = m_lastProgressAt;
     releaseBacklog();
     for (const ReservedPart &part : m_parts)
         part.load->lastProgressAt = m_lastProgressAt;
--- a/src/gateway/requests/generation_attempt.h
+++ b/src/gateway/requests/generation_attempt.h
@@ -89,10 +89,11 @@
     /// connection.
     bool endsWithConnection() const { return m_endsWithConnection; }
     TimePoint startedAt() const { return m_startedAt; }
-    /// When the head of the stream arrived.
+    /// When the first event was delivered, before that when the head of the stream arrived.
     TimePoint begunAt() const { return m_begunAt; }
-    /// Whether the answer has begun, and not long enough ago to show that its prompt does not crash
-    /// the engine.
+    /// Whether no answer has gone on for long enough to show that the prompt does not crash the
+    /// engine. A head or events that an engine has sent may be lost with its connection, so what
+    /// has arrived shows little.
     bool isBeginning() const;
     bool anyEvent() const { return m_anyEvent; }
     EventSplitter &splitter() { return m_splitter; }
@@ -128,6 +129,7 @@
     TimePoint m_lastProgressAt {};
     TimePoint m_begunAt {};
     bool m_anyEvent = false;
+    bool m_headArrived = false;
     bool m_isStream = false;
     bool m_endsWithConnection = false;
     bool m_closed = false;
