Count a retry when it is sent, not when it is granted

Cause: a retry was entered into the budget when it was granted, but a stream that lost its engine may wait for another one until its deadline, longer than the window. Besides, a retry that was no longer needed, as the silent engine went on, stayed spent.

A granted retry is now reserved until it is sent or given up, and counts for a window from then on.

Evidence: read in the source; retriesThatWaitForLongAreNotGrantedAgain shows it for the budget. With the route's timeouts of our own stand-ins (10 s, as long as the window) a whole host does not show it, so it is not shown in a run of processes.

--- a/include/dogwoodvalve/shared_retry_budget.h
+++ b/include/dogwoodvalve/shared_retry_budget.h
@@ -40,8 +40,16 @@
     void setAllowance(RetryAllowance allowance) { m_allowance = allowance; }
     /// Records the first attempt of a request.
     void recordRequest(TimePoint now);
-    /// Records a retry and returns true if the budget allows one. `hosts` is the number of hosts
+    /// Reserves a retry and returns true if the budget allows one. A retry may have to wait for a
+    /// server for longer than the window, so it counts until it was sent, and for a window
+    /// afterwards. `hosts` is the number of hosts
     /// that share the slack, including those that may be alive but are not heard.
+    bool tryReserve(TimePoint now, int hosts);
+    /// A reserved retry is being sent.
+    void recordSent(TimePoint now);
+    /// A reserved retry will not be sent.
+    void release() { --m_reserved; }
+    /// As tryReserve() and recordSent().
     bool tryAcquire(TimePoint now, int hosts);
     /// Number of retries that are allowed now. It can be fractional, or negative after the
     /// allowance or the number of requests in the window has decreased.
@@ -55,6 +63,7 @@
     std::optional<TimePoint> m_startedAt;
     std::deque<TimePoint> m_requests;
     std::deque<TimePoint> m_retries;
+    int m_reserved = 0;
 };
 
 } // namespace dogwoodvalve
--- a/src/core/shared_retry_budget.cpp
+++ b/src/core/shared_retry_budget.cpp
@@ -43,15 +43,29 @@
     const double slackShare = isNew ? NewProcessSlackShare : SpendableShare;
     return ratioShare * m_allowance.ratio * static_cast<double>(m_requests.size())
         + slackShare * m_allowance.slack / std::max(1, hosts)
-        - static_cast<double>(m_retries.size());
+        - static_cast<double>(m_retries.size()) - m_reserved;
 }
 
-bool SharedRetryBudget::tryAcquire(TimePoint now, int hosts)
+bool SharedRetryBudget::tryReserve(TimePoint now, int hosts)
 {
     if (remaining(now, hosts) < 1)
         return false;
-    m_retries.push_back(now);
+    ++m_reserved;
     return true;
 }
 
+void SharedRetryBudget::recordSent(TimePoint now)
+{
+    release();
+    m_retries.push_back(now);
+}
+
+bool SharedRetryBudget::tryAcquire(TimePoint now, int hosts)
+{
+    const bool acquired = tryReserve(now, hosts);
+    if (acquired)
+        recordSent(now);
+    return acquired;
+}
+
 } // namespace dogwoodvalve
--- a/src/gateway/gateway_node.cpp
+++ b/src/gateway/gateway_node.cpp
@@ -106,11 +106,11 @@
     return m_budgets.try_emplace(service, m_settings.retries, m_startedAt).first->second;
 }
 
-bool GatewayNode::tryConsumeRetry(const std::string &service)
+bool GatewayNode::tryReserveRetry(const std::string &service)
 {
     SharedRetryBudget &budget = retryBudget(service);
     const int hosts = m_view.hosts().knownHosts(now());
-    const bool granted = budget.tryAcquire(now(), hosts);
+    const bool granted = budget.tryReserve(now(), hosts);
     m_metrics.countRetry(granted);
     LogEvent::decision("retry")
         .field("service", service)
--- a/src/gateway/gateway_node.h
+++ b/src/gateway/gateway_node.h
@@ -50,8 +50,8 @@
 
     WaitQueue &queue(const std::string &service);
     SharedRetryBudget &retryBudget(const std::string &service);
-    /// Takes one retry from the service's budget, which all hosts share. False if none is left.
-    bool tryConsumeRetry(const std::string &service);
+    /// Reserves one retry of the service's budget, which all hosts share. False if none is left.
+    bool tryReserveRetry(const std::string &service);
 
     /// Uses and counts what a server has said in an answer to any request of this host. Waiting
     /// requests that can't be served in time because of it are ended.
--- a/src/gateway/requests/request_session.cpp
+++ b/src/gateway/requests/request_session.cpp
@@ -274,7 +274,7 @@
 void RequestSession::leaveQueue()
 {
     m_isWaiting = false;
-    m_retryTaken = false;
+    releaseRetry();
     m_node.timers().cancel(std::exchange(m_waitTimer, 0));
 }
 
@@ -301,6 +301,8 @@
                                                             HttpClientEvents &events)
 {
     const auto endpoint = parseEndpoint(server.address);
+    if (std::exchange(m_retryReserved, false))
+        m_node.retryBudget(m_request.service->name).recordSent(m_node.now());
     leaveQueue();
     m_node.view().recordRequest(server.id, server.startedAtMs);
     ++m_attempts;
@@ -333,8 +335,14 @@
         return false;
     if (timeLeft() <= Duration::zero())
         return false;
-    m_retryTaken = m_retryTaken || m_node.tryConsumeRetry(m_request.service->name);
-    return m_retryTaken;
+    m_retryReserved = m_retryReserved || m_node.tryReserveRetry(m_request.service->name);
+    return m_retryReserved;
+}
+
+void RequestSession::releaseRetry()
+{
+    if (std::exchange(m_retryReserved, false))
+        m_node.retryBudget(m_request.service->name).release();
 }
 
 void RequestSession::refuse(int status, const Error &error, std::optional<Duration> retryAfter)
@@ -384,6 +392,7 @@
     const bool hadOpenAttempt = attemptOpen();
     closeAttempts();
     endTrial();
+    releaseRetry();
     m_node.metrics().countRequest(outcome);
     const bool failed = outcome == "failed" || outcome == "cut";
     LogEvent event = failed ? LogEvent::failure("request") : LogEvent::decision("request");
--- a/src/gateway/requests/request_session.h
+++ b/src/gateway/requests/request_session.h
@@ -97,7 +97,7 @@
     std::shared_ptr<HttpClientRequest> dispatch(const ServerRegistration &server,
                                                 const DispatchRequest &request,
                                                 std::string_view reason, HttpClientEvents &events);
-    /// Whether the attempts of the route and the retry budget allow another attempt. Takes it from
+    /// Whether the attempts of the route and the retry budget allow another attempt. Reserves it in
     /// the budget, once for each attempt that is then sent.
     bool tryTakeRetry();
 
@@ -145,6 +145,8 @@
     /// trial if it may be.
     bool waitsForTrial(const QuarantinedPart &doubtful);
     void startWhenHoldEnds(bool atFront, TimePoint holdEndsAt);
+    /// Gives a reserved retry back that will not be sent.
+    void releaseRetry();
 
     TimerId m_deadlineTimer = 0;
     TimerId m_waitTimer = 0;
@@ -153,9 +155,8 @@
     std::optional<TimePoint> m_doubtedSince;
     /// The part in doubt for which this request is the trial.
     std::string m_triedPart;
-    /// The next attempt was taken from the retry budget and waits to be sent. It is not kept for
-    /// later, when the budget may count it no more.
-    bool m_retryTaken = false;
+    /// The next attempt is reserved in the retry budget and waits to be sent.
+    bool m_retryReserved = false;
     TimePoint m_waitEndsAt {};
 };
 
--- a/tests/unit/gateway_decisions_test.cpp
+++ b/tests/unit/gateway_decisions_test.cpp
@@ -38,6 +38,7 @@
     CPPUNIT_TEST(allHostsTogetherStayWithinTheRetryAllowance);
     CPPUNIT_TEST(retriesAreAllowedAgainAfterTheWindow);
     CPPUNIT_TEST(processesThatAreRestartedTogetherStayWithinTheRetryAllowance);
+    CPPUNIT_TEST(retriesThatWaitForLongAreNotGrantedAgain);
     CPPUNIT_TEST(silentHostsKeepTheirShareOfTheSlack);
     CPPUNIT_TEST(hostsThatHaveLeftGiveTheirShareBack);
     CPPUNIT_TEST(failingServersAreEjectedAndRetried);
@@ -103,6 +104,22 @@
         CPPUNIT_ASSERT(retries <= 0.2 * requests + 70);
     }
 
+    void retriesThatWaitForLongAreNotGrantedAgain()
+    {
+        SharedRetryBudget budget({10s, 0, 10});
+        int reserved = 0;
+        while (budget.tryReserve(at(0s), 1))
+            ++reserved;
+        CPPUNIT_ASSERT_EQUAL(7, reserved);
+        CPPUNIT_ASSERT(!budget.tryReserve(at(15s), 1));
+        for (int i = 0; i < reserved - 1; ++i)
+            budget.recordSent(at(16s));
+        budget.release();
+        CPPUNIT_ASSERT(budget.tryReserve(at(17s), 1));
+        CPPUNIT_ASSERT(!budget.tryReserve(at(25s), 1));
+        CPPUNIT_ASSERT(budget.tryReserve(at(27s), 1));
+    }
+
     void silentHostsKeepTheirShareOfTheSlack()
     {
         HostTable table;
