Let some requests of the fault soak crash engines

In half of its runs one generation in fifty crashes engines, before the head of the answer, after it or long after it; at most three such requests that undisturbed hosts got later than 3 s after the fifth crash may run. Requests now name parts of their prompt, and whatever ran is held against its answer, for all kinds.

--- a/tests/process/fault_soak.cpp
+++ b/tests/process/fault_soak.cpp
@@ -30,6 +30,7 @@
 /// The timeout of the configured routes. Answers may end there.
 constexpr Duration RouteTimeout = 10s;
 constexpr Duration TimeoutTolerance = 500ms;
+constexpr const char *CrashingPart = "dead";
 
 class SoakRun;
 
@@ -101,6 +102,7 @@
         start();
         if (!awaitServing("at the start"))
             return report();
+        drawCrashMoment();
         for (auto &it : m_callers)
             it->next();
         for (auto &it : m_kept)
@@ -125,9 +127,13 @@
     SentRequest drawRequest()
     {
         static constexpr std::string_view Kinds = "gggrrw";
+        constexpr double CrashingShare = 0.02;
         SentRequest request;
         request.host = static_cast<int>(m_random.below(static_cast<std::uint64_t>(FLAGS_hosts)));
         request.kind = Kinds[m_random.below(Kinds.size())];
+        if (request.kind == 'g' && m_crashMoment && m_random.chance(CrashingShare))
+            request.kind = 'c';
+        request.inContact = !m_faults.isDisturbed(request.host);
         request.takenAwayKey = m_random.chance(0.1);
         request.sentAt = now();
         request.avoidsLeaving = m_faults.mustAvoidLeaving(request.host);
@@ -145,6 +151,18 @@
     const SoakFaults &faults() const { return m_faults; }
 
 private:
+    /// In half of the runs some requests crash engines.
+    void drawCrashMoment()
+    {
+        using testtool::CrashMoment;
+        static constexpr CrashMoment Moments[] {CrashMoment::AfterHead, CrashMoment::BeforeHead,
+                                                CrashMoment::BeforeFirstEvent};
+        if (m_random.chance(0.5))
+            return;
+        m_crashMoment = Moments[m_random.below(std::size(Moments))];
+        m_faults.letPartCrashEngines(CrashingPart, *m_crashMoment);
+    }
+
     void start()
     {
         m_faults.listen();
@@ -266,6 +284,7 @@
     std::vector<std::unique_ptr<KeptCaller>> m_kept;
     /// Process and version that a host's metrics told last.
     std::vector<std::pair<int, double>> m_versions;
+    std::optional<testtool::CrashMoment> m_crashMoment;
     bool m_ended = false;
 };
 
@@ -281,13 +300,16 @@
     m_status = 0;
     m_body.clear();
     HttpRequestHead head;
+    const bool generates = request.kind == 'g' || request.kind == 'c';
     head.method = request.kind == 'r' ? "GET" : "POST";
-    head.target = request.kind == 'g' ? "/generate/x"
-        : request.kind == 'r'         ? "/read/x"
-                                      : "/write/x";
+    head.target = generates ? "/generate/x" : request.kind == 'r' ? "/read/x" : "/write/x";
     head.fields = {{"Host", "demo"}, {"Api-Key", m_run.key(request)}, {"X-Request-Id", m_id}};
-    if (request.kind == 'g')
+    if (generates) {
+        const std::string part =
+            request.kind == 'c' ? CrashingPart : "p" + std::to_string(m_run.random().below(9));
         head.fields.push_back({"X-Token-Usage", "100,60"});
+        head.fields.push_back({"X-Prompt-Prefix", "aa:40," + part + ":30," + m_id + ":30"});
+    }
     m_client = m_run.services().createHttpClient();
     m_client->start(parseEndpoint(m_run.hosts().front(request.host)).value(), head, 500ms, *this);
     m_client->write("");
--- a/tests/process/soak_faults.cpp
+++ b/tests/process/soak_faults.cpp
@@ -26,6 +26,8 @@
 /// they end before the last part of its grace.
 constexpr Duration LateAfterStop = 3s;
 constexpr Duration LastPartOfGrace = Grace / 6;
+/// Time from an engine's crash to its next start.
+constexpr Duration EngineDowntime = 3s;
 constexpr Duration ShortestSilence = 500ms;
 constexpr Duration LongestSilence = 1500ms;
 
@@ -245,6 +247,25 @@
     later(time, [this, i] { setEngineFault(i, EngineFault::None); });
 }
 
+void SoakFaults::letPartCrashEngines(const std::string &part, testtool::CrashMoment moment)
+{
+    for (int i = 0; i < m_world.engines; ++i)
+        m_world.platform.engine(i).setCrashingPart(
+            part, [this, i] { onEngineCrash(i); }, moment);
+}
+
+void SoakFaults::onEngineCrash(int i)
+{
+    m_world.ledger.noteCrash(now());
+    DisturbanceLog &log = m_engineLogs[static_cast<std::size_t>(i)];
+    log.begin(now());
+    m_world.timers.schedule(now() + EngineDowntime, [this, i, &log] {
+        m_world.platform.restartEngine(i);
+        m_world.platform.engine(i).setFault(EngineFault::None);
+        log.end(now());
+    });
+}
+
 /// Lets one engine, several or all fall silent for a moment. Engines that have another fault keep
 /// it.
 void SoakFaults::silenceEngines()
--- a/tests/process/soak_faults.h
+++ b/tests/process/soak_faults.h
@@ -41,6 +41,9 @@
     /// Opens the platform and the relays on all ways to it.
     void listen();
     void begin();
+    /// Lets engines crash that begin to answer a request whose prompt has this part. They start
+    /// again after some seconds.
+    void letPartCrashEngines(const std::string &part, testtool::CrashMoment moment);
     /// Ends all faults.
     void calmDown();
 
@@ -77,6 +80,7 @@
     void changeConfiguration();
     void lendKey();
     void endDraining();
+    void onEngineCrash(int i);
 
     SoakWorld m_world;
     std::vector<std::unique_ptr<testtool::Relay>> m_storeRelays;
--- a/tests/process/soak_ledger.cpp
+++ b/tests/process/soak_ledger.cpp
@@ -8,6 +8,14 @@
 using testtool::ForwardingEngine;
 using testtool::PathFleet;
 
+namespace {
+
+constexpr std::size_t CrashLimit = 5;
+constexpr Duration CrashBound = 3s;
+constexpr int RequestsBeyondLimit = 3;
+
+} // namespace
+
 SoakLedger::SoakLedger(std::uint64_t seed, const PathFleet &platform, int engines)
     : m_seed(seed)
     , m_platform(platform)
@@ -32,7 +40,7 @@
         return;
     if (request.takenAwayKey && keyRefusedFrom && request.sentAt > *keyRefusedFrom)
         violation("a key was accepted after it was taken away, request " + id);
-    const std::string expected = request.kind == 'g'
+    const std::string expected = request.kind == 'g' || request.kind == 'c'
         ? ForwardingEngine::wholeStream(id)
         : std::string("served /") + (request.kind == 'r' ? "read" : "write") + "/x\n";
     if (whole ? body != expected : expected.rfind(body, 0) != 0)
@@ -57,6 +65,31 @@
     return runs;
 }
 
+int SoakLedger::engineRuns(const std::string &id) const
+{
+    int runs = 0;
+    for (int i = 0; i < m_engines; ++i) {
+        const auto &ran = m_platform.engine(i).runs();
+        const auto it = ran.find(id);
+        runs += it == ran.end() ? 0 : it->second;
+    }
+    return runs;
+}
+
+void SoakLedger::checkCrashingRequests()
+{
+    if (m_crashes.size() < CrashLimit)
+        return;
+    int late = 0;
+    for (const auto &[id, request] : m_sent) {
+        if (request.kind == 'c' && request.inContact
+            && request.sentAt > m_crashes[CrashLimit - 1] + CrashBound)
+            late += engineRuns(id);
+    }
+    if (late > RequestsBeyondLimit)
+        violation(std::to_string(late) + " requests that crash engines ran too late");
+}
+
 void SoakLedger::checkLeaving()
 {
     for (auto &[id, request] : m_sent) {
@@ -69,12 +102,11 @@
 void SoakLedger::checkRuns()
 {
     checkLeaving();
+    checkCrashingRequests();
     for (const auto &[id, request] : m_sent) {
-        int runs = plainRuns(id);
+        const int runs = plainRuns(id) + engineRuns(id);
         if (request.kind == 'w' && runs > 1)
             violation("request " + id + " must not be repeated and ran more than once");
-        for (int i = 0; request.kind == 'g' && i < m_engines; ++i)
-            runs += static_cast<int>(m_platform.engine(i).runs().count(id));
         if (request.saidNotRun && runs > 0)
             violation("request " + id + " was said not to have run, and had");
     }
@@ -88,8 +120,9 @@
 
 std::size_t SoakLedger::report() const
 {
-    std::printf("seed=%llu requests=%zu violations=%zu", static_cast<unsigned long long>(m_seed),
-                m_sent.size(), m_violations);
+    std::printf("seed=%llu requests=%zu crashes=%zu violations=%zu",
+                static_cast<unsigned long long>(m_seed), m_sent.size(), m_crashes.size(),
+                m_violations);
     for (const auto &[outcome, n] : m_outcomes)
         std::printf(" \"%s\"=%d", outcome.c_str(), n);
     for (const auto &[fault, n] : m_faults)
--- a/tests/process/soak_ledger.h
+++ b/tests/process/soak_ledger.h
@@ -9,6 +9,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace dogwoodvalve::process {
 
@@ -16,13 +17,15 @@
 struct SentRequest
 {
     int host = 0;
-    /// 'g' generates, 'r' may be repeated, 'w' may not.
+    /// 'g' generates, 'c' generates and crashes engines, 'r' may be repeated, 'w' may not.
     char kind = 'g';
     bool takenAwayKey = false;
     TimePoint sentAt {};
     bool saidNotRun = false;
     /// Sent so late after a server began to leave that it must not go there.
     bool avoidsLeaving = false;
+    /// Sent to a host that was not disturbed.
+    bool inContact = false;
 };
 
 /// What callers sent and got in a run of the fault soak, held against what the servers ran.
@@ -42,6 +45,8 @@
     /// A connection that a sound host kept was closed without an answer to a request.
     void noteLost(const std::string &id);
     void noteFault(const char *fault) { ++m_faults[fault]; }
+    /// A request has crashed an engine.
+    void noteCrash(TimePoint at) { m_crashes.push_back(at); }
     void violation(const std::string &what);
     bool clean() const { return m_violations == 0; }
 
@@ -56,6 +61,9 @@
 private:
     /// Runs at the plain servers.
     int plainRuns(const std::string &id) const;
+    int engineRuns(const std::string &id) const;
+    /// Hardly any request that crashes engines runs long after the fifth crash.
+    void checkCrashingRequests();
 
     std::uint64_t m_seed;
     const testtool::PathFleet &m_platform;
@@ -63,6 +71,7 @@
     std::map<std::string, SentRequest> m_sent;
     std::map<std::string, int> m_outcomes;
     std::map<std::string, int> m_faults;
+    std::vector<TimePoint> m_crashes;
     std::size_t m_violations = 0;
 };
 
