Count the age of a digest from when its socket was last empty

Cause: a digest says how old its host's confirmation of the configuration is, and the receiver counted that age from when it read the datagram. Digests that wait in the socket of a frozen process were read as if they had just been sent, and the next digest passed the false age on. The class: time of reading taken for time of sending.

The receiver now adds the time since it last found its socket empty, which it looks at after each datagram and every 100 ms.

--- a/src/gateway/peers/host_digest_codec.cpp
+++ b/src/gateway/peers/host_digest_codec.cpp
@@ -279,6 +279,20 @@
     return json::to_cbor(value);
 }
 
+void addDelay(PeerDigest &digest, Duration delay)
+{
+    const auto add = [delay](HostDigest &state) {
+        state.configurationAge += delay;
+        state.registrationsAge += delay;
+    };
+    if (auto *host = std::get_if<HostDigest>(&digest))
+        return add(*host);
+    auto &relayed = std::get<RelayDigest>(digest);
+    add(relayed.relay);
+    for (RelayedHost &host : relayed.roster)
+        host.age += delay;
+}
+
 Result<PeerDigest> decodeDigest(std::span<const std::uint8_t> bytes)
 {
     const json value = json::from_cbor(bytes.begin(), bytes.end(), true, false);
--- a/src/gateway/peers/peer_exchange.cpp
+++ b/src/gateway/peers/peer_exchange.cpp
@@ -57,6 +57,7 @@
                       "give a free address of this host"};
     m_socket.non_blocking(true, ec);
     m_startedAt = m_node.now();
+    m_drainedAt = m_startedAt;
     m_discovered = std::move(discovered);
     receive();
     discoverHosts();
@@ -141,6 +142,7 @@
 
 void PeerExchange::sendPeriodically()
 {
+    noteIfDrained();
     send(m_router.messagesDue());
     schedule(DigestRouter::PollInterval, &PeerExchange::sendPeriodically);
 }
@@ -174,16 +176,27 @@
                 return;
             // Any other error reports that a peer's host rejected an earlier datagram.
             if (!ec) {
-                const auto digest = decodeDigest(std::span(m_buffer).first(n));
-                if (digest)
+                auto digest = decodeDigest(std::span(m_buffer).first(n));
+                if (digest) {
+                    // It may have waited here since the socket was last found empty.
+                    addDelay(digest.value(), m_node.now() - m_drainedAt);
                     onDigest(digest.value());
-                else
+                } else {
                     LogEvent::decision("digest_unreadable").field("bytes", n);
+                }
             }
+            noteIfDrained();
             receive();
         });
 }
 
+void PeerExchange::noteIfDrained()
+{
+    boost::system::error_code ec;
+    if (m_socket.available(ec) == 0 && !ec)
+        m_drainedAt = m_node.now();
+}
+
 void PeerExchange::onDigest(const PeerDigest &digest)
 {
     if (const auto sender = m_router.receive(digest))
--- a/src/gateway/peers/peer_exchange.h
+++ b/src/gateway/peers/peer_exchange.h
@@ -36,6 +36,8 @@
 private:
     void sendPeriodically();
     void receive();
+    /// Notes the time if no digest waits in the socket.
+    void noteIfDrained();
     /// Reads the other hosts' records from the store periodically.
     void discoverHosts();
     /// Writes this host's record to the store, and retries until that succeeds.
@@ -56,6 +58,8 @@
     boost::asio::ip::udp::endpoint m_sender;
     std::array<std::uint8_t, MaxDatagramBytes> m_buffer {};
     TimePoint m_startedAt {};
+    /// When no digest waited in the socket.
+    TimePoint m_drainedAt {};
     std::function<void()> m_discovered;
     bool m_announced = false;
     /// Pending callbacks hold a weak pointer to this, and do nothing once it is replaced.
--- /dev/null
+++ b/tests/process/frozen_host_test.cpp
@@ -0,0 +1,131 @@
+#include "net/asio_loop_services.h"
+#include "net/buffered_request.h"
+#include "net/endpoint.h"
+#include "path_fleet.h"
+#include "process/gateway_hosts.h"
+#include "relay.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <csignal>
+#include <filesystem>
+#include <optional>
+
+using namespace dogwoodvalve;
+using namespace dogwoodvalve::process;
+
+namespace {
+
+constexpr int Hosts = 2;
+constexpr int FirstPort = 26'200;
+constexpr Duration StartTime = 6s;
+constexpr Duration FreezeTime = 3500ms;
+/// Time from a key's removal after which no request with it may run.
+constexpr Duration KeyRevocation = 5s;
+constexpr const char *Key = "taken-key";
+
+std::string at(int offset)
+{
+    return "127.0.0.1:" + std::to_string(FirstPort + offset);
+}
+
+/// Gateway hosts as real processes, each with a relay before the store.
+class RelayedHosts
+{
+public:
+    RelayedHosts()
+        : m_folder(std::filesystem::temp_directory_path()
+                   / ("dogwoodvalve-frozen-" + std::to_string(::getpid())))
+        , m_services(m_loop)
+        , platform(m_loop, m_services.timers(), 1)
+        , hosts(m_folder, FirstPort + 20, {at(10), at(11)})
+    {
+        std::filesystem::create_directories(m_folder);
+        platform.listen(parseEndpoint(at(0)).value()).value();
+        platform.configure(2, {"demo-key", Key});
+        for (int i = 0; i < Hosts; ++i) {
+            m_relays.push_back(
+                std::make_unique<testtool::Relay>(m_loop, parseEndpoint(at(0)).value()));
+            m_relays.back()->listen(parseEndpoint(at(10 + i)).value()).value();
+            hosts.start(i);
+        }
+        run(StartTime);
+    }
+    ~RelayedHosts()
+    {
+        hosts.endAll();
+        std::filesystem::remove_all(m_folder);
+    }
+
+    RelayedHosts(const RelayedHosts &) = delete;
+    RelayedHosts &operator=(const RelayedHosts &) = delete;
+
+    void run(Duration time)
+    {
+        m_loop.run_for(std::chrono::microseconds(time.count()));
+        m_loop.restart();
+    }
+
+    void cutFromStore()
+    {
+        testtool::RelayFaults faults;
+        faults.cut = true;
+        for (const auto &it : m_relays)
+            it->setFaults(faults);
+    }
+
+    /// The status of the answer to a request with the key.
+    int askWithKey(int host)
+    {
+        HttpRequestHead head;
+        head.method = "GET";
+        head.target = "/read/x";
+        head.fields = {{"Host", "demo"}, {"Api-Key", Key}, {"X-Request-Id", "r"}};
+        int status = 0;
+        sendBufferedRequest(m_services, parseEndpoint(hosts.front(host)).value(), head, "", 1s,
+                            [&status](const Result<HttpResponse> &reply) {
+                                status = reply ? reply.value().status : 0;
+                            });
+        run(100ms);
+        return status;
+    }
+
+private:
+    std::string m_folder;
+    boost::asio::io_context m_loop {1};
+    AsioLoopServices m_services;
+    std::vector<std::unique_ptr<testtool::Relay>> m_relays;
+
+public:
+    testtool::PathFleet platform;
+    GatewayHosts hosts;
+};
+
+} // namespace
+
+/// What waits in the sockets of a frozen process.
+class FrozenHostTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(FrozenHostTest);
+    CPPUNIT_TEST(digestsThatWaitedDoNotConfirmTakenAwayKeys);
+    CPPUNIT_TEST_SUITE_END();
+
+    void digestsThatWaitedDoNotConfirmTakenAwayKeys()
+    {
+        RelayedHosts fleet;
+        for (int i = 0; i < Hosts; ++i)
+            CPPUNIT_ASSERT_EQUAL(200, fleet.askWithKey(i));
+        fleet.hosts.process(1).signal(SIGSTOP);
+        fleet.cutFromStore();
+        fleet.platform.configure(3, {"demo-key"});
+        fleet.run(FreezeTime);
+        fleet.hosts.process(1).signal(SIGCONT);
+        fleet.run(KeyRevocation - FreezeTime);
+        for (int n = 0; n < 10; ++n) {
+            for (int i = 0; i < Hosts; ++i)
+                CPPUNIT_ASSERT_EQUAL(503, fleet.askWithKey(i));
+        }
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(FrozenHostTest);
