Serve the connections that were made until a host closes its front

The rule does not count a request that crosses a close unread, but the caller has to find out by himself whether it ran.

Callers are then refused before they send.

--- a/src/gateway/gateway_process.cpp
+++ b/src/gateway/gateway_process.cpp
@@ -212,8 +212,12 @@
         const Duration elapsed = m_node.now() - m_drainStarted;
         const bool empty = m_node.openSessions() == 0 && m_front.exchangesInFlight() == 0
             && m_node.openForwards() == 0;
-        if (empty && elapsed >= MinDrainTime)
-            return m_loop.stop();
+        if (empty && elapsed >= MinDrainTime) {
+            // Connections that were made until now are still served.
+            if (std::exchange(m_frontClosed, true))
+                return m_loop.stop();
+            m_front.stopAccepting();
+        }
         if (elapsed >= m_node.settings().grace - GraceMargin - FinalAnswerTime) {
             m_node.endSessionsAtExit();
             m_services.timers().schedule(m_node.now() + FinalAnswerTime, [this] { m_loop.stop(); });
@@ -241,6 +245,7 @@
     HttpServer m_metricsServer;
     TimePoint m_drainStarted {};
     bool m_reading = false;
+    bool m_frontClosed = false;
 };
 
 } // namespace
