Resume a stream whose answer went on, though a part of its prompt is in doubt

Fault of, found on reading it again: a stream whose engine crashed midway was ended if one of its parts was in doubt at that moment, as its attempt might have run. What has answered for longer than the beginning has shown that it crashes nothing, so it is neither held nor ended. aStreamThatWentOnIsResumedWhileItsPartIsInDoubt failed before.

--- a/src/gateway/requests/generation_session.cpp
+++ b/src/gateway/requests/generation_session.cpp
@@ -186,6 +186,7 @@
 
 void GenerationSession::recordServed(GenerationAttempt &attempt)
 {
+    m_wentOn = true;
     if (!std::exchange(attempt.countedAsServed, true))
         m_node.view().recordServed(m_crashSuspects, attempt.begunAt());
 }
--- a/src/gateway/requests/request_session.cpp
+++ b/src/gateway/requests/request_session.cpp
@@ -102,7 +102,7 @@
     if (endIfQuarantined())
         return;
     const TimePoint now = m_node.now();
-    const auto doubtful = m_node.view().quarantine().findDoubtful(m_crashSuspects, now);
+    const auto doubtful = findDoubtful();
     if (doubtful && endIfDoubtful(doubtful->id))
         return;
     const bool suspect = now < holdEndsAt && isSuspect() && !mutated("gateway-hold-no-suspects");
@@ -116,6 +116,13 @@
                                               });
 }
 
+std::optional<QuarantinedPart> RequestSession::findDoubtful() const
+{
+    if (m_wentOn)
+        return std::nullopt;
+    return m_node.view().quarantine().findDoubtful(m_crashSuspects, m_node.now());
+}
+
 bool RequestSession::endIfDoubtful(std::string_view part)
 {
     const TimePoint now = m_node.now();
--- a/src/gateway/requests/request_session.h
+++ b/src/gateway/requests/request_session.h
@@ -124,6 +124,8 @@
     /// The request was sent to a server that has not answered that it did not run it.
     bool m_mayHaveRun = false;
     bool m_responded = false;
+    /// An answer to the request has gone on past its beginning, so that it does not crash servers.
+    bool m_wentOn = false;
     bool m_ended = false;
     bool m_isWaiting = false;
 
@@ -138,6 +140,8 @@
     bool refuseUnlessAdmitted();
     /// Whether the request may have crashed a server a short while ago.
     bool isSuspect() const;
+    /// The first part of the prompt that is in doubt.
+    std::optional<QuarantinedPart> findDoubtful() const;
     /// Ends a request with a part in doubt that may have crashed a server itself, or that has
     /// waited for a trial too long. Returns whether it did.
     bool endIfDoubtful(std::string_view part);
--- a/tests/simulation/prompt_quarantine_test.cpp
+++ b/tests/simulation/prompt_quarantine_test.cpp
@@ -51,6 +51,7 @@
     CPPUNIT_TEST(twoCrashingPartsAreStopped);
     CPPUNIT_TEST(aRequestWithAQuarantinedPartIsRefusedAsNotRun);
     CPPUNIT_TEST(aHostThatStartsLaterRefusesThePart);
+    CPPUNIT_TEST(aStreamThatWentOnIsResumedWhileItsPartIsInDoubt);
     CPPUNIT_TEST(crashesWithoutACommonCauseBlockNoPart);
     CPPUNIT_TEST(brokenAnswersOfLivingEnginesBlockNoPart);
     CPPUNIT_TEST(silentEnginesBlockNoPart);
@@ -252,6 +253,34 @@
         CPPUNIT_ASSERT_EQUAL(0, world.runsOf(id));
     }
 
+    void aStreamThatWentOnIsResumedWhileItsPartIsInDoubt()
+    {
+        GatewayWorld world(1, Engines);
+        world.settle();
+        const auto call = world.generateWith(SharedPart);
+        const std::string id = world.lastId();
+        world.run(200ms);
+        const auto setFaults = [&world](EngineFault fault) {
+            for (const auto &engine : world.engines)
+                engine->setFault(fault);
+        };
+        setFaults(EngineFault::Silent);
+        world.run(300ms);
+        setFaults(EngineFault::None);
+        world.run(60ms);
+        FleetView &view = world.hosts[0]->node.view();
+        const std::vector<std::string> parts {"aa01"};
+        for (int i = 0; i < 3; ++i)
+            view.recordCrash("gone-" + std::to_string(i), 1, parts, true, world.now() + i * 150ms);
+        CPPUNIT_ASSERT(view.quarantine().findDoubtful(parts, world.now()));
+        for (const auto &engine : world.engines) {
+            if (engine->runs().count(id) > 0)
+                engine->crash();
+        }
+        world.run(5s);
+        CPPUNIT_ASSERT(isWhole({call, id, {}}));
+    }
+
     void crashesWithoutACommonCauseBlockNoPart()
     {
         GatewayWorld world(Hosts, Engines);
