Keep the suspects of a crash after a silence, and of many requests

Read again in: a request that was sent after a server had fallen silent was no suspect when that server then crashed, for up to 10 s, though only the end of a connection shows that it had crashed before. A case that was opened by a silence now begins anew with the first connection that ends.

More requests are suspects since, so a case keeps 64 instead of 16 of them and a crash 32 instead of 16 suspects. Fingerprints of requests are dropped before parts again: each request has one, and they would crowd out what requests share.

No test of its own: the order needs a silence and a crash of one server.

--- a/include/dogwoodvalve/prompt_quarantine.h
+++ b/include/dogwoodvalve/prompt_quarantine.h
@@ -50,7 +50,7 @@
     /// crashes earlier may have crashed because of them.
     static constexpr Duration BeginningTime = std::chrono::milliseconds(500);
     static constexpr std::size_t MaxCrashes = 64;
-    static constexpr std::size_t MaxPartsPerCrash = 16;
+    static constexpr std::size_t MaxPartsPerCrash = 32;
     /// Crashes in one message to other hosts.
     static constexpr std::size_t MaxReportedCrashes = 16;
     /// Bound of the memory of answered parts, which callers choose.
--- a/include/dogwoodvalve/shared_retry_budget.h
+++ b/include/dogwoodvalve/shared_retry_budget.h
@@ -42,8 +42,8 @@
     void recordRequest(TimePoint now);
     /// Reserves a retry and returns true if the budget allows one. A retry may have to wait for a
     /// server for longer than the window, so it counts until it was sent, and for a window
-    /// afterwards. `hosts` is the number of hosts
-    /// that share the slack, including those that may be alive but are not heard.
+    /// afterwards. `hosts` is the number of hosts that share the slack, including those that may be
+    /// alive but are not heard.
     bool tryReserve(TimePoint now, int hosts);
     /// A reserved retry is being sent.
     void recordSent(TimePoint now);
--- a/src/core/prompt_quarantine.cpp
+++ b/src/core/prompt_quarantine.cpp
@@ -52,8 +52,7 @@
 auto suspicion(const std::string &part, const SuspectedPart &suspected)
 {
     return std::tuple(isNotCleared(suspected), suspected.undelivered,
-                      suspected.standing == PartStanding::Unproven,
-                      part.starts_with(PromptQuarantine::RequestPrefix), suspected.position, part);
+                      suspected.standing == PartStanding::Unproven, suspected.position, part);
 }
 
 } // namespace
--- a/src/gateway/fleet/crash_inquiry.cpp
+++ b/src/gateway/fleet/crash_inquiry.cpp
@@ -14,7 +14,7 @@
 /// A server that crashed has started again, or its registration has expired, by then.
 constexpr Duration MaxInquiryTime = 10s;
 constexpr std::size_t MaxCases = 64;
-constexpr std::size_t MaxRequestsPerCase = 16;
+constexpr std::size_t MaxRequestsPerCase = 64;
 
 } // namespace
 
@@ -23,8 +23,9 @@
 {
     const auto it = m_cases.find(server);
     const bool known = it != m_cases.end() && it->second.startedAtMs == startedAtMs;
-    const auto crashedAt = known ? std::optional(it->second.openedAt)
-                                 : m_node.view().quarantine().crashedAt(server, startedAtMs);
+    const auto crashedAt = !known    ? m_node.view().quarantine().crashedAt(server, startedAtMs)
+        : it->second.connectionEnded ? std::optional(it->second.openedAt)
+                                     : std::nullopt;
     // A request that was sent after the crash has not caused it.
     if (crashedAt && request.sentAt > *crashedAt)
         return;
@@ -33,7 +34,9 @@
     Case &opened = m_cases[server];
     if (!known)
         opened = {startedAtMs, m_node.now(), false, {}};
-    opened.connectionEnded = opened.connectionEnded || loss == AnswerLoss::ConnectionEnded;
+    // A server that was only silent until now crashes now.
+    if (loss == AnswerLoss::ConnectionEnded && !std::exchange(opened.connectionEnded, true))
+        opened.openedAt = m_node.now();
     if (opened.requests.size() < MaxRequestsPerCase)
         opened.requests.push_back(std::move(request));
     if (loss == AnswerLoss::ConnectionEnded)
