Let a host that starts beside older ones retry within the margin

If another host has been running for the window, the hosts that are new share half of the margin, at most the usual share each. Digests now say how long a host has been running; builds before neither send nor read it, and hosts of theirs count as new.

--- a/include/dogwoodvalve/host_digest.h
+++ b/include/dogwoodvalve/host_digest.h
@@ -32,6 +32,8 @@
     double linkMbps = 0;
     /// Start of the host process, Unix time in ms. Digests of an earlier start are outdated.
     std::int64_t startedAtMs = 0;
+    /// Time since the start. Zero from hosts of earlier versions.
+    Duration uptime {};
     /// Increases with each digest since the start.
     std::uint64_t sequence = 0;
     bool ready = false;
--- a/include/dogwoodvalve/shared_retry_budget.h
+++ b/include/dogwoodvalve/shared_retry_budget.h
@@ -19,13 +19,31 @@
     bool operator==(const RetryAllowance &other) const = default;
 };
 
+/// The hosts that share a retry allowance.
+struct RetrySharers
+{
+    /// Implicit, as a number of hosts none of which is new says all. `started` hosts, including
+    /// this one, have started within the window; `remembered` tells that another one has not.
+    RetrySharers(int hosts, int started = 0, bool remembered = false)
+        : hosts(hosts)
+        , started(started)
+        , remembered(remembered)
+    { }
+
+    /// All hosts, including those that may be alive but are not heard.
+    int hosts = 1;
+    int started = 0;
+    bool remembered = false;
+};
+
 /// Limits the retries of one host so that all hosts together stay within an allowance, without
 /// coordination per retry: each host may use the ratio of its own requests, and an equal part of
 /// the slack.
 ///
-/// Earlier processes of this host may have used up their part in the same window, and no host
-/// remembers it if all were restarted. So in the first window after its start, a host uses what the
-/// other windows leave as a margin: a smaller share of the ratio, and hardly any slack.
+/// Earlier processes of this host may have used up their part in the same window. So in the first
+/// window after its start, a host uses the margin that hosts leave otherwise, with the others that
+/// have started. If no host is older, all were restarted, perhaps several times, and nobody knows
+/// how often: then it uses less of the ratio, and hardly any slack.
 class SharedRetryBudget
 {
 public:
@@ -42,18 +60,17 @@
     void recordRequest(TimePoint now);
     /// Reserves a retry and returns true if the budget allows one. A retry may have to wait for a
     /// server for longer than the window, so it counts until it was sent, and for a window
-    /// afterwards. `hosts` is the number of hosts that share the slack, including those that may be
-    /// alive but are not heard.
-    bool tryReserve(TimePoint now, int hosts);
+    /// afterwards.
+    bool tryReserve(TimePoint now, const RetrySharers &sharers);
     /// A reserved retry is being sent.
     void recordSent(TimePoint now);
     /// A reserved retry will not be sent.
     void release() { --m_reserved; }
     /// As tryReserve() and recordSent().
-    bool tryAcquire(TimePoint now, int hosts);
+    bool tryAcquire(TimePoint now, const RetrySharers &sharers);
     /// Number of retries that are allowed now. It can be fractional, or negative after the
     /// allowance or the number of requests in the window has decreased.
-    double remaining(TimePoint now, int hosts);
+    double remaining(TimePoint now, const RetrySharers &sharers);
 
 private:
     /// Drops requests and retries that have left the window.
--- a/src/core/host_table.cpp
+++ b/src/core/host_table.cpp
@@ -207,6 +207,14 @@
     return mutated("gateway-count-heard-hosts-only") ? liveHosts(now) : 1 + m_census.count(now);
 }
 
+int HostTable::peersUpFor(Duration time, TimePoint now) const
+{
+    return static_cast<int>(std::count_if(m_peers.begin(), m_peers.end(), [&](const auto &entry) {
+        const Peer &peer = entry.second;
+        return isLive(peer, now) && peer.digest.uptime + (now - peer.lastSeenAt) >= time;
+    }));
+}
+
 int HostTable::rank(std::string_view self, std::string_view task, TimePoint now) const
 {
     const std::uint64_t own = rendezvousWeight(task, self);
--- a/src/core/shared_retry_budget.cpp
+++ b/src/core/shared_retry_budget.cpp
@@ -12,10 +12,11 @@
 /// for a moment on the number of live hosts, and requests may leave the window before the retries
 /// that were allowed because of them.
 constexpr double SpendableShare = 0.7;
-/// Shares that a new process uses. Hosts may be restarted several times in a window; the slack of
-/// five processes of a host fits into the margin.
-constexpr double NewProcessRatioShare = 1 - SpendableShare;
-constexpr double NewProcessSlackShare = (1 - SpendableShare) / 5;
+constexpr double Margin = 1 - SpendableShare;
+/// The margin is divided by this, as hosts may be restarted more than once in a window: if all are
+/// restarted together, and if some host remembers the others.
+constexpr int RestartsOfAll = 5;
+constexpr int RestartsOfSome = 2;
 
 } // namespace
 
@@ -34,21 +35,29 @@
     m_requests.push_back(now);
 }
 
-double SharedRetryBudget::remaining(TimePoint now, int hosts)
+double SharedRetryBudget::remaining(TimePoint now, const RetrySharers &sharers)
 {
     evictExpired(now);
     const bool isNew = m_startedAt && now - *m_startedAt < m_allowance.window
         && !mutated("gateway-retry-at-start");
-    const double ratioShare = isNew ? NewProcessRatioShare : SpendableShare;
-    const double slackShare = isNew ? NewProcessSlackShare : SpendableShare;
+    const double hosts = std::max(1, sharers.hosts);
+    const double started = std::max(1, sharers.started);
+    double ratioShare = SpendableShare;
+    double slackShare = SpendableShare / hosts;
+    if (isNew && sharers.remembered) {
+        ratioShare = SpendableShare - (SpendableShare - Margin) * std::min(1.0, started / hosts);
+        slackShare = std::min(slackShare, Margin / (RestartsOfSome * started));
+    } else if (isNew) {
+        ratioShare = Margin;
+        slackShare = Margin / (RestartsOfAll * hosts);
+    }
     return ratioShare * m_allowance.ratio * static_cast<double>(m_requests.size())
-        + slackShare * m_allowance.slack / std::max(1, hosts)
-        - static_cast<double>(m_retries.size()) - m_reserved;
+        + slackShare * m_allowance.slack - static_cast<double>(m_retries.size()) - m_reserved;
 }
 
-bool SharedRetryBudget::tryReserve(TimePoint now, int hosts)
+bool SharedRetryBudget::tryReserve(TimePoint now, const RetrySharers &sharers)
 {
-    if (remaining(now, hosts) < 1)
+    if (remaining(now, sharers) < 1)
         return false;
     ++m_reserved;
     return true;
@@ -60,9 +69,9 @@
     m_retries.push_back(now);
 }
 
-bool SharedRetryBudget::tryAcquire(TimePoint now, int hosts)
+bool SharedRetryBudget::tryAcquire(TimePoint now, const RetrySharers &sharers)
 {
-    const bool acquired = tryReserve(now, hosts);
+    const bool acquired = tryReserve(now, sharers);
     if (acquired)
         recordSent(now);
     return acquired;
--- a/src/gateway/fleet/fleet_view.cpp
+++ b/src/gateway/fleet/fleet_view.cpp
@@ -43,6 +43,7 @@
 
 FleetView::FleetView(TimerService &timers, HostDigest self, Duration keyRevocation)
     : m_timers(timers)
+    , m_startedAt(timers.now())
     , m_self(std::move(self))
     , m_keyRevocation(keyRevocation)
     , m_hosts(m_self.zone)
--- a/src/gateway/fleet/fleet_view.h
+++ b/src/gateway/fleet/fleet_view.h
@@ -232,6 +232,7 @@
     void applyConfirmation(const HostDigest &digest, TimePoint sentAt);
 
     TimerService &m_timers;
+    TimePoint m_startedAt;
     HostDigest m_self;
     Duration m_keyRevocation;
     TimePoint m_leavingSince {};
--- a/src/gateway/fleet/fleet_view_digests.cpp
+++ b/src/gateway/fleet/fleet_view_digests.cpp
@@ -11,6 +11,7 @@
 {
     HostDigest identity = m_self;
     identity.ready = ready();
+    identity.uptime = m_timers.now() - m_startedAt;
     return identity;
 }
 
--- a/src/gateway/gateway_node.cpp
+++ b/src/gateway/gateway_node.cpp
@@ -106,17 +106,25 @@
     return m_budgets.try_emplace(service, m_settings.retries, m_startedAt).first->second;
 }
 
+RetrySharers GatewayNode::retrySharers() const
+{
+    const HostTable &hosts = m_view.hosts();
+    const int old = hosts.peersUpFor(m_settings.retries.window, now());
+    return {hosts.knownHosts(now()), 1 + hosts.livePeers(now()) - old, old > 0};
+}
+
 bool GatewayNode::tryReserveRetry(const std::string &service)
 {
     SharedRetryBudget &budget = retryBudget(service);
-    const int hosts = m_view.hosts().knownHosts(now());
-    const bool granted = budget.tryReserve(now(), hosts);
+    const RetrySharers sharers = retrySharers();
+    const bool granted = budget.tryReserve(now(), sharers);
     m_metrics.countRetry(granted);
     LogEvent::decision("retry")
         .field("service", service)
         .field("granted", granted)
-        .field("remaining", budget.remaining(now(), hosts))
-        .field("hosts", hosts);
+        .field("remaining", budget.remaining(now(), sharers))
+        .field("hosts", sharers.hosts)
+        .field("started", sharers.started);
     return granted;
 }
 
--- a/src/gateway/gateway_node.h
+++ b/src/gateway/gateway_node.h
@@ -50,6 +50,8 @@
 
     WaitQueue &queue(const std::string &service);
     SharedRetryBudget &retryBudget(const std::string &service);
+    /// The hosts that share the retry budgets.
+    RetrySharers retrySharers() const;
     /// Reserves one retry of the service's budget, which all hosts share. False if none is left.
     bool tryReserveRetry(const std::string &service);
 
--- a/src/gateway/peers/host_digest_codec.cpp
+++ b/src/gateway/peers/host_digest_codec.cpp
@@ -36,12 +36,12 @@
 /// The state of a host without its load and its reports.
 json encodeState(const HostDigest &digest)
 {
-    return json::array({digest.name, digest.zone, digest.callerAddress, digest.peerAddress,
-                        std::llround(digest.linkMbps), digest.startedAtMs, digest.sequence,
-                        digest.ready, digest.leaving, digest.configurationVersion,
-                        ageMillis(digest.configurationAge),
-                        encodeLogPosition(digest.registrationsEnd),
-                        ageMillis(digest.registrationsAge), digest.cutOff});
+    return json::array(
+        {digest.name, digest.zone, digest.callerAddress, digest.peerAddress,
+         std::llround(digest.linkMbps), digest.startedAtMs, digest.sequence, digest.ready,
+         digest.leaving, digest.configurationVersion, ageMillis(digest.configurationAge),
+         encodeLogPosition(digest.registrationsEnd), ageMillis(digest.registrationsAge),
+         digest.cutOff, ageMillis(digest.uptime)});
 }
 
 /// Reads the values in the order in which encodeState writes them.
@@ -61,8 +61,10 @@
     digest.configurationAge = durationOf(value.at(10));
     digest.registrationsEnd = decodeLogPosition(value.at(11));
     digest.registrationsAge = durationOf(value.at(12));
-    // Hosts of earlier versions do not send it.
+    // Hosts of earlier versions do not send the last ones.
     digest.cutOff = value.size() > 13 && value.at(13).get<bool>();
+    if (value.size() > 14)
+        digest.uptime = durationOf(value.at(14));
     return digest;
 }
 
--- a/tests/unit/forwarding_test.cpp
+++ b/tests/unit/forwarding_test.cpp
@@ -101,6 +101,8 @@
     void digestsOfEarlierVersionsAreReadable()
     {
         json value = json::from_cbor(encodeDigest(hostDigest("h", true)));
+        // They know neither lost links nor the time since a host's start.
+        value["n"].erase(value["n"].size() - 1);
         value["n"].erase(value["n"].size() - 1);
         const auto decoded = decodeDigest(json::to_cbor(value));
         CPPUNIT_ASSERT(decoded);
