Serve both lists of suspects by one look-up, and drop what is not needed

Read again: find and findDoubtful had the same loop; a forwarded answer decoded the whole request for an id that its notice does not need; livePeers had one use; a flag of a test was never false. No behaviour changes, no assertion changed.

--- a/include/dogwoodvalve/host_table.h
+++ b/include/dogwoodvalve/host_table.h
@@ -99,8 +99,6 @@
     int knownHosts(TimePoint now) const;
     /// Number of other live hosts that have been running for at least this time.
     int peersUpFor(Duration time, TimePoint now) const;
-    /// Number of other live hosts.
-    int livePeers(TimePoint now) const { return liveHosts(now) - 1; }
     /// Whether this host uses relays and hears nobody.
     bool isolated(TimePoint now) const
     {
--- a/src/core/prompt_quarantine.cpp
+++ b/src/core/prompt_quarantine.cpp
@@ -43,6 +43,18 @@
     return std::string(server) + ':' + std::to_string(startedAtMs);
 }
 
+/// The first of the parts that is listed until a later time.
+std::optional<QuarantinedPart> findListed(const std::map<std::string, TimePoint> &listed,
+                                          std::span<const std::string> parts, TimePoint now)
+{
+    for (const std::string &part : parts) {
+        const auto it = listed.find(part);
+        if (it != listed.end() && it->second > now)
+            return QuarantinedPart {part, it->second};
+    }
+    return std::nullopt;
+}
+
 bool isNotCleared(const SuspectedPart &part)
 {
     return part.standing != PartStanding::Cleared;
@@ -210,23 +222,13 @@
 std::optional<QuarantinedPart> PromptQuarantine::find(std::span<const std::string> parts,
                                                       TimePoint now) const
 {
-    for (const std::string &part : parts) {
-        const auto it = m_quarantined.find(part);
-        if (it != m_quarantined.end() && it->second > now)
-            return QuarantinedPart {part, it->second};
-    }
-    return std::nullopt;
+    return findListed(m_quarantined, parts, now);
 }
 
 std::optional<QuarantinedPart> PromptQuarantine::findDoubtful(std::span<const std::string> parts,
                                                               TimePoint now) const
 {
-    for (const std::string &part : parts) {
-        const auto it = m_doubtful.find(part);
-        if (it != m_doubtful.end() && it->second > now)
-            return QuarantinedPart {part, it->second};
-    }
-    return std::nullopt;
+    return findListed(m_doubtful, parts, now);
 }
 
 std::optional<TimePoint> PromptQuarantine::crashedAt(std::string_view server,
--- a/src/gateway/fleet/crash_inquiry.cpp
+++ b/src/gateway/fleet/crash_inquiry.cpp
@@ -23,9 +23,11 @@
 {
     const auto it = m_cases.find(server);
     const bool known = it != m_cases.end() && it->second.startedAtMs == startedAtMs;
-    const auto crashedAt = !known    ? m_node.view().quarantine().crashedAt(server, startedAtMs)
-        : it->second.connectionEnded ? std::optional(it->second.openedAt)
-                                     : std::nullopt;
+    std::optional<TimePoint> crashedAt;
+    if (!known)
+        crashedAt = m_node.view().quarantine().crashedAt(server, startedAtMs);
+    else if (it->second.connectionEnded)
+        crashedAt = it->second.openedAt;
     // A request that was sent after the crash has not caused it.
     if (crashedAt && request.sentAt > *crashedAt)
         return;
--- a/src/gateway/gateway_node.cpp
+++ b/src/gateway/gateway_node.cpp
@@ -110,7 +110,7 @@
 {
     const HostTable &hosts = m_view.hosts();
     const int old = hosts.peersUpFor(m_settings.retries.window, now());
-    return {hosts.knownHosts(now()), 1 + hosts.livePeers(now()) - old, old > 0};
+    return {hosts.knownHosts(now()), hosts.liveHosts(now()) - old, old > 0};
 }
 
 bool GatewayNode::tryReserveRetry(const std::string &service)
--- a/src/gateway/servers/forwarded_request.cpp
+++ b/src/gateway/servers/forwarded_request.cpp
@@ -117,10 +117,9 @@
 {
     m_answered = true;
     m_status = status;
-    const std::string id = m_node.dialect().decodeRequest(*m_exchange).id;
     // The server can't tell the host that forwards from the one that asked it to.
     m_node.recordNotice(m_target.server, m_target.startedAtMs,
-                        m_node.dialect().decodeAnswer(status, fields, id).notice);
+                        m_node.dialect().decodeAnswer(status, fields, {}).notice);
     m_exchange->beginStream(status, forwardedAnswerFields(fields));
 }
 
--- a/tests/process/frozen_host_test.cpp
+++ b/tests/process/frozen_host_test.cpp
@@ -9,7 +9,6 @@
 
 #include <csignal>
 #include <filesystem>
-#include <optional>
 
 using namespace dogwoodvalve;
 using namespace dogwoodvalve::process;
--- a/tests/process/retry_budget_test.cpp
+++ b/tests/process/retry_budget_test.cpp
@@ -51,7 +51,6 @@
         for (int i = 0; i < Hosts; ++i)
             start(i);
         run(StartTime);
-        m_sending = true;
         send(0);
     }
     ~FailingTraffic()
@@ -121,8 +120,6 @@
 
     void send(int n)
     {
-        if (!m_sending)
-            return;
         HttpRequestHead head;
         head.method = "GET";
         head.target = "/read/x";
@@ -143,7 +140,6 @@
     std::vector<TimePoint> m_requests;
     std::map<std::string, int> m_arrivals;
     std::vector<TimePoint> m_repeats;
-    bool m_sending = false;
     bool m_othersFrozen = false;
 };
 
