Send requests to plain servers with equal load in turn

Cause: among servers with the same share of slots in use the choice was random at each request. Besides, after a pause the server got its next request by the same draw.

The host now prefers the one to which it has sent nothing for longest, and draws only among servers to which it never sent.

Test: serversWithEqualLoadArePickedInTurn; with the draw in place of the turn it fails (mutation plain-random-among-equals).

--- a/src/core/plain_selector.cpp
+++ b/src/core/plain_selector.cpp
@@ -1,6 +1,9 @@
+#include "core/mutation.h"
+
 #include <dogwoodvalve/plain_selector.h>
 
 #include <algorithm>
+#include <tuple>
 
 namespace dogwoodvalve {
 
@@ -8,13 +11,16 @@
                                                 std::size_t tieBreak)
 {
     std::optional<std::size_t> best;
-    double bestShare = 1;
+    std::tuple<double, TimePoint> least {1, {}};
     for (std::size_t n = 0; n < servers.size(); ++n) {
         const std::size_t i = (n + tieBreak) % servers.size();
         const PlainServer &server = servers[i];
         const double share = static_cast<double>(server.inFlight) / std::max(1, server.slots);
-        if (!server.tried && share < bestShare) {
-            bestShare = share;
+        const TimePoint lastSentAt =
+            mutated("plain-random-among-equals") ? TimePoint {} : server.lastSentAt;
+        const std::tuple rank {share, lastSentAt};
+        if (!server.tried && share < 1 && (!best || rank < least)) {
+            least = rank;
             best = i;
         }
     }
--- a/src/gateway/fleet/fleet_view.h
+++ b/src/gateway/fleet/fleet_view.h
@@ -29,6 +29,8 @@
     double backlogMs = 0;
     /// Requests in flight that the server has received from this host, not along a path.
     int inFlight = 0;
+    /// When this host last sent a request to the server, not along a path.
+    TimePoint lastSentAt {};
     /// Streams whose path includes the server.
     int streams = 0;
     /// When an event last arrived on any of these streams.
--- a/src/gateway/requests/plain_session.cpp
+++ b/src/gateway/requests/plain_session.cpp
@@ -31,17 +31,19 @@
                   [&](const ServerRegistration *server) { return !view.acceptsRequest(*server); });
     std::vector<PlainServer> candidates;
     candidates.reserve(servers.size());
-    for (const ServerRegistration *server : servers)
-        candidates.push_back(
-            {server->slots,
-             view.load(server->id)->inFlight + view.hosts().inFlightByPeers(server->id, now),
-             m_triedServers.count(server->id) > 0});
+    for (const ServerRegistration *server : servers) {
+        const auto load = view.load(server->id);
+        candidates.push_back({server->slots,
+                              load->inFlight + view.hosts().inFlightByPeers(server->id, now),
+                              m_triedServers.count(server->id) > 0, load->lastSentAt});
+    }
     const auto picked = pickLeastOutstanding(candidates, m_node.random().next() % TieBreakRange);
     if (!picked)
         return false;
     const ServerRegistration &server = *servers[*picked];
     m_load = view.load(server.id);
     ++m_load->inFlight;
+    m_load->lastSentAt = now;
     m_server = server.id;
     m_pathText = server.id;
     m_serverStartedAtMs = server.startedAtMs;
--- a/tests/unit/gateway_decisions_test.cpp
+++ b/tests/unit/gateway_decisions_test.cpp
@@ -55,6 +55,7 @@
     CPPUNIT_TEST(lookupsReturnReadyHostsOfTheZone);
     CPPUNIT_TEST(lookupsAddOtherZonesWhenAZoneHasFewHosts);
     CPPUNIT_TEST(theLeastLoadedServerIsPicked);
+    CPPUNIT_TEST(serversWithEqualLoadArePickedInTurn);
     CPPUNIT_TEST(overloadIsRefusedAtOnceWithARetryTime);
     CPPUNIT_TEST_SUITE_END();
 
@@ -353,7 +354,8 @@
 
     void theLeastLoadedServerIsPicked()
     {
-        std::vector<PlainServer> servers {{6, 3, false}, {6, 1, false}, {2, 0, true}};
+        std::vector<PlainServer> servers {
+            {6, 3, false, {}}, {6, 1, false, {}}, {2, 0, true, {}}};
         CPPUNIT_ASSERT_EQUAL(std::size_t {1}, *pickLeastOutstanding(servers, 0));
         servers[1].inFlight = 6;
         servers[0].inFlight = 6;
@@ -361,6 +363,22 @@
         CPPUNIT_ASSERT(!pickLeastOutstanding({}, 5).has_value());
     }
 
+    /// A server among equals must not be left out for long by chance.
+    void serversWithEqualLoadArePickedInTurn()
+    {
+        Random random(7);
+        std::vector<PlainServer> servers(3, PlainServer {6, 0, false, {}});
+        for (int i = 0; i < 300; ++i) {
+            const auto picked = *pickLeastOutstanding(servers, random.next());
+            for (const PlainServer &server : servers)
+                CPPUNIT_ASSERT(server.lastSentAt >= servers[picked].lastSentAt);
+            servers[picked].lastSentAt = at(std::chrono::seconds(i + 1));
+        }
+        servers[0].inFlight = servers[1].inFlight = 1;
+        for (int i = 0; i < 3; ++i)
+            CPPUNIT_ASSERT_EQUAL(std::size_t {2}, *pickLeastOutstanding(servers, random.next()));
+    }
+
     /// Twice the load that a pool serves, for ten seconds: requests that may wait start in time,
     /// the pool stays busy, and the others are refused at once with a retry time within the bounds.
     void overloadIsRefusedAtOnceWithARetryTime()
