Keep the pauses of the hosts that forward requests

Callers of a host that is cut off from the servers had requests sent twice through the host that forwards for it while a server was in its pause, and fewer requests than possible came to the server afterwards.

Cause: the host was told "paused", tried the server itself, and took the refused connection for an unreachable server: a retry was spent for each such request, and the server was avoided for 1, 2, 4, 8 s, past the end of its pause; with all servers in a pause callers were told to return in 0.3 s. The log named "Connection refused" as the reason. Probes that were not sent because of a pause counted as failed, too, also in the question whether a server has crashed. On the same path, a host that does not use one server (as it leaves, or is not known there yet) answered "refused", after which it was asked to forward nothing at all for a second. The class: what one host was told, another one sends against.

The answer "paused" now tells the rest of the pause. If all hosts that reach the server say so, the shortest rest counts as a pause of this host until its own links change. The new answer "unavailable" keeps the forwarding host in use. Builds before take it for "refused", and send no rest, which then is zero.

Tests: aCutOffHostKeepsThePausesOfTheHostsThatForwardForIt, aHostThatDoesNotUseOneServerForwardsToOthers, pausesAreRestored.

--- a/include/dogwoodvalve/server_health.h
+++ b/include/dogwoodvalve/server_health.h
@@ -2,6 +2,7 @@
 
 #include <dogwoodvalve/timer_service.h>
 
+#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -46,7 +47,7 @@
     void recordEvidence(std::string_view id, std::int64_t startedAtMs, ServerEvidence evidence,
                         TimePoint now);
     /// The host's own links were lost, so that failures to reach servers since the given time are
-    /// no evidence against them.
+    /// no evidence against them. Nor do the pauses that other hosts have reported count any more.
     void withdrawUnreachable(TimePoint since, TimePoint now);
     /// Several other hosts report failed probes of the server. It is not used until it answers a
     /// probe or renews its registration.
@@ -66,6 +67,10 @@
     /// is bounded. When it is over, one request shows whether the server accepts more.
     Duration recordPause(std::string_view id, std::int64_t startedAtMs,
                          std::optional<Duration> asked, TimePoint now);
+    /// All hosts that reach the server for this one have to leave it in peace for so long. It counts
+    /// as a pause until this host's own links change.
+    void recordReportedPause(std::string_view id, std::int64_t startedAtMs, Duration left,
+                             TimePoint now);
     /// A request is being sent to the server, or along a path through it.
     void recordDispatch(std::string_view id, std::int64_t startedAtMs, TimePoint now);
     /// The server has answered a request without asking for a pause.
@@ -95,7 +100,7 @@
             return now - entry.second.registeredAt > DepartureRetention;
         });
         std::erase_if(m_pauses, [&](const auto &entry) {
-            return entry.second.until <= now && !isRegistered(entry.first);
+            return entry.second.end() <= now && !isRegistered(entry.first);
         });
     }
 
@@ -117,8 +122,12 @@
     {
         std::int64_t startedAtMs = 0;
         TimePoint until {};
+        /// The end of the pause that other hosts have reported.
+        TimePoint reportedUntil {};
         /// When the last request after the pause was sent.
         std::optional<TimePoint> trialAt;
+
+        TimePoint end() const { return std::max(until, reportedUntil); }
     };
 
     const Pause *findPause(std::string_view id, std::int64_t startedAtMs) const;
--- a/src/core/server_health.cpp
+++ b/src/core/server_health.cpp
@@ -114,6 +114,8 @@
 
 void ServerHealth::withdrawUnreachable(TimePoint since, TimePoint now)
 {
+    for (auto &[id, pause] : m_pauses)
+        pause.reportedUntil = {};
     for (auto &[id, record] : m_servers) {
         if (record.unreachableAt < since)
             continue;
@@ -169,17 +171,24 @@
 {
     const Duration granted =
         std::clamp<Duration>(asked.value_or(UnreadablePause), Duration::zero(), MaxPause);
-    auto it = m_pauses.find(id);
-    if (it == m_pauses.end())
-        it = m_pauses.emplace(std::string(id), Pause {}).first;
-    Pause &pause = it->second;
-    if (startedAtMs < pause.startedAtMs)
+    Pause *pause = recordOfStart(m_pauses, id, startedAtMs, true);
+    if (!pause)
         return Duration::zero();
-    const TimePoint until = startedAtMs == pause.startedAtMs ? pause.until : TimePoint {};
-    pause = {startedAtMs, std::max(until, now + granted), {}};
+    pause->until = std::max(pause->until, now + granted);
+    pause->trialAt.reset();
     return granted;
 }
 
+void ServerHealth::recordReportedPause(std::string_view id, std::int64_t startedAtMs, Duration left,
+                                       TimePoint now)
+{
+    Pause *pause = recordOfStart(m_pauses, id, startedAtMs, left > Duration::zero());
+    if (!pause)
+        return;
+    pause->reportedUntil = now + std::min<Duration>(left, MaxPause);
+    pause->trialAt.reset();
+}
+
 const ServerHealth::Pause *ServerHealth::findPause(std::string_view id,
                                                    std::int64_t startedAtMs) const
 {
@@ -191,13 +200,13 @@
                                                    TimePoint now) const
 {
     const Pause *pause = findPause(id, startedAtMs);
-    return pause && now < pause->until ? std::optional(pause->until) : std::nullopt;
+    return pause && now < pause->end() ? std::optional(pause->end()) : std::nullopt;
 }
 
 void ServerHealth::recordDispatch(std::string_view id, std::int64_t startedAtMs, TimePoint now)
 {
     const auto it = m_pauses.find(id);
-    if (it != m_pauses.end() && it->second.startedAtMs == startedAtMs && it->second.until <= now)
+    if (it != m_pauses.end() && it->second.startedAtMs == startedAtMs && it->second.end() <= now)
         it->second.trialAt = now;
 }
 
@@ -205,7 +214,7 @@
 {
     // The answer to a request from before the pause says nothing about requests after it.
     const Pause *pause = findPause(id, startedAtMs);
-    if (pause && pause->until <= now && pause->trialAt)
+    if (pause && pause->end() <= now && pause->trialAt)
         m_pauses.erase(m_pauses.find(id));
 }
 
--- a/src/gateway/fleet/engine_prober.cpp
+++ b/src/gateway/fleet/engine_prober.cpp
@@ -99,7 +99,8 @@
             if (alive.expired())
                 return;
             const ServerRegistration *known = findStart(id, startedAtMs);
-            if (!known)
+            // A server that pauses was not asked.
+            if (!known || (!report && report.error().kind == ErrorKind::Overloaded))
                 return;
             if (report)
                 m_node.view().recordProbeAnswer(*known, report.value().slowness);
--- a/src/gateway/requests/generation_session.cpp
+++ b/src/gateway/requests/generation_session.cpp
@@ -443,8 +443,7 @@
 {
     const auto keep = shared_from_this();
     const bool sent = attempt.anyByteSent();
-    recordFailure(attempt.parts().front(),
-                  sent ? ServerEvidence::Failed : ServerEvidence::Unreachable);
+    recordFailure(attempt.parts().front(), lossEvidence(sent, error));
     if (sent)
         inquireCrash(attempt, std::array {&attempt.parts().front()}, AnswerLoss::ConnectionEnded);
     failAttempt(attempt, error.message, sent);
--- a/src/gateway/requests/plain_session.cpp
+++ b/src/gateway/requests/plain_session.cpp
@@ -141,8 +141,7 @@
         m_node.crashes().open(m_server, m_serverStartedAtMs,
                               stoppedRequest(m_answerBody.empty(), m_sentAt),
                               AnswerLoss::ConnectionEnded);
-    handleFailedAttempt(sent ? ServerEvidence::Failed : ServerEvidence::Unreachable, error.message,
-                        sent);
+    handleFailedAttempt(lossEvidence(sent, error), error.message, sent);
 }
 
 void PlainSession::handleFailedAttempt(ServerEvidence evidence, std::string_view reason, bool ran)
--- a/src/gateway/requests/request_session.cpp
+++ b/src/gateway/requests/request_session.cpp
@@ -160,6 +160,14 @@
         m_node.trials().end(std::exchange(m_triedPart, {}));
 }
 
+ServerEvidence RequestSession::lossEvidence(bool sent, const Error &error)
+{
+    if (sent)
+        return ServerEvidence::Failed;
+    return error.kind == ErrorKind::Overloaded ? ServerEvidence::Refused
+                                               : ServerEvidence::Unreachable;
+}
+
 StoppedRequest RequestSession::stoppedRequest(bool undelivered, TimePoint sentAt) const
 {
     return {m_crashSuspects, undelivered, m_triedPart, sentAt};
--- a/src/gateway/requests/request_session.h
+++ b/src/gateway/requests/request_session.h
@@ -85,6 +85,9 @@
     /// other hosts may be about to tell of another crash. A request that has a part in doubt waits
     /// until a trial has shown whether the part crashes servers, or is the trial.
     void startUnlessSuspect(bool atFront);
+    /// What the error that ended an attempt shows about its server. A request that other hosts did
+    /// not forward because of a pause has shown that the server is alive.
+    static ServerEvidence lossEvidence(bool sent, const Error &error);
     /// What may have crashed a server on which this request's answer has stopped.
     StoppedRequest stoppedRequest(bool undelivered, TimePoint sentAt) const;
     /// An attempt has ended without showing whether the part in doubt crashes servers.
--- a/src/gateway/servers/forwarded_request.cpp
+++ b/src/gateway/servers/forwarded_request.cpp
@@ -41,10 +41,12 @@
     void onError(const Error &error) override;
 
 private:
-    /// The registration of the server that the request names, if this host may send it there.
+    /// The registration of the server that the request names, if this host uses it.
     const ServerRegistration *findServer() const;
     void sendToServer(const std::string &body);
     void answer(ForwardOutcome outcome);
+    /// Answers with the fields of an outcome.
+    void answer(std::span<const HttpField> outcome);
     void finish(std::string_view outcome);
 
     GatewayNode &m_node;
@@ -82,19 +84,21 @@
     const ServerRegistration *server = view.registry().find(m_target.server);
     const bool usable = server && server->startedAtMs == m_target.startedAtMs && !server->draining
         && !view.health().isLeaving(server->id, server->startedAtMs);
-    return usable && !view.leaving() && !m_node.connections().cutOff() ? server : nullptr;
+    return usable ? server : nullptr;
 }
 
 void ForwardedRequest::sendToServer(const std::string &body)
 {
+    if (m_node.view().leaving() || m_node.connections().cutOff())
+        return answer(ForwardOutcome::Refused);
     const ServerRegistration *server = findServer();
     const auto endpoint = parseEndpoint(server ? server->address : "");
     if (!server || !endpoint)
-        return answer(ForwardOutcome::Refused);
+        return answer(ForwardOutcome::Unavailable);
     ServerHealth &health = m_node.view().health();
-    if (health.pausedUntil(server->id, server->startedAtMs, m_node.now())
-        && !mutated("gateway-forward-to-paused-servers"))
-        return answer(ForwardOutcome::Paused);
+    const auto pausedUntil = health.pausedUntil(server->id, server->startedAtMs, m_node.now());
+    if (pausedUntil && !mutated("gateway-forward-to-paused-servers"))
+        return answer(forwardPauseFields(*pausedUntil - m_node.now()));
     health.recordDispatch(server->id, server->startedAtMs, m_node.now());
     HttpRequestHead head;
     head.method = m_exchange->method();
@@ -155,10 +159,14 @@
 
 void ForwardedRequest::answer(ForwardOutcome outcome)
 {
-    const std::vector<HttpField> fields = forwardOutcomeFields(outcome);
+    answer(forwardOutcomeFields(outcome));
+}
+
+void ForwardedRequest::answer(std::span<const HttpField> outcome)
+{
     m_exchange->onClosed(nullptr);
-    m_exchange->respond(StatusBadGateway, fields, "");
-    finish(fields.front().value);
+    m_exchange->respond(StatusBadGateway, outcome, "");
+    finish(outcome.front().value);
 }
 
 void ForwardedRequest::finish(std::string_view outcome)
--- a/src/gateway/servers/forwarding.cpp
+++ b/src/gateway/servers/forwarding.cpp
@@ -15,14 +15,16 @@
 /// Fields with this prefix are removed from the answers of servers.
 constexpr std::string_view FieldPrefix = "Forward-";
 constexpr const char *OutcomeField = "Forward-Outcome";
+constexpr const char *PauseField = "Forward-Pause-Ms";
 
-constexpr std::array<std::pair<ForwardOutcome, std::string_view>, 7> Outcomes {
+constexpr std::array<std::pair<ForwardOutcome, std::string_view>, 8> Outcomes {
     {{ForwardOutcome::Answered, "answered"},
      {ForwardOutcome::Unreachable, "unreachable"},
      {ForwardOutcome::TimedOut, "timed_out"},
      {ForwardOutcome::LinksUnproven, "links_unproven"},
      {ForwardOutcome::Lost, "lost"},
      {ForwardOutcome::Paused, "paused"},
+     {ForwardOutcome::Unavailable, "unavailable"},
      {ForwardOutcome::Refused, "refused"}}};
 
 bool isLengthField(std::string_view name)
@@ -88,6 +90,13 @@
     return {{OutcomeField, std::string(it->second)}};
 }
 
+std::vector<HttpField> forwardPauseFields(Duration left)
+{
+    std::vector<HttpField> fields = forwardOutcomeFields(ForwardOutcome::Paused);
+    fields.push_back({PauseField, std::to_string(left / 1ms)});
+    return fields;
+}
+
 std::vector<HttpField> forwardedAnswerFields(std::span<const HttpField> fields)
 {
     std::vector<HttpField> forwarded = forwardOutcomeFields(ForwardOutcome::Answered);
@@ -108,6 +117,15 @@
     return it == Outcomes.end() ? ForwardOutcome::Refused : it->first;
 }
 
+Duration decodeForwardPause(std::span<const HttpField> fields)
+{
+    const std::string_view text = findField(fields, PauseField);
+    std::uint32_t ms = 0;
+    const auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), ms);
+    const bool readable = ec == std::errc() && end == text.data() + text.size();
+    return std::chrono::milliseconds(readable ? ms : 0);
+}
+
 std::vector<HttpField> restoreAnswerFields(std::span<const HttpField> fields)
 {
     std::vector<HttpField> restored;
--- a/src/gateway/servers/forwarding.h
+++ b/src/gateway/servers/forwarding.h
@@ -42,18 +42,24 @@
     Lost,
     /// The server wants no request from the host for a while. Nothing was sent.
     Paused,
+    /// The host does not use this server: it is leaving, or not known there yet. Nothing was sent.
+    Unavailable,
     /// The host does not forward this request. Nothing was sent.
     Refused,
 };
 
 /// The header fields of an answer that does not come from the server.
 std::vector<HttpField> forwardOutcomeFields(ForwardOutcome outcome);
+/// The fields of the outcome Paused, with the rest of the server's pause.
+std::vector<HttpField> forwardPauseFields(Duration left);
 /// The header fields of an answer that forwards the server's, whose framing is replaced by that of
 /// the connection between the hosts.
 std::vector<HttpField> forwardedAnswerFields(std::span<const HttpField> fields);
 
 /// An answer without an outcome is not one to a forwarded request, so that counts as refused.
 ForwardOutcome decodeForwardOutcome(std::span<const HttpField> fields);
+/// The rest of the server's pause, or zero if the answer does not tell it.
+Duration decodeForwardPause(std::span<const HttpField> fields);
 /// The header fields as the server sent them.
 std::vector<HttpField> restoreAnswerFields(std::span<const HttpField> fields);
 
--- a/src/gateway/servers/server_request.cpp
+++ b/src/gateway/servers/server_request.cpp
@@ -94,6 +94,8 @@
     const Duration left = m_startedAt + MaxConnectTime - m_node.now();
     const auto forwarder = m_node.connections().chooseForwarder(m_triedForwarders);
     const auto endpoint = parseEndpoint(forwarder ? forwarder->address : "");
+    if (m_pausedForwarders > 0 && !forwarder)
+        return failPaused();
     if (!target || !endpoint || left <= Duration::zero()
         || m_triedForwarders.size() >= MaxForwarders)
         return m_triedDirectly ? fail(m_lastError) : connectDirectly();
@@ -103,6 +105,15 @@
     openClient(endpoint.value(), head, std::min<Duration>(ForwarderConnectTimeout, left));
 }
 
+void ServerRequest::failPaused()
+{
+    if (m_pausedForwarders == m_triedForwarders.size())
+        m_node.view().health().recordReportedPause(m_server, m_startedAtMs, m_shortestPause,
+                                                   m_node.now());
+    fail({ErrorKind::Overloaded, "the server wants no request from the hosts that reach it",
+          "send it again later"});
+}
+
 void ServerRequest::settle()
 {
     m_connected = true;
@@ -166,9 +177,15 @@
         // The links of both hosts may be at fault, which says nothing about the server.
         m_lastError.kind = ErrorKind::Timeout;
         return tryForwarder();
-    case ForwardOutcome::Paused:
-        m_lastError = {ErrorKind::Unavailable, "the server wants no request from " + m_forwarder,
-                       "send it again later"};
+    case ForwardOutcome::Paused: {
+        const Duration pause = decodeForwardPause(fields);
+        m_shortestPause =
+            m_pausedForwarders++ == 0 ? pause : std::min<Duration>(m_shortestPause, pause);
+        return tryForwarder();
+    }
+    case ForwardOutcome::Unavailable:
+        m_lastError = {ErrorKind::Unavailable, m_forwarder + " does not use the server",
+                       "see the log of that host"};
         return tryForwarder();
     case ForwardOutcome::Refused:
         connections.avoid(m_forwarder);
--- a/src/gateway/servers/server_request.h
+++ b/src/gateway/servers/server_request.h
@@ -42,7 +42,8 @@
     void connect();
     void connectDirectly();
     /// Sends the request to the next host that may forward it. If there is none, connects to the
-    /// server after all, or fails with the last error if that was tried.
+    /// server after all, or fails with the last error if that was tried or a host has said that the
+    /// server wants no request.
     void tryForwarder();
     void openClient(const boost::asio::ip::tcp::endpoint &endpoint, const HttpRequestHead &head,
                     Duration connectTimeout);
@@ -50,6 +51,8 @@
     /// The request has arrived at the server, directly or not.
     void settle();
     void fail(const Error &error);
+    /// The hosts that reach the server have to leave it in peace.
+    void failPaused();
 
     GatewayNode &m_node;
     std::string m_server;
@@ -68,6 +71,9 @@
     /// The host that is forwarding the request; empty for a connection to the server itself.
     std::string m_forwarder;
     std::set<std::string> m_triedForwarders;
+    /// Those of them that the server has asked for a pause, and the rest of the shortest one.
+    std::size_t m_pausedForwarders = 0;
+    Duration m_shortestPause {};
     Error m_lastError;
     bool m_triedDirectly = false;
     bool m_connected = false;
--- a/src/net/listening_check.cpp
+++ b/src/net/listening_check.cpp
@@ -43,7 +43,10 @@
     void onEnd() override { finish(true); }
     void onError(const Error &error) override
     {
-        finish(error.kind == ErrorKind::Timeout ? std::nullopt : std::optional(false));
+        // A host that may not send the request to the server now can't tell.
+        const bool unknown =
+            error.kind == ErrorKind::Timeout || error.kind == ErrorKind::Overloaded;
+        finish(unknown ? std::nullopt : std::optional(false));
     }
 
 private:
--- a/tests/simulation/paused_servers_test.cpp
+++ b/tests/simulation/paused_servers_test.cpp
@@ -2,6 +2,8 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <algorithm>
+
 using namespace dogwoodvalve;
 using namespace dogwoodvalve::simulation;
 using namespace dogwoodvalve::testtool;
@@ -46,6 +48,9 @@
     CPPUNIT_TEST(waitingRequestsAreRefusedWhenTheLastServerPauses);
     CPPUNIT_TEST(aPausedEngineGetsNoProbesOrdersOrStreams);
     CPPUNIT_TEST(aServerGetsNoForwardedRequestsInItsPause);
+    CPPUNIT_TEST(aCutOffHostKeepsThePausesOfTheHostsThatForwardForIt);
+    CPPUNIT_TEST(aReportedPauseEndsWithTheCut);
+    CPPUNIT_TEST(aHostThatDoesNotUseOneServerForwardsToOthers);
     CPPUNIT_TEST_SUITE_END();
 
     /// Sends requests until the first plain server has refused one.
@@ -267,6 +272,89 @@
         CPPUNIT_ASSERT_LESSEQUAL(ArrivalsInPause, world.plain.runs - refused);
         CPPUNIT_ASSERT(other.runs - servedBefore > 9 * 20 * Hosts * 9 / 10);
     }
+
+    /// Two hosts, the second of which is cut off from both plain servers, so that the first one
+    /// forwards its requests.
+    struct CutOffPair
+    {
+        explicit CutOffPair(std::uint64_t seed = 1)
+            : world(2, 4, seed)
+        {
+            world.addPlainServer(other);
+            world.settle();
+            loseServerLinks(world, 1, LinkLoss::Refuse);
+            callCutOff(4s);
+            startedAtMs = world.hosts[0]->node.view().registry().find("p-1")->startedAtMs;
+        }
+
+        /// Sends requests to the host that is cut off, and returns how many were served.
+        int callCutOff(Duration time)
+        {
+            std::vector<std::shared_ptr<Call>> sent;
+            for (Duration elapsed {}; elapsed < time; elapsed += 50ms) {
+                sent.push_back(world.call("GET", "/read/x", {}, 1));
+                world.run(50ms);
+            }
+            return static_cast<int>(std::count_if(sent.begin(), sent.end(), [](const auto &it) {
+                return it->answer.status == 200;
+            }));
+        }
+
+        /// How often the host that is cut off has asked its retry budget.
+        double retries()
+        {
+            SharedRetryBudget &budget = world.hosts[1]->node.retryBudget("web");
+            return budget.remaining(world.now(), 1);
+        }
+
+        GatewayWorld world;
+        FakePlainServer other;
+        std::int64_t startedAtMs = 0;
+    };
+
+    /// It took the server for unreachable, which spent a retry each time, and kept away from it for
+    /// seconds after the pause.
+    void aCutOffHostKeepsThePausesOfTheHostsThatForwardForIt()
+    {
+        CutOffPair pair;
+        GatewayWorld &world = pair.world;
+        const TimePoint pausedAt = world.now();
+        world.hosts[0]->node.recordNotice("p-1", pair.startedAtMs, {false, Duration(9s), false});
+        const int before = world.plain.runs;
+        pair.callCutOff(500ms);
+        const auto &health = world.hosts[1]->node.view().health();
+        const auto until = health.pausedUntil("p-1", pair.startedAtMs, world.now());
+        CPPUNIT_ASSERT(until);
+        CPPUNIT_ASSERT(*until <= pausedAt + 9s + Margin);
+        CPPUNIT_ASSERT(*until >= pausedAt + 9s - Margin);
+        const double retriesLeft = pair.retries();
+        CPPUNIT_ASSERT_EQUAL(160, pair.callCutOff(8s));
+        CPPUNIT_ASSERT(pair.retries() >= retriesLeft);
+        CPPUNIT_ASSERT_EQUAL(before, world.plain.runs);
+        world.run(pausedAt + 9s - world.now());
+        pair.callCutOff(500ms);
+        CPPUNIT_ASSERT(world.plain.runs > before);
+    }
+
+    void aReportedPauseEndsWithTheCut()
+    {
+        CutOffPair pair;
+        GatewayWorld &world = pair.world;
+        world.hosts[0]->node.recordNotice("p-1", pair.startedAtMs, {false, Duration(60s), false});
+        pair.callCutOff(500ms);
+        restoreServerLinks(world, 1);
+        const int before = world.plain.runs;
+        pair.callCutOff(4s);
+        CPPUNIT_ASSERT(world.plain.runs > before);
+    }
+
+    /// The host that is cut off then asked it for nothing more for a second.
+    void aHostThatDoesNotUseOneServerForwardsToOthers()
+    {
+        CutOffPair pair;
+        pair.world.hosts[0]->node.recordNotice("p-1", pair.startedAtMs, {true, {}, false});
+        CPPUNIT_ASSERT_EQUAL(20, pair.callCutOff(1s));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(PausedServersTest);
--- a/tests/unit/forwarding_test.cpp
+++ b/tests/unit/forwarding_test.cpp
@@ -19,6 +19,7 @@
     CPPUNIT_TEST(answersAreRestored);
     CPPUNIT_TEST(serversCanNotForgeAnOutcome);
     CPPUNIT_TEST(otherAnswersCountAsRefused);
+    CPPUNIT_TEST(pausesAreRestored);
     CPPUNIT_TEST(digestsTellOfLostLinks);
     CPPUNIT_TEST(digestsOfEarlierVersionsAreReadable);
     CPPUNIT_TEST(lookUpsNameCutOffHostsOnlyIfAllAre);
@@ -73,10 +74,22 @@
         for (const auto outcome :
              {ForwardOutcome::Answered, ForwardOutcome::Unreachable, ForwardOutcome::TimedOut,
               ForwardOutcome::LinksUnproven, ForwardOutcome::Lost, ForwardOutcome::Paused,
-              ForwardOutcome::Refused})
+              ForwardOutcome::Unavailable, ForwardOutcome::Refused})
             CPPUNIT_ASSERT(decodeForwardOutcome(forwardOutcomeFields(outcome)) == outcome);
     }
 
+    void pausesAreRestored()
+    {
+        const std::vector<HttpField> fields = forwardPauseFields(9200ms);
+        CPPUNIT_ASSERT(decodeForwardOutcome(fields) == ForwardOutcome::Paused);
+        CPPUNIT_ASSERT(decodeForwardPause(fields) == 9200ms);
+        // Earlier versions do not tell it.
+        CPPUNIT_ASSERT(decodeForwardPause(forwardOutcomeFields(ForwardOutcome::Paused)) == 0ms);
+        for (const char *text : {"", "-1", "2s", "99999999999"})
+            CPPUNIT_ASSERT(
+                decodeForwardPause(std::vector<HttpField> {{"Forward-Pause-Ms", text}}) == 0ms);
+    }
+
     static HostDigest hostDigest(const std::string &name, bool cutOff)
     {
         HostDigest digest;
