Count the age of a fetched configuration from the digest that led to the fetch

In fleets of a hundred hosts and more, callers with a key that had been taken away could be served for longer than RevokeMs (CONFIG) by hosts that had fetched their configuration late from another host.

Cause: such a host fetches from a random holder of its zone, and took the age of the confirmation from the holder's last digest as if it had just arrived, though it may be a second old (the interval of the rosters) or more. The class: ages taken on reading.

The age now comes from the digest that was just received and that named the version. A configuration that is no older than that version was the newest at that time, whoever holds it.

Test: aFetchedConfigurationIsAsOldAsItsConfirmation failed before: an age more than 300 ms below the true one.

--- a/src/gateway/peers/peer_reader.cpp
+++ b/src/gateway/peers/peer_reader.cpp
@@ -206,7 +206,7 @@
 {
     const auto &configuration = m_node.view().configuration();
     if (digest.configurationVersion > (configuration ? configuration->version() : 0))
-        pullConfiguration(configurationHolder(digest));
+        pullConfiguration(configurationHolder(digest), m_node.now() - digest.configurationAge);
     // A host that has just started needs the servers as soon as some host can tell them.
     if (m_node.view().serversAge() == Duration::max() && digest.registrationsEnd > LogPosition {})
         pullRegistrations(digest);
@@ -228,9 +228,8 @@
     return *holders[m_node.random().next() % holders.size()];
 }
 
-void PeerReader::pullConfiguration(const HostDigest &peer)
+void PeerReader::pullConfiguration(const HostDigest &peer, TimePoint asOf)
 {
-    const TimePoint asOf = m_node.now() - peer.configurationAge;
     fetch(peer, std::string(SupportApi::ConfigurationPath) + "?form=" + SupportApi::CompressedForm,
           ConfigurationPullTimeout, m_configurationPullInFlight,
           [this, asOf, name = peer.name](const std::string &body) -> Result<void> {
--- a/src/gateway/peers/peer_reader.h
+++ b/src/gateway/peers/peer_reader.h
@@ -43,7 +43,9 @@
     HostDigest configurationHolder(const HostDigest &digest);
     void fetch(const HostDigest &peer, const std::string &target, Duration timeout, bool &inFlight,
                std::function<Result<void>(const std::string &body)> apply);
-    void pullConfiguration(const HostDigest &peer);
+    /// Fetches the configuration of a host, which is no older than one that was the newest as of
+    /// the given time. The digest of that host does not tell the time, as it may have come long ago.
+    void pullConfiguration(const HostDigest &peer, TimePoint asOf);
     void pullRegistrations(const HostDigest &peer);
 
     GatewayNode &m_node;
--- a/tests/simulation/relay_test.cpp
+++ b/tests/simulation/relay_test.cpp
@@ -53,6 +53,7 @@
     CPPUNIT_TEST(aFleetThatShrinksALittleKeepsItsRelays);
     CPPUNIT_TEST(smallFleetsExchangeDigestsDirectly);
     CPPUNIT_TEST(hostsThatCannotFetchTheConfigurationReadTheStore);
+    CPPUNIT_TEST(aFetchedConfigurationIsAsOldAsItsConfirmation);
     CPPUNIT_TEST_SUITE_END();
 
     void eachZoneHasTwoRelaysWithFastLinks()
@@ -376,6 +377,38 @@
         for (const auto &host : world.hosts)
             CPPUNIT_ASSERT_EQUAL(std::uint64_t {2}, host->node->view().configuration()->version());
     }
+
+    /// The age that its holder had told, perhaps a second ago, was taken for the age at the time of
+    /// the fetch, so that keys were trusted for longer than they may be.
+    void aFetchedConfigurationIsAsOldAsItsConfirmation()
+    {
+        constexpr Duration LongestRelaying = 300ms;
+        RelayWorld world(Zones, HostsPerZone, StoreAccess::Answers);
+        world.start();
+        world.run(StartTime);
+        std::vector<RelayHost *> late;
+        for (std::size_t i = 0; i < world.hosts.size(); i += 4) {
+            if (world.hosts[i]->router->mode() == ExchangeMode::Member)
+                late.push_back(world.hosts[i].get());
+        }
+        for (const RelayHost *host : late)
+            world.setFetching(*host, false);
+        world.configure(2);
+        world.run(1s);
+        world.stopStore();
+        const TimePoint stoppedAt = world.now();
+        world.run(1s);
+        for (RelayHost *host : late) {
+            world.setFetching(*host, true);
+            world.run(50ms);
+        }
+        world.run(500ms);
+        for (const RelayHost *host : late) {
+            const FleetView &view = host->node->view();
+            CPPUNIT_ASSERT_EQUAL(std::uint64_t {2}, view.configurationVersion());
+            CPPUNIT_ASSERT(view.configurationAge() > world.now() - stoppedAt - LongestRelaying);
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(RelayTest);
--- a/tests/simulation/relay_world.h
+++ b/tests/simulation/relay_world.h
@@ -101,6 +101,9 @@
         store.put("keyed.op", "config", configuration.dump());
     }
 
+    /// The store answers nothing any more.
+    void stopStore() { m_storeProcess->freeze(); }
+
     /// Lets no host fetch anything from another one any more; digests still pass.
     void refuseFetches()
     {
@@ -108,6 +111,17 @@
             m_network.stopListening(host->node->settings().peerListen);
     }
 
+    /// Whether a host can fetch something from other hosts; digests always pass.
+    void setFetching(const RelayHost &host, bool possible)
+    {
+        for (const auto &other : hosts) {
+            if (possible)
+                m_network.endRefusal(host.process->name(), other->process->name());
+            else
+                m_network.refuse(host.process->name(), other->process->name());
+        }
+    }
+
     std::vector<HostRecord> records() const
     {
         std::vector<HostRecord> records;
