Count the time in which a machine is suspended

Callers with a key that had been taken away were served by hosts whose machine had been suspended meanwhile (CONFIG, StrictRevoke, which holds for all machines).

Cause: all times came from the steady clock, which stands still while a machine is suspended, so that the configuration seemed younger by that time; leases of the placement and all other ages, too. Digests that had waited in the socket hid it in the same way.

The timer service now reads CLOCK_BOOTTIME. Its timer still runs on the steady clock; the first callback after a suspension is late by what was left of its wait at most.

--- a/src/daemon/entry_process.cpp
+++ b/src/daemon/entry_process.cpp
@@ -53,7 +53,7 @@
 {
 public:
     explicit EntryProcess(const EntrySettings &settings)
-        : m_context(settings, makeBootNumber(), &AsioTimerService::steadyNow)
+        : m_context(settings, makeBootNumber(), &AsioTimerService::clockNow)
         , m_signals(m_loop, SIGTERM, SIGINT)
         , m_timers(m_loop)
         , m_platform(m_loop, settings.platform)
--- a/src/net/asio_timer_service.cpp
+++ b/src/net/asio_timer_service.cpp
@@ -1,15 +1,19 @@
 #include "net/asio_timer_service.h"
 
+#include <ctime>
+
 namespace dogwoodvalve {
 
 AsioTimerService::AsioTimerService(boost::asio::io_context &loop)
     : m_timer(loop)
 { }
 
-TimePoint AsioTimerService::steadyNow()
+TimePoint AsioTimerService::clockNow()
 {
-    const auto sinceEpoch = std::chrono::steady_clock::now().time_since_epoch();
-    return TimePoint(std::chrono::duration_cast<Duration>(sinceEpoch));
+    timespec time {};
+    ::clock_gettime(CLOCK_BOOTTIME, &time);
+    return TimePoint(std::chrono::duration_cast<Duration>(std::chrono::seconds(time.tv_sec)
+                                                          + std::chrono::nanoseconds(time.tv_nsec)));
 }
 
 TimerId AsioTimerService::schedule(TimePoint at, std::function<void()> callback)
@@ -25,12 +29,14 @@
     m_armedFor = m_queue.nextDue();
     if (m_armedFor == TimePoint::max())
         return;
-    m_timer.expires_at(std::chrono::steady_clock::time_point(m_armedFor.time_since_epoch()));
+    // The timer runs on the steady clock: a suspension delays the earliest callback by what was left
+    // of its wait at most, and that one then advances the queue.
+    m_timer.expires_after(m_armedFor - clockNow());
     m_timer.async_wait([this](boost::system::error_code ec) {
         if (ec)
             return;
         m_armedFor = TimePoint::max();
-        m_queue.advanceTo(steadyNow());
+        m_queue.advanceTo(clockNow());
         armTimer();
     });
 }
--- a/src/net/asio_timer_service.h
+++ b/src/net/asio_timer_service.h
@@ -13,12 +13,14 @@
 public:
     explicit AsioTimerService(boost::asio::io_context &loop);
 
-    TimePoint now() const override { return steadyNow(); }
+    TimePoint now() const override { return clockNow(); }
     TimerId schedule(TimePoint at, std::function<void()> callback) override;
     void cancel(TimerId id) override { m_queue.cancel(id); }
 
-    /// The current time of the host's steady clock.
-    static TimePoint steadyNow();
+    /// The current time of a monotonic clock that also counts the time in which the machine is
+    /// suspended, unlike the steady clock: what other machines may have done meanwhile is that much
+    /// older.
+    static TimePoint clockNow();
 
 private:
     void armTimer();
--- a/tests/process/frozen_host_test.cpp
+++ b/tests/process/frozen_host_test.cpp
@@ -7,8 +7,12 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <array>
 #include <csignal>
+#include <cstdlib>
+#include <cstring>
 #include <filesystem>
+#include <fstream>
 
 using namespace dogwoodvalve;
 using namespace dogwoodvalve::process;
@@ -28,6 +32,45 @@
     return "127.0.0.1:" + std::to_string(FirstPort + offset);
 }
 
+/// Stands in for the suspension of the machines of all processes that are started while it is in
+/// its first scope: their steady clocks can be made to leave out a time.
+class SuspendedClocks
+{
+public:
+    explicit SuspendedClocks(std::string file)
+        : m_file(std::move(file))
+    {
+        add({});
+        const char *library = std::getenv("DOGWOODVALVE_SUSPENDED_CLOCK");
+        ::setenv("LD_PRELOAD", library ? library : "", 1);
+        ::setenv("DOGWOODVALVE_SUSPENDED_FILE", m_file.c_str(), 1);
+    }
+    ~SuspendedClocks() { endScope(); }
+
+    SuspendedClocks(const SuspendedClocks &) = delete;
+    SuspendedClocks &operator=(const SuspendedClocks &) = delete;
+
+    /// Processes that are started from now on have usual clocks.
+    static void endScope() { ::unsetenv("LD_PRELOAD"); }
+
+    /// The machines were suspended for so long, in addition to earlier times.
+    void add(Duration time)
+    {
+        m_suspendedNs += std::chrono::nanoseconds(time).count();
+        std::array<char, sizeof m_suspendedNs> bytes {};
+        std::memcpy(bytes.data(), &m_suspendedNs, bytes.size());
+        // The file keeps its pages, which the processes have mapped.
+        std::fstream file(m_file, std::ios::binary | std::ios::in | std::ios::out);
+        if (!file.is_open())
+            file.open(m_file, std::ios::binary | std::ios::out);
+        file.write(bytes.data(), bytes.size());
+    }
+
+private:
+    std::string m_file;
+    std::int64_t m_suspendedNs = 0;
+};
+
 /// Gateway hosts as real processes, each with a relay before the store.
 class RelayedHosts
 {
@@ -40,6 +83,7 @@
         , hosts(m_folder, FirstPort + 20, {at(10), at(11)})
     {
         std::filesystem::create_directories(m_folder);
+        clocks = std::make_unique<SuspendedClocks>(m_folder + "/suspended");
         platform.listen(parseEndpoint(at(0)).value()).value();
         platform.configure(2, {"demo-key", Key});
         for (int i = 0; i < Hosts; ++i) {
@@ -48,6 +92,7 @@
             m_relays.back()->listen(parseEndpoint(at(10 + i)).value()).value();
             hosts.start(i);
         }
+        SuspendedClocks::endScope();
         run(StartTime);
     }
     ~RelayedHosts()
@@ -98,6 +143,7 @@
 public:
     testtool::PathFleet platform;
     GatewayHosts hosts;
+    std::unique_ptr<SuspendedClocks> clocks;
 };
 
 } // namespace
@@ -107,6 +153,7 @@
 {
     CPPUNIT_TEST_SUITE(FrozenHostTest);
     CPPUNIT_TEST(digestsThatWaitedDoNotConfirmTakenAwayKeys);
+    CPPUNIT_TEST(suspendedMachinesDoNotTrustTakenAwayKeys);
     CPPUNIT_TEST_SUITE_END();
 
     void digestsThatWaitedDoNotConfirmTakenAwayKeys()
@@ -125,6 +172,28 @@
                 CPPUNIT_ASSERT_EQUAL(503, fleet.askWithKey(i));
         }
     }
+
+    /// The steady clock does not count the time of a suspension, so that the configuration seemed
+    /// to be younger by that time.
+    void suspendedMachinesDoNotTrustTakenAwayKeys()
+    {
+        RelayedHosts fleet;
+        for (int i = 0; i < Hosts; ++i)
+            CPPUNIT_ASSERT_EQUAL(200, fleet.askWithKey(i));
+        for (int i = 0; i < Hosts; ++i)
+            fleet.hosts.process(i).signal(SIGSTOP);
+        fleet.cutFromStore();
+        fleet.platform.configure(3, {"demo-key"});
+        fleet.run(FreezeTime);
+        fleet.clocks->add(FreezeTime);
+        for (int i = 0; i < Hosts; ++i)
+            fleet.hosts.process(i).signal(SIGCONT);
+        fleet.run(KeyRevocation - FreezeTime);
+        for (int n = 0; n < 3; ++n) {
+            for (int i = 0; i < Hosts; ++i)
+                CPPUNIT_ASSERT_EQUAL(503, fleet.askWithKey(i));
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(FrozenHostTest);
