Ask whether an engine crashed that is back before the stall check

Callers saw requests with one part crash one engine after the other (BUDGET) where the engine that crashed was not the first of its path and was back at once.

Cause: nothing ends the answer then; the stall check found the engine registered under its new start, gave the attempt up and asked nothing more, so that neither the request nor a part of its prompt was ever a suspect. The class: evidence that hangs on which bytes came.

The restart itself now opens the question, with the request as a suspect if its answer was beginning.

--- a/src/gateway/requests/generation_attempt.cpp
+++ b/src/gateway/requests/generation_attempt.cpp
@@ -163,12 +163,15 @@
     return stalled;
 }
 
-bool GenerationAttempt::engineRestarted() const
+std::vector<const ReservedPart *> GenerationAttempt::restartedParts() const
 {
-    return std::any_of(m_parts.begin(), m_parts.end(), [this](const ReservedPart &part) {
+    std::vector<const ReservedPart *> restarted;
+    for (const ReservedPart &part : m_parts) {
         const ServerRegistration *server = m_node.view().registry().find(part.server);
-        return server && server->startedAtMs > part.startedAtMs;
-    });
+        if (server && server->startedAtMs > part.startedAtMs)
+            restarted.push_back(&part);
+    }
+    return restarted;
 }
 
 const ReservedPart &GenerationAttempt::partAt(std::string_view address) const
--- a/src/gateway/requests/generation_attempt.h
+++ b/src/gateway/requests/generation_attempt.h
@@ -72,8 +72,8 @@
     Duration stallTimeout(int stepsPerEvent) const;
     /// The parts on whose servers no stream of this host has made progress lately.
     std::vector<const ReservedPart *> stalledParts() const;
-    /// Whether an engine of the path has restarted, so that nothing more can arrive.
-    bool engineRestarted() const;
+    /// The parts whose engine has restarted. If there is one, nothing more can arrive.
+    std::vector<const ReservedPart *> restartedParts() const;
     /// The part at an address, or the first one.
     const ReservedPart &partAt(std::string_view address) const;
 
--- a/tests/simulation/gateway_world.h
+++ b/tests/simulation/gateway_world.h
@@ -410,9 +410,10 @@
         crashes.push_back(now());
         if (engines[static_cast<std::size_t>(i)]->crashedByPrompt())
             crashesByPrompt.push_back(now());
-        m_clock.after(EngineDowntime, [this, i] {
+        m_clock.after(engineDowntime, [this, i] {
             restartEngine(i);
             engines[static_cast<std::size_t>(i)]->setFault(EngineFault::None);
+            registerEngine(i);
         });
     }
 
@@ -464,6 +465,7 @@
     FakePlainServer plain;
     std::vector<std::unique_ptr<SimGateway>> hosts;
     std::vector<std::shared_ptr<Call>> calls;
+    Duration engineDowntime = EngineDowntime;
     /// When engines crashed, and those of these crashes that a prompt caused.
     std::vector<TimePoint> crashes;
     std::vector<TimePoint> crashesByPrompt;
--- a/tests/simulation/prompt_quarantine_test.cpp
+++ b/tests/simulation/prompt_quarantine_test.cpp
@@ -44,6 +44,8 @@
     CPPUNIT_TEST(requestsThatCrashEnginesAreStoppedOnAllHosts);
     CPPUNIT_TEST(requestsThatCrashEnginesBeforeTheHeadAreStopped);
     CPPUNIT_TEST(requestsThatCrashEnginesLongAfterTheHeadAreStopped);
+    CPPUNIT_TEST(requestsThatCrashTheLastEngineOfAPathAreStopped);
+    CPPUNIT_TEST(requestsThatCrashEnginesThatAreBackAtOnceAreStopped);
     CPPUNIT_TEST(aCrashingPartFarBackInThePromptIsStopped);
     CPPUNIT_TEST(aCrashingPartWithALongIdIsStopped);
     CPPUNIT_TEST(soundRequestsBesideCrashingOnesAreServed);
@@ -114,9 +116,11 @@
 
     /// Plays crashing requests beside sound ones, checks that hardly any runs long after the fifth
     /// crash, and returns the number of crashes.
-    static std::size_t checkStopped(Traffic traffic, CrashMoment moment)
+    static std::size_t checkStopped(Traffic traffic, CrashMoment moment,
+                                    Duration downtime = EngineDowntime)
     {
         GatewayWorld world(Hosts, Engines);
+        world.engineDowntime = downtime;
         world.settle();
         traffic.play(world, 1s);
         world.setCrashingPart(traffic.crashingPart, moment);
@@ -156,6 +160,17 @@
         checkStopped(rareCrashes(), CrashMoment::BeforeFirstEvent);
     }
 
+    void requestsThatCrashTheLastEngineOfAPathAreStopped()
+    {
+        checkStopped(rareCrashes(), CrashMoment::AtEndOfPath);
+    }
+
+    /// The stall check found the engine under its new start, and asked nothing more.
+    void requestsThatCrashEnginesThatAreBackAtOnceAreStopped()
+    {
+        checkStopped(rareCrashes(), CrashMoment::AtEndOfPath, 200ms);
+    }
+
     void aCrashingPartFarBackInThePromptIsStopped()
     {
         Traffic traffic = rareCrashes();
--- a/tools/testtool/forwarding_engine.cpp
+++ b/tools/testtool/forwarding_engine.cpp
@@ -200,7 +200,9 @@
     m_streams.push_back(stream);
     const bool crashes = !m_crashingPart.empty()
         && exchange->header("X-Prompt-Prefix").find(m_crashingPart) != std::string_view::npos;
-    if (!crashes || m_crashMoment != CrashMoment::BeforeHead)
+    const bool withoutHead =
+        m_crashMoment == CrashMoment::BeforeHead || m_crashMoment == CrashMoment::AtEndOfPath;
+    if (!crashes || !withoutHead)
         exchange->beginStream(200, fields);
     if (m_fault == EngineFault::EndsAtOnce)
         return exchange->endStream();
@@ -215,11 +217,16 @@
     const Duration delay =
         m_crashMoment == CrashMoment::BeforeFirstEvent ? LateCrashDelay : CrashDelay;
     m_timers.schedule(m_timers.now() + delay, [this, stream] {
-        if (stream->closed || standsStill())
+        ForwardingEngine *crashing = this;
+        if (m_crashMoment == CrashMoment::AtEndOfPath) {
+            const auto it = m_engines.find(parsePath(stream->path).back().address);
+            crashing = it == m_engines.end() ? this : it->second;
+        }
+        if (stream->closed || crashing->standsStill())
             return;
-        m_crashedByPrompt = true;
-        crash();
-        m_crashedByPrompt = false;
+        crashing->m_crashedByPrompt = true;
+        crashing->crash();
+        crashing->m_crashedByPrompt = false;
     });
 }
 
--- a/tools/testtool/forwarding_engine.h
+++ b/tools/testtool/forwarding_engine.h
@@ -47,6 +47,8 @@
     BeforeHead,
     /// Long after the head, as the first event is due.
     BeforeFirstEvent,
+    /// As BeforeHead, but the last engine of the path crashes. The first one says nothing of it.
+    AtEndOfPath,
 };
 
 class ForwardingEngine;
