Count the wait of a digest in all ages that it tells

After a freeze, a host took crashes of servers, their limits, failed probes and slowness that digests had told it before for new ones, so that answers from after a crash did not clear a part of a prompt, and an earlier limit could replace a later one.

Cause: added the time for which a digest may have waited in the socket to the ages of the configuration and the registrations only. The class: ages taken on reading.

Test: DigestDelayTest, which failed before in both cases.

--- a/src/gateway/peers/host_digest_codec.cpp
+++ b/src/gateway/peers/host_digest_codec.cpp
@@ -283,16 +283,30 @@
 
 void addDelay(PeerDigest &digest, Duration delay)
 {
-    const auto add = [delay](HostDigest &state) {
+    const auto addToReports = [delay](CrashReports &crashes, RateLimitReports &limits) {
+        for (auto &[crash, report] : crashes)
+            report.age += delay;
+        for (auto &[server, report] : limits)
+            report.age += delay;
+    };
+    const auto addToHost = [&](HostDigest &state) {
         state.configurationAge += delay;
         state.registrationsAge += delay;
+        addToReports(state.crashes, state.rateLimits);
     };
     if (auto *host = std::get_if<HostDigest>(&digest))
-        return add(*host);
+        return addToHost(*host);
     auto &relayed = std::get<RelayDigest>(digest);
-    add(relayed.relay);
+    addToHost(relayed.relay);
+    addToReports(relayed.crashes, relayed.rateLimits);
     for (RelayedHost &host : relayed.roster)
         host.age += delay;
+    for (auto &[server, report] : relayed.slowness)
+        report.age += delay;
+    for (auto &[server, hosts] : relayed.failedProbes) {
+        for (auto &[host, age] : hosts)
+            age += delay;
+    }
 }
 
 Result<PeerDigest> decodeDigest(std::span<const std::uint8_t> bytes)
--- a/src/gateway/peers/host_digest_codec.h
+++ b/src/gateway/peers/host_digest_codec.h
@@ -18,8 +18,7 @@
 std::vector<std::uint8_t> encodeRelayDigest(const RelayDigest &digest);
 /// Errors: Malformed if the bytes are no CBOR, or a member is missing or of another type.
 Result<PeerDigest> decodeDigest(std::span<const std::uint8_t> bytes);
-/// Adds a time for which a digest may have waited to be read to the ages of the configurations and
-/// registrations in it.
+/// Adds a time for which a digest may have waited to be read to all ages in it.
 void addDelay(PeerDigest &digest, Duration delay);
 
 } // namespace dogwoodvalve
