--- a/tests/simulation/prompt_quarantine_test.cpp
+++ b/tests/simulation/prompt_quarantine_test.cpp
@@ -46,6 +46,7 @@
     CPPUNIT_TEST(requestsThatCrashEnginesLongAfterTheHeadAreStopped);
     CPPUNIT_TEST(requestsThatCrashTheLastEngineOfAPathAreStopped);
     CPPUNIT_TEST(requestsThatCrashEnginesThatAreBackAtOnceAreStopped);
+    CPPUNIT_TEST(aRequestSentAfterASilenceIsASuspectOfTheCrash);
     CPPUNIT_TEST(aCrashingPartFarBackInThePromptIsStopped);
     CPPUNIT_TEST(aCrashingPartWithALongIdIsStopped);
     CPPUNIT_TEST(soundRequestsBesideCrashingOnesAreServed);
@@ -171,6 +172,26 @@
         checkStopped(rareCrashes(), CrashMoment::AtEndOfPath, 200ms);
     }
 
+    /// Only the end of a connection shows when a server has crashed; one that was silent before may
+    /// have been alive.
+    void aRequestSentAfterASilenceIsASuspectOfTheCrash()
+    {
+        GatewayWorld world(1, Engines);
+        world.settle();
+        GatewayNode &node = world.hosts[0]->node;
+        const std::int64_t startedAtMs = node.view().registry().find("e-1")->startedAtMs;
+        node.crashes().open("e-1", startedAtMs, {{"early"}, true, {}, world.now()},
+                            AnswerLoss::Silent);
+        world.run(300ms);
+        const TimePoint sentAt = world.now();
+        world.run(100ms);
+        world.engine("e-1").crash();
+        node.crashes().open("e-1", startedAtMs, {{"late"}, true, {}, sentAt},
+                            AnswerLoss::ConnectionEnded);
+        world.run(1s);
+        CPPUNIT_ASSERT(node.view().quarantine().isSuspect("late", sentAt));
+    }
+
     void aCrashingPartFarBackInThePromptIsStopped()
     {
         Traffic traffic = rareCrashes();
