Confirm an entry host's configuration as of the request to the log

Entry role: a host that was frozen while a read of the log was under way took its configuration for confirmed at the moment at which it woke and read the answer, so that it was isolated up to eight seconds late.

Test: anAnswerThatWaitedConfirmsAsOfItsRequest failed before.

--- a/include/dogwoodvalve/configuration_follower.h
+++ b/include/dogwoodvalve/configuration_follower.h
@@ -104,7 +104,7 @@
     bool applyRecords(LogOffset from, const std::vector<std::string> &records,
                       std::string_view source);
     bool restoreFrom(std::string_view snapshot);
-    void markConfirmed();
+    void markConfirmed(TimePoint asOf);
     void scheduleSnapshotIfDue();
     bool snapshotDue() const;
     void updateLastSnapshot(LogOffset offset);
@@ -124,6 +124,8 @@
     /// Callbacks of the platform hold a weak pointer to this and do nothing once it has expired.
     std::shared_ptr<bool> m_alive;
     TimePoint m_confirmedAt {};
+    /// When the read of records in flight was sent.
+    TimePoint m_askedAt {};
     TimePoint m_lastSnapshotAt {};
     TimerId m_pollTimer = 0;
     TimerId m_snapshotTimer = 0;
--- a/src/core/configuration_follower.cpp
+++ b/src/core/configuration_follower.cpp
@@ -96,6 +96,7 @@
 
 void ConfigurationFollower::readRecords()
 {
+    m_askedAt = m_timers.now();
     m_platform.read(ConfigurationStream, m_state.nextOffset(), RecordsPerRead,
                     [this, alive = std::weak_ptr(m_alive)](const Result<LogPage> &page) {
                         if (!alive.expired())
@@ -120,7 +121,8 @@
     applyRecords(found.from, found.records, "");
     if (m_state.nextOffset() < found.end)
         return pollNow();
-    markConfirmed();
+    // The answer may have waited to be read.
+    markConfirmed(mutated("confirm-on-reading") ? m_timers.now() : m_askedAt);
     scheduleSnapshotIfDue();
     const Duration shared =
         m_options.pollIntervalPerMember * static_cast<std::int64_t>(m_hooks.liveMembers() + 1);
@@ -170,10 +172,10 @@
     return true;
 }
 
-void ConfigurationFollower::markConfirmed()
+void ConfigurationFollower::markConfirmed(TimePoint asOf)
 {
     m_ready = true;
-    m_confirmedAt = m_timers.now();
+    m_confirmedAt = std::max(m_confirmedAt, asOf);
 }
 
 bool ConfigurationFollower::isolated() const
@@ -191,7 +193,7 @@
     // A host that started while the log was unreachable is confirmed once it has caught up with a
     // peer, but not while it holds no records.
     if (m_state.nextOffset() > 0 || m_ready)
-        markConfirmed();
+        markConfirmed(m_timers.now());
 }
 
 ConfigurationTransfer ConfigurationFollower::makeTransfer(LogOffset from) const
@@ -215,13 +217,13 @@
     m_peerSeen = true;
     if (!transfer.snapshot.empty()) {
         if (restoreFrom(transfer.snapshot))
-            markConfirmed();
+            markConfirmed(m_timers.now());
         return;
     }
     if (transfer.from > m_state.nextOffset())
         return m_hooks.requestFromPeer(peer, m_state.nextOffset());
     if (applyRecords(transfer.from, transfer.records, peer))
-        markConfirmed();
+        markConfirmed(m_timers.now());
 }
 
 /// Schedules a snapshot if one is due. The host that ranks first writes at once; each other one
--- a/tests/unit/configuration_follower_test.cpp
+++ b/tests/unit/configuration_follower_test.cpp
@@ -32,6 +32,10 @@
     {
         if (down)
             return done(Error {ErrorKind::Timeout, "down", ""});
+        if (holdsAnswers)
+            done = [this, done = std::move(done)](const Result<LogPage> &page) {
+                held.push_back([done, page] { done(page); });
+            };
         const auto &records = streams[std::string(stream)];
         LogPage page;
         page.from = from;
@@ -49,6 +53,9 @@
     std::map<std::string, std::vector<std::string>> streams;
     LogOffset firstKept = 0;
     bool down = false;
+    /// Answers to reads wait in `held`.
+    bool holdsAnswers = false;
+    std::vector<std::function<void()>> held;
 };
 
 /// Hooks that record their calls.
@@ -86,6 +93,7 @@
     CPPUNIT_TEST(writesSnapshotsByTimeAndByCount);
     CPPUNIT_TEST(snapshotsItsStateWhenTheLogDropsUnreadRecords);
     CPPUNIT_TEST(reportsIsolation);
+    CPPUNIT_TEST(anAnswerThatWaitedConfirmsAsOfItsRequest);
     CPPUNIT_TEST_SUITE_END();
 
     ManualTimerService m_clock;
@@ -255,6 +263,21 @@
         follower.onPeerOffset("peer", 1, 0);
         CPPUNIT_ASSERT(!follower.isolated());
     }
+
+    /// A process that wakes from a freeze reads answers to calls of before.
+    void anAnswerThatWaitedConfirmsAsOfItsRequest()
+    {
+        append(1);
+        ConfigurationFollower follower = this->follower();
+        follower.start();
+        follower.onPeerOffset("peer", 1, 0);
+        m_platform.holdsAnswers = true;
+        run(1s);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), m_platform.held.size());
+        run(10s);
+        m_platform.held.front()();
+        CPPUNIT_ASSERT(follower.isolated());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ConfigurationFollowerTest);
