Do not confirm an entry host's configuration by old heartbeats

Entry role: heartbeats that had waited in the socket of a frozen host confirmed its configuration when it woke, so that one that was cut off meanwhile was isolated up to eight seconds late.

The membership already notices pauses of its own process by its timer. What is read until a heartbeat interval after the end of one does not confirm; the next heartbeat does. No message changes.

Test: heartbeatsThatWaitedDoNotConfirmTheConfiguration failed before. Mutation believe-old-heartbeats.

--- a/include/dogwoodvalve/membership.h
+++ b/include/dogwoodvalve/membership.h
@@ -133,6 +133,10 @@
 
     void tick();
     void refreshLinksAfterPause(TimePoint now);
+    /// Whether this process has just been paused for longer than a link timeout.
+    bool wasPaused(TimePoint now) const;
+    /// Whether messages that are read now may have been sent before or in a pause of this process.
+    bool messagesMayHaveWaited() const;
     void sendHeartbeats();
     void checkLinks();
     void checkSuspicions();
@@ -163,6 +167,8 @@
     std::map<std::string, Entry, std::less<>> m_members;
     std::map<LinkId, Link> m_links;
     TimePoint m_lastTick {};
+    /// When the end of the last pause of this process was noticed.
+    TimePoint m_resumedAt {};
     TimePoint m_nextOverlay {};
     TimePoint m_nextReconnect {};
     std::size_t m_reconnectCursor = 0;
--- a/src/core/membership.cpp
+++ b/src/core/membership.cpp
@@ -103,13 +103,27 @@
 /// it received nothing meanwhile, which does not mean that the peers failed.
 void Membership::refreshLinksAfterPause(TimePoint now)
 {
-    if (m_lastTick != TimePoint {} && now - m_lastTick > m_options.linkTimeout) {
+    if (wasPaused(now)) {
         for (auto &[id, link] : m_links)
             link.lastHeard = now;
+        m_resumedAt = now;
     }
     m_lastTick = now;
 }
 
+bool Membership::wasPaused(TimePoint now) const
+{
+    return m_lastTick != TimePoint {} && now - m_lastTick > m_options.linkTimeout;
+}
+
+bool Membership::messagesMayHaveWaited() const
+{
+    const TimePoint now = m_timers.now();
+    const bool justResumed =
+        m_resumedAt != TimePoint {} && now - m_resumedAt < m_options.heartbeatInterval;
+    return (justResumed || wasPaused(now)) && !mutated("believe-old-heartbeats");
+}
+
 void Membership::sendHeartbeats()
 {
     HeartbeatMessage heartbeat = m_hooks.heartbeatContent();
@@ -347,7 +361,9 @@
         link.digestMismatches = 0;
         m_transport.send(id, MembersMessage {members(), true});
     }
-    m_hooks.configurationMessageReceived(peer, message);
+    // An old heartbeat does not show that the configuration is still current. The next one does.
+    if (!messagesMayHaveWaited())
+        m_hooks.configurationMessageReceived(peer, message);
 }
 
 void Membership::onMembers(LinkId id, const MembersMessage &message)
--- a/tests/unit/membership_test.cpp
+++ b/tests/unit/membership_test.cpp
@@ -109,6 +109,43 @@
     std::uint64_t messages = 0;
 };
 
+/// The timers of a process that can be paused: then its time goes on, and nothing is called.
+class PausableTimers : public TimerService
+{
+public:
+    TimePoint now() const override { return m_clock.now() + m_paused; }
+    TimerId schedule(TimePoint at, std::function<void()> callback) override
+    {
+        return m_clock.schedule(at - m_paused, std::move(callback));
+    }
+    void cancel(TimerId id) override { m_clock.cancel(id); }
+
+    void pause(Duration time) { m_paused += time; }
+    void run(Duration time) { m_clock.advanceTo(m_clock.now() + time); }
+
+private:
+    ManualTimerService m_clock;
+    Duration m_paused {};
+};
+
+/// Counts the messages about the configuration, and sends nothing.
+class CountingPeers : public PeerTransport, public MembershipHooks
+{
+public:
+    LinkId connect(const std::string &) override { return 1; }
+    void send(LinkId, const PeerMessage &) override { }
+    void close(LinkId) override { }
+    void membersChanged() override { }
+    void configurationMessageReceived(std::string_view, const PeerMessage &) override
+    {
+        ++received;
+    }
+    HeartbeatMessage heartbeatContent() override { return {}; }
+    void bootRaised(std::uint64_t) override { }
+
+    int received = 0;
+};
+
 } // namespace
 
 /// Discovery, failure detection, refutation and ranking of entry hosts.
@@ -122,6 +159,7 @@
     CPPUNIT_TEST(linksAndMessagesPerHostAreBounded);
     CPPUNIT_TEST(rankingIsStableWhenAMemberLeaves);
     CPPUNIT_TEST(aHostRaisesItsBootAboveADuplicates);
+    CPPUNIT_TEST(heartbeatsThatWaitedDoNotConfirmTheConfiguration);
     CPPUNIT_TEST_SUITE_END();
 
     static void expectAlive(MockFleet &fleet, std::size_t n)
@@ -216,6 +254,35 @@
         fleet.run(1s);
         CPPUNIT_ASSERT_EQUAL(std::uint64_t(51), fleet.nodes[1]->raisedTo);
     }
+
+    /// A process that wakes from a freeze reads heartbeats that were sent before or meanwhile.
+    void heartbeatsThatWaitedDoNotConfirmTheConfiguration()
+    {
+        constexpr LinkId Link = 1;
+        PausableTimers timers;
+        CountingPeers peers;
+        const MembershipOptions options;
+        Member self;
+        self.name = "a";
+        Membership membership(self, {}, options, timers, peers, peers);
+        timers.run(1s);
+        membership.start();
+        membership.linkUp(Link, false);
+        Member peer;
+        peer.name = "b";
+        membership.messageReceived(Link, HelloMessage {peer});
+        membership.messageReceived(Link, HeartbeatMessage {});
+        CPPUNIT_ASSERT_EQUAL(1, peers.received);
+        timers.pause(5s);
+        membership.messageReceived(Link, HeartbeatMessage {});
+        CPPUNIT_ASSERT_EQUAL(1, peers.received);
+        timers.run(options.heartbeatInterval);
+        membership.messageReceived(Link, HeartbeatMessage {});
+        CPPUNIT_ASSERT_EQUAL(1, peers.received);
+        timers.run(options.heartbeatInterval);
+        membership.messageReceived(Link, HeartbeatMessage {});
+        CPPUNIT_ASSERT_EQUAL(2, peers.received);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(MembershipTest);
