--- a/include/dogwoodvalve/server_health.h
+++ b/include/dogwoodvalve/server_health.h
@@ -67,8 +67,8 @@
     /// is bounded. When it is over, one request shows whether the server accepts more.
     Duration recordPause(std::string_view id, std::int64_t startedAtMs,
                          std::optional<Duration> asked, TimePoint now);
-    /// All hosts that reach the server for this one have to leave it in peace for so long. It counts
-    /// as a pause until this host's own links change.
+    /// All hosts that reach the server for this one have to leave it in peace for so long. It
+    /// counts as a pause until this host's own links change.
     void recordReportedPause(std::string_view id, std::int64_t startedAtMs, Duration left,
                              TimePoint now);
     /// A request is being sent to the server, or along a path through it.
--- a/src/gateway/peers/peer_reader.h
+++ b/src/gateway/peers/peer_reader.h
@@ -44,7 +44,8 @@
     void fetch(const HostDigest &peer, const std::string &target, Duration timeout, bool &inFlight,
                std::function<Result<void>(const std::string &body)> apply);
     /// Fetches the configuration of a host, which is no older than one that was the newest as of
-    /// the given time. The digest of that host does not tell the time, as it may have come long ago.
+    /// the given time. The digest of that host does not tell the time, as it may have come long
+    /// ago.
     void pullConfiguration(const HostDigest &peer, TimePoint asOf);
     void pullRegistrations(const HostDigest &peer);
 
--- a/tests/process/suspended_clock.cpp
+++ b/tests/process/suspended_clock.cpp
@@ -1,10 +1,11 @@
+#include <sys/mman.h>
+#include <sys/syscall.h>
+
 #include <atomic>
 #include <cstdint>
 #include <cstdlib>
 #include <ctime>
 #include <fcntl.h>
-#include <sys/mman.h>
-#include <sys/syscall.h>
 #include <unistd.h>
 
 /// Preloaded into a process, this stands in for a machine that was suspended: the steady clock does
--- a/tests/simulation/paused_servers_test.cpp
+++ b/tests/simulation/paused_servers_test.cpp
@@ -295,9 +295,8 @@
                 sent.push_back(world.call("GET", "/read/x", {}, 1));
                 world.run(50ms);
             }
-            return static_cast<int>(std::count_if(sent.begin(), sent.end(), [](const auto &it) {
-                return it->answer.status == 200;
-            }));
+            return static_cast<int>(std::count_if(
+                sent.begin(), sent.end(), [](const auto &it) { return it->answer.status == 200; }));
         }
 
         /// How often the host that is cut off has asked its retry budget.
--- a/tests/unit/forwarding_test.cpp
+++ b/tests/unit/forwarding_test.cpp
@@ -86,8 +86,8 @@
         // Earlier versions do not tell it.
         CPPUNIT_ASSERT(decodeForwardPause(forwardOutcomeFields(ForwardOutcome::Paused)) == 0ms);
         for (const char *text : {"", "-1", "2s", "99999999999"})
-            CPPUNIT_ASSERT(
-                decodeForwardPause(std::vector<HttpField> {{"Forward-Pause-Ms", text}}) == 0ms);
+            CPPUNIT_ASSERT(decodeForwardPause(std::vector<HttpField> {{"Forward-Pause-Ms", text}})
+                           == 0ms);
     }
 
     static HostDigest hostDigest(const std::string &name, bool cutOff)
--- a/tests/unit/gateway_decisions_test.cpp
+++ b/tests/unit/gateway_decisions_test.cpp
@@ -354,8 +354,7 @@
 
     void theLeastLoadedServerIsPicked()
     {
-        std::vector<PlainServer> servers {
-            {6, 3, false, {}}, {6, 1, false, {}}, {2, 0, true, {}}};
+        std::vector<PlainServer> servers {{6, 3, false, {}}, {6, 1, false, {}}, {2, 0, true, {}}};
         CPPUNIT_ASSERT_EQUAL(std::size_t {1}, *pickLeastOutstanding(servers, 0));
         servers[1].inFlight = 6;
         servers[0].inFlight = 6;
