Do not forget a reset that the upload has met

Callers saw a part of an answer as a complete one: a server had answered a long upload at once with a 200 without a length, had sent a part of the body and reset the connection while the upload was being written. Streams ended as complete in the same way.

Cause: the operating system reports a reset once, to the first call that meets it. A failed write was ignored, since a server may answer early; the read after it saw an ordinary end.

The client now keeps the failed write. An answer that ends with its connection is complete only if no write has met the loss of the connection, or met it as EPIPE, which the system reports when the server had ended its side before. Answers with a length or chunks are judged by these, as before. Output after a failed write is dropped.

--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -57,6 +57,7 @@
 
     void writeHead(const HttpRequestHead &head, const tcp::endpoint &endpoint);
     void flush();
+    void onWriteFailed(error_code ec);
     void readHead();
     /// Parses what was received of the head, and reads on until it is complete.
     void parseHead();
@@ -77,6 +78,9 @@
     bool m_anyByteSent = false;
     bool m_paused = false;
     bool m_reading = false;
+    bool m_writeFailed = false;
+    /// A write has met the loss of the connection.
+    bool m_connectionLost = false;
 };
 
 void HttpClientRequestImpl::start(const tcp::endpoint &endpoint, const HttpRequestHead &head,
@@ -122,7 +126,7 @@
 
 void HttpClientRequestImpl::write(std::string_view part)
 {
-    if (!m_events || part.empty())
+    if (!m_events || m_writeFailed || part.empty())
         return;
     if (m_chunked)
         appendChunk(m_queuedOutput, part);
@@ -133,7 +137,7 @@
 
 void HttpClientRequestImpl::finishBody()
 {
-    if (!m_events || !m_chunked)
+    if (!m_events || m_writeFailed || !m_chunked)
         return;
     m_queuedOutput += "0\r\n\r\n";
     flush();
@@ -150,16 +154,24 @@
                           self->m_outputInFlight.clear();
                           if (!self->m_events)
                               return;
-                          // A peer may respond early and close the connection; its response is
-                          // still read.
                           if (ec)
-                              return;
+                              return self->onWriteFailed(ec);
                           if (!self->m_queuedOutput.empty())
                               return self->flush();
                           self->m_events->onDrained();
                       });
 }
 
+/// A peer may respond early and close the connection; its response is still read. The operating
+/// system reports a lost connection only once. If a write meets it, reading ends as if the peer had
+/// closed the connection. With EPIPE the peer had closed it before, and its response was complete.
+void HttpClientRequestImpl::onWriteFailed(error_code ec)
+{
+    m_writeFailed = true;
+    m_connectionLost = ec != asio::error::broken_pipe;
+    m_queuedOutput.clear();
+}
+
 void HttpClientRequestImpl::readHead()
 {
     const std::size_t n = std::min(ReadBufferBytes, m_buffer.max_size() - m_buffer.size());
@@ -216,6 +228,9 @@
 
 void HttpClientRequestImpl::endBody()
 {
+    if (m_connectionLost && m_response->endsWithConnection())
+        return fail(
+            {ErrorKind::Unavailable, "the response ended early: the connection was lost", ""});
     HttpClientEvents *events = m_events;
     const auto keep = self();
     close();
--- a/src/net/response_parser.h
+++ b/src/net/response_parser.h
@@ -34,6 +34,8 @@
     /// The status of the response, 100 to 599. Only after the head was read.
     int status() const { return static_cast<int>(m_message->get().result_int()); }
     std::vector<HttpField> fields() const;
+    /// Whether the body has neither a length nor chunks and ends with the connection.
+    bool endsWithConnection() const { return m_message->need_eof(); }
 
     /// Parses the body. Only after the head was read.
     Message &message() { return *m_message; }
--- a/tests/process/broken_answers_test.cpp
+++ b/tests/process/broken_answers_test.cpp
@@ -134,6 +134,8 @@
 {
     CPPUNIT_TEST_SUITE(BrokenAnswersTest);
     CPPUNIT_TEST(brokenHeadsAreNoAnswers);
+    CPPUNIT_TEST(answersThatAreResetDuringTheUploadAreNotWhole);
+    CPPUNIT_TEST(earlyAnswersArePassedOn);
     CPPUNIT_TEST(forwardedBrokenAnswersAreLost);
     CPPUNIT_TEST_SUITE_END();
 
@@ -160,6 +162,40 @@
         }
     }
 
+    void answersThatAreResetDuringTheUploadAreNotWhole()
+    {
+        BrokenServers servers;
+        servers.recover();
+        for (const auto &[target, arrivals] : {std::pair("/read/x", 2), {"/write/x", 1}}) {
+            const std::string id = std::string("reset.always.") + target;
+            assertOwnFailure(id, servers.ask(target, id, UploadBytes));
+            CPPUNIT_ASSERT_EQUAL(arrivals, servers.arrivals(id));
+            servers.recover();
+        }
+        const std::string read = servers.ask("/read/x", "reset.once.read", UploadBytes);
+        CPPUNIT_ASSERT_MESSAGE(read, startsWith(read, "HTTP/1.1 200 "));
+        const std::string resumed = servers.ask("/generate/x", "events.once.1", UploadBytes);
+        CPPUNIT_ASSERT_MESSAGE(resumed, contains(resumed, "events.once.1/2\n"));
+        CPPUNIT_ASSERT_MESSAGE(
+            resumed, contains(resumed, "events.once.1/20\n") && contains(resumed, LastChunk));
+        const std::string cut = servers.ask("/once/x", "events.once.2", UploadBytes);
+        CPPUNIT_ASSERT_MESSAGE(cut, contains(cut, "events.once.2/2\n"));
+        CPPUNIT_ASSERT_MESSAGE(cut, !contains(cut, LastChunk));
+        CPPUNIT_ASSERT_EQUAL(1, servers.arrivals("events.once.2"));
+    }
+
+    void earlyAnswersArePassedOn()
+    {
+        BrokenServers servers;
+        servers.recover();
+        for (const std::string &form : earlyAnswers()) {
+            const std::string early = servers.ask("/write/x", form + ".always.1", UploadBytes);
+            CPPUNIT_ASSERT_MESSAGE(early, startsWith(early, "HTTP/1.1 200 "));
+            CPPUNIT_ASSERT_MESSAGE(early, contains(early, "X-Server-Stamp: s\r\n"));
+            CPPUNIT_ASSERT_MESSAGE(early, contains(early, "\r\n\r\nwhole"));
+        }
+    }
+
     /// The host reads these answers for another one.
     void forwardedBrokenAnswersAreLost()
     {
@@ -174,6 +210,8 @@
             CPPUNIT_ASSERT_MESSAGE(lost, contains(lost, "Forward-Outcome: lost"));
             CPPUNIT_ASSERT_MESSAGE(lost, !contains(lost, "X-Server-Stamp"));
         }
+        const std::string cut = servers.ask(target, "reset.always.1", UploadBytes, PeerPort);
+        CPPUNIT_ASSERT_MESSAGE(cut, contains(cut, "part") && !contains(cut, LastChunk));
     }
 };
 
--- a/tests/process/entry_broken_answers_test.cpp
+++ b/tests/process/entry_broken_answers_test.cpp
@@ -99,6 +99,8 @@
                 service.recover();
             }
         }
+        const std::string cut = service.ask("POST", "reset.1", UploadBytes);
+        CPPUNIT_ASSERT_MESSAGE(cut, contains(cut, "part") && !contains(cut, LastChunk));
     }
 };
 
--- a/tests/unit/http_client_test.cpp
+++ b/tests/unit/http_client_test.cpp
@@ -92,6 +92,9 @@
     CPPUNIT_TEST_SUITE(HttpClientTest);
     CPPUNIT_TEST(anAnswerWithoutLengthEndsWithItsConnection);
     CPPUNIT_TEST(anAnswerWithoutLengthThatIsResetIsNotWhole);
+    CPPUNIT_TEST(anAnswerWithoutLengthThatIsResetDuringTheUploadIsNotWhole);
+    CPPUNIT_TEST(aResetThatIsMetBeforeTheBodyIsReadIsNotForgotten);
+    CPPUNIT_TEST(earlyAnswersThatHaveEndedAreWhole);
     CPPUNIT_TEST(anAnswerWithLengthThatEndsEarlyIsNotWhole);
     CPPUNIT_TEST(bytesThatAreNoAnswerAreAnError);
     CPPUNIT_TEST(aHeadWithoutEndIsAnError);
@@ -117,6 +120,46 @@
         CPPUNIT_ASSERT_EQUAL(std::string("part"), received.body);
     }
 
+    void anAnswerWithoutLengthThatIsResetDuringTheUploadIsNotWhole()
+    {
+        const ScriptedServer server("HTTP/1.1 200 OK\r\n\r\npart", Ending::Reset);
+        const Received received = requestFrom(server, UploadBytes);
+        CPPUNIT_ASSERT(!received.ended);
+        CPPUNIT_ASSERT(!received.failure.empty());
+        CPPUNIT_ASSERT_EQUAL(std::string("part"), received.body);
+    }
+
+    void aResetThatIsMetBeforeTheBodyIsReadIsNotForgotten()
+    {
+        const ScriptedServer server("HTTP/1.1 200 OK\r\n\r\npart", Ending::Reset);
+        const Received received = requestFrom(server, UploadBytes, Reading::Late);
+        CPPUNIT_ASSERT(!received.ended);
+        CPPUNIT_ASSERT(!received.failure.empty());
+        CPPUNIT_ASSERT_EQUAL(std::string("part"), received.body);
+    }
+
+    void earlyAnswersThatHaveEndedAreWhole()
+    {
+        const std::string length = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole";
+        const std::string chunks =
+            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n";
+        const std::string neither = "HTTP/1.1 200 OK\r\n\r\nwhole";
+        const auto check = [](const std::string &answer, Ending ending, Reading reading) {
+            const ScriptedServer server(answer, ending);
+            const Received received = requestFrom(server, UploadBytes, reading);
+            CPPUNIT_ASSERT_MESSAGE(answer + received.failure, received.ended);
+            CPPUNIT_ASSERT_EQUAL(std::string("whole"), received.body);
+        };
+        for (const Reading reading : {Reading::AtOnce, Reading::Late}) {
+            for (const std::string &answer : {length, chunks}) {
+                for (const Ending ending : {Ending::Closed, Ending::Reset, Ending::Finished})
+                    check(answer, ending, reading);
+            }
+            check(neither, Ending::FinishedThenReset, reading);
+        }
+        check(neither, Ending::Finished, Reading::AtOnce);
+    }
+
     void anAnswerWithLengthThatEndsEarlyIsNotWhole()
     {
         const ScriptedServer server("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\npart",
