Test answers with malformed fields at each reader

They are handled already: the library refuses such names, and so it does a blank before the colon, lines without name or colon, control bytes in values, and two or unreadable lengths. Callers get a retry or a 502 of our own.

A head of short fields without an end is handled too (aHeadWithoutEndIsNotReadToTheLast).

--- a/tests/unit/answer_readers_test.cpp
+++ b/tests/unit/answer_readers_test.cpp
@@ -21,6 +21,12 @@
 constexpr std::chrono::seconds MaxTestTime {5};
 constexpr std::size_t MaxFrameBytes = 1024;
 
+/// Lines that make the head of an answer that is sound otherwise a broken one.
+const std::vector<std::string> BrokenLines {"X Field: 1\r\n",
+                                            "X\x01"
+                                            "Field: 1\r\n",
+                                            "X-Field : 1\r\n"};
+
 std::string successWith(const std::string &line, const std::string &body)
 {
     return "HTTP/1.1 200 OK\r\n" + line + "\r\n" + body;
@@ -34,7 +40,10 @@
 
 std::vector<std::string> brokenAnswers(const std::string &body)
 {
-    return {answerWithoutStatus(body)};
+    std::vector<std::string> answers {answerWithoutStatus(body)};
+    for (const std::string &line : BrokenLines)
+        answers.push_back(successWith(line, body));
+    return answers;
 }
 
 /// Runs a loop until a result is there.
@@ -252,6 +261,10 @@
         const std::string switching = "HTTP/1.1 101 Switching Protocols\r\n";
         CPPUNIT_ASSERT(opensWebsocket(switching, ""));
         CPPUNIT_ASSERT(!opensWebsocket("HTTP/1.1 000 OK\r\n", ""));
+        for (const char *line : {"X Field: 1\r\n",
+                                 "X\x01"
+                                 "Field: 1\r\n"})
+            CPPUNIT_ASSERT_MESSAGE(line, !opensWebsocket(switching, line));
     }
 };
 
--- a/tests/unit/http_client_test.cpp
+++ b/tests/unit/http_client_test.cpp
@@ -98,8 +98,10 @@
     CPPUNIT_TEST(anAnswerWithLengthThatEndsEarlyIsNotWhole);
     CPPUNIT_TEST(bytesThatAreNoAnswerAreAnError);
     CPPUNIT_TEST(aHeadWithoutEndIsAnError);
+    CPPUNIT_TEST(aHeadWithoutEndIsNotReadToTheLast);
     CPPUNIT_TEST(aChunkHeaderWithoutEndIsAnError);
     CPPUNIT_TEST(statusesOutsideTheProtocolAreAnError);
+    CPPUNIT_TEST(malformedFieldsAreAnError);
     CPPUNIT_TEST(soundHeadsPass);
     CPPUNIT_TEST_SUITE_END();
 
@@ -186,6 +188,18 @@
         CPPUNIT_ASSERT_EQUAL(0, received.status);
     }
 
+    void aHeadWithoutEndIsNotReadToTheLast()
+    {
+        std::string piece;
+        while (piece.size() < PieceBytes)
+            piece += "X-Field: 1\r\n";
+        const ScriptedServer server("HTTP/1.1 200 OK\r\n", Ending::Closed, piece);
+        const Received received = requestFrom(server);
+        CPPUNIT_ASSERT(!received.failure.empty());
+        CPPUNIT_ASSERT_EQUAL(0, received.heads);
+        CPPUNIT_ASSERT(!server.floodRead());
+    }
+
     void aChunkHeaderWithoutEndIsAnError()
     {
         const ScriptedServer server("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5;x=",
@@ -206,6 +220,27 @@
             assertBroken(std::string(line) + "\r\nContent-Length: 5\r\n", "whole");
     }
 
+    void malformedFieldsAreAnError()
+    {
+        for (const std::string &field :
+             {std::string("X Field: 1"), std::string("X-Field : 1"), std::string("X-Field\t: 1"),
+              std::string("X\tField: 1"),
+              std::string("X\x01"
+                          "Field: 1"),
+              std::string("X\x7f"
+                          "Field: 1"),
+              std::string("X\0Field: 1", 10),
+              std::string("X\xe4"
+                          "Field: 1"),
+              std::string("X(Field): 1"), std::string(": 1"), std::string("X-Field"),
+              std::string("X-Field: 1\x01"), std::string("X-Field: \0", 10),
+              std::string("X-Field: 1\rX: 2"), std::string("Content-Length: 6"),
+              std::string("Content-Length: five"), std::string("Transfer-Encoding: chunked")}) {
+            assertBroken("HTTP/1.1 200 OK\r\n" + field + "\r\nContent-Length: 5\r\n", "whole");
+            assertBroken("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n" + field + "\r\n", "whole");
+        }
+    }
+
     void soundHeadsPass()
     {
         for (const int status : {200, 201, 299, 302, 404, 499, 500, 503, 599})
