Take no answer with folded lines in its head

A line that begins with a blank continues the field before it. A server that sent a blank before "Content-Length: 5" thus got a body that ends with the connection, and callers got bytes behind the answer, or the marks of chunks, as a part of a successful body.

Cause: the library unfolds such lines without a word. RFC 9112, section 5.2, forbids servers to send them, and lets a gateway unfold them or answer 502. What the server meant cannot be known, so the head is malformed now, at the same place as for other faults of heads. The parser uses whole fields, so that each use shows a folded line whole.

Evidence: on the parent HttpClientTest::foldedLinesAreAnError, five tests of AnswerReadersTest (the store, reports, orders, engine links) and three tests of real processes fail; all pass now.

--- a/src/net/response_parser.cpp
+++ b/src/net/response_parser.cpp
@@ -20,6 +20,14 @@
             "see the server's log"};
 }
 
+/// Whether a field continues on a line that begins with a blank. RFC 9112, section 5.2, allows to
+/// reject such responses; which line was meant as a field of its own can't be known.
+bool hasFoldedLine(std::string_view lines)
+{
+    return lines.find("\n ") != std::string_view::npos
+        || lines.find("\n\t") != std::string_view::npos;
+}
+
 } // namespace
 
 ResponseParser::ResponseParser(bool toHeadRequest)
@@ -45,6 +53,9 @@
         const std::size_t n = m_message->put(boost::asio::buffer(rest.data(), rest.size()), ec);
         if (ec && ec != http::error::need_more)
             return malformed(ec.message());
+        // The parser uses whole fields, so that a folded line is not split between two calls.
+        if (hasFoldedLine(rest.substr(0, n)))
+            return malformed("folded line in the head");
         used += n;
         if (!m_message->is_header_done())
             break;
--- a/tests/process/broken_answers.cpp
+++ b/tests/process/broken_answers.cpp
@@ -27,7 +27,8 @@
     {"status", {"HTTP/1.1 000 OK", "Content-Length: 5\r\n", "whole"}},
     {"refusal", {"HTTP/1.1 000 Busy", "X-Not-Run: 1\r\nContent-Length: 5\r\n", "whole"}},
     {"blank", {"HTTP/1.1 200 OK", "X Field: 1\r\nContent-Length: 5\r\n", "whole"}},
-    {"control", {"HTTP/1.1 200 OK", "X\1Field: 1\r\nContent-Length: 5\r\n", "whole"}}};
+    {"control", {"HTTP/1.1 200 OK", "X\1Field: 1\r\nContent-Length: 5\r\n", "whole"}},
+    {"fold", {"HTTP/1.1 200 OK", "X-Field: 1\r\n Content-Length: 5\r\n", "wholeand more"}}};
 
 const std::map<std::string, NamedAnswer> BrokenBodies {
     {"reset", {"HTTP/1.1 200 OK", "", "part", true}},
--- a/tests/unit/answer_readers_test.cpp
+++ b/tests/unit/answer_readers_test.cpp
@@ -25,7 +25,8 @@
 const std::vector<std::string> BrokenLines {"X Field: 1\r\n",
                                             "X\x01"
                                             "Field: 1\r\n",
-                                            "X-Field : 1\r\n"};
+                                            "X-Field : 1\r\n",
+                                            "X-Field: 1\r\n Content-Length: 2\r\n"};
 
 std::string successWith(const std::string &line, const std::string &body)
 {
--- a/tests/unit/http_client_test.cpp
+++ b/tests/unit/http_client_test.cpp
@@ -102,6 +102,7 @@
     CPPUNIT_TEST(aChunkHeaderWithoutEndIsAnError);
     CPPUNIT_TEST(statusesOutsideTheProtocolAreAnError);
     CPPUNIT_TEST(malformedFieldsAreAnError);
+    CPPUNIT_TEST(foldedLinesAreAnError);
     CPPUNIT_TEST(soundHeadsPass);
     CPPUNIT_TEST_SUITE_END();
 
@@ -241,6 +242,17 @@
         }
     }
 
+    void foldedLinesAreAnError()
+    {
+        // The continuation of a field hides a field behind a blank in the body's framing.
+        assertBroken("HTTP/1.1 200 OK\r\nX-Field: 1\r\n Content-Length: 5\r\n", "wholeand more");
+        assertBroken("HTTP/1.1 200 OK\r\nX-Field: 1\r\n\tTransfer-Encoding: chunked\r\n",
+                     "5\r\nwhole\r\n0\r\n\r\n");
+        assertBroken("HTTP/1.1 200 OK\r\nContent-Length:\r\n 5\r\n", "whole");
+        assertBroken("HTTP/1.1 200 OK\r\n Content-Length: 5\r\n", "whole");
+        assertBroken("HTTP/1.1 200 OK\r\nContent-Length: 5\r\nX-Field: 1\r\n \r\n", "whole");
+    }
+
     void soundHeadsPass()
     {
         for (const int status : {200, 201, 299, 302, 404, 499, 500, 503, 599})
