Take no answer with a transfer coding that we cannot undo

Callers got a success whose body was not the server's: with "Transfer-Encoding: gzip", "gzip, chunked", "chunked, gzip" or "chunked, chunked" the body was passed on still coded, and the field that names the coding was taken off, as it is about one connection.

Cause: only a last "chunked" was undone. Requests name no other coding, so that no server may use one (RFC 9112, section 7.4); a head with any other list is malformed now. An empty list is none.

--- a/src/net/response_parser.cpp
+++ b/src/net/response_parser.cpp
@@ -1,6 +1,7 @@
 #include "net/response_parser.h"
 
 #include "net/http_status.h"
+#include "net/http_text.h"
 
 #include <boost/asio/buffer.hpp>
 
@@ -28,6 +29,24 @@
         || lines.find("\n\t") != std::string_view::npos;
 }
 
+/// Whether the body is sent with no other transfer coding than chunks. Requests ask for none, and
+/// this client could not remove one.
+bool hasKnownTransferCoding(const http::fields &fields)
+{
+    int codings = 0;
+    const auto [begin, end] = fields.equal_range(http::field::transfer_encoding);
+    for (auto it = begin; it != end; ++it) {
+        const http::opt_token_list list(it->value());
+        if (!http::validate_list(list))
+            return false;
+        for (const auto &coding : list) {
+            if (++codings > 1 || !equalsIgnoringCase({coding.data(), coding.size()}, "chunked"))
+                return false;
+        }
+    }
+    return true;
+}
+
 } // namespace
 
 ResponseParser::ResponseParser(bool toHeadRequest)
@@ -70,6 +89,8 @@
     const int code = status();
     if (code < StatusContinue || code > MaxStatus)
         return malformed("invalid status code " + std::to_string(code));
+    if (!hasKnownTransferCoding(m_message->get()))
+        return malformed("unknown transfer coding");
     m_headRead = true;
     return BOOST_OUTCOME_V2_NAMESPACE::success();
 }
--- a/tests/process/broken_answers.cpp
+++ b/tests/process/broken_answers.cpp
@@ -28,7 +28,9 @@
     {"refusal", {"HTTP/1.1 000 Busy", "X-Not-Run: 1\r\nContent-Length: 5\r\n", "whole"}},
     {"blank", {"HTTP/1.1 200 OK", "X Field: 1\r\nContent-Length: 5\r\n", "whole"}},
     {"control", {"HTTP/1.1 200 OK", "X\1Field: 1\r\nContent-Length: 5\r\n", "whole"}},
-    {"fold", {"HTTP/1.1 200 OK", "X-Field: 1\r\n Content-Length: 5\r\n", "wholeand more"}}};
+    {"fold", {"HTTP/1.1 200 OK", "X-Field: 1\r\n Content-Length: 5\r\n", "wholeand more"}},
+    {"coding",
+     {"HTTP/1.1 200 OK", "Transfer-Encoding: gzip, chunked\r\n", "2\r\nxx\r\n0\r\n\r\n"}}};
 
 const std::map<std::string, NamedAnswer> BrokenBodies {
     {"reset", {"HTTP/1.1 200 OK", "", "part", true}},
--- a/tests/unit/answer_readers_test.cpp
+++ b/tests/unit/answer_readers_test.cpp
@@ -22,11 +22,11 @@
 constexpr std::size_t MaxFrameBytes = 1024;
 
 /// Lines that make the head of an answer that is sound otherwise a broken one.
-const std::vector<std::string> BrokenLines {"X Field: 1\r\n",
-                                            "X\x01"
-                                            "Field: 1\r\n",
-                                            "X-Field : 1\r\n",
-                                            "X-Field: 1\r\n Content-Length: 2\r\n"};
+const std::vector<std::string> BrokenLines {
+    "X Field: 1\r\n",
+    "X\x01"
+    "Field: 1\r\n",
+    "X-Field : 1\r\n", "X-Field: 1\r\n Content-Length: 2\r\n", "Transfer-Encoding: gzip\r\n"};
 
 std::string successWith(const std::string &line, const std::string &body)
 {
--- a/tests/unit/http_client_test.cpp
+++ b/tests/unit/http_client_test.cpp
@@ -103,6 +103,7 @@
     CPPUNIT_TEST(statusesOutsideTheProtocolAreAnError);
     CPPUNIT_TEST(malformedFieldsAreAnError);
     CPPUNIT_TEST(foldedLinesAreAnError);
+    CPPUNIT_TEST(unknownTransferCodingsAreAnError);
     CPPUNIT_TEST(soundHeadsPass);
     CPPUNIT_TEST_SUITE_END();
 
@@ -253,6 +254,16 @@
         assertBroken("HTTP/1.1 200 OK\r\nContent-Length: 5\r\nX-Field: 1\r\n \r\n", "whole");
     }
 
+    void unknownTransferCodingsAreAnError()
+    {
+        const std::string chunks = "5\r\nwhole\r\n0\r\n\r\n";
+        for (const char *codings :
+             {"gzip", "gzip, chunked", "chunked, gzip", "chunked, chunked", "xchunked",
+              "chunked;x=1, gzip", "gzip\r\nTransfer-Encoding: chunked"})
+            assertBroken("HTTP/1.1 200 OK\r\nTransfer-Encoding: " + std::string(codings) + "\r\n",
+                         chunks);
+    }
+
     void soundHeadsPass()
     {
         for (const int status : {200, 201, 299, 302, 404, 499, 500, 503, 599})
