Read on after interim responses

Callers got an interim response (1xx) as the last thing that the host sent, and never an answer. It was counted as complete, a safe request was not repeated, and an answer that the server sent after it was dropped.

ResponseParser now skips interim responses until the final one. They are not passed on to callers, which a gateway need not do. A connection that ends before the final response is a lost answer, and so is a head that is longer than 64 KB together with the interim responses before it, as these may come without end. 101 is malformed: no request asks for another protocol.

--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -14,7 +14,7 @@
 public:
     virtual ~HttpClientEvents() = default;
     virtual void onConnected() { }
-    /// The status is from 100 to 599.
+    /// The head of the final response, with a status from 200 to 599.
     virtual void onHead(int status, std::span<const HttpField> fields) = 0;
     virtual void onBody(std::string_view part) = 0;
     virtual void onEnd() = 0;
--- a/src/net/http_status.h
+++ b/src/net/http_status.h
@@ -4,6 +4,7 @@
 
 /// The first valid status.
 inline constexpr int StatusContinue = 100;
+inline constexpr int StatusSwitchingProtocols = 101;
 inline constexpr int StatusOk = 200;
 inline constexpr int StatusBadRequest = 400;
 inline constexpr int StatusUnauthorized = 401;
--- a/src/net/response_parser.cpp
+++ b/src/net/response_parser.cpp
@@ -76,6 +76,9 @@
         if (hasFoldedLine(rest.substr(0, n)))
             return malformed("folded line in the head");
         used += n;
+        m_headBytes += n;
+        if (m_headBytes > MaxHeadBytes)
+            return malformed("too long head");
         if (!m_message->is_header_done())
             break;
         if (const Result<void> accepted = acceptHead(); !accepted)
@@ -89,9 +92,15 @@
     const int code = status();
     if (code < StatusContinue || code > MaxStatus)
         return malformed("invalid status code " + std::to_string(code));
+    if (code == StatusSwitchingProtocols)
+        return malformed("switch to a protocol that was not asked for");
     if (!hasKnownTransferCoding(m_message->get()))
         return malformed("unknown transfer coding");
-    m_headRead = true;
+    if (code >= StatusOk) {
+        m_headRead = true;
+        return BOOST_OUTCOME_V2_NAMESPACE::success();
+    }
+    beginMessage();
     return BOOST_OUTCOME_V2_NAMESPACE::success();
 }
 
--- a/src/net/response_parser.h
+++ b/src/net/response_parser.h
@@ -11,13 +11,13 @@
 
 namespace dogwoodvalve {
 
-/// Parses the bytes of one response to a request, in the order in which they arrive. Heads
-/// that no server may send by RFC 9112 are errors: of a response whose head is broken, neither the
-/// fields nor the end can be trusted.
+/// Parses the bytes of one response to a request, in the order in which they arrive. Interim (1xx)
+/// responses before it are skipped. Heads that no server may send by RFC 9112 are errors: of a
+/// response whose head is broken, neither the fields nor the end can be trusted.
 class ResponseParser
 {
 public:
-    /// Size in bytes up to which the head is read.
+    /// Size in bytes up to which the head is read, with those of interim responses.
     static constexpr std::size_t MaxHeadBytes = 64 * 1024;
 
     using Message = boost::beast::http::response_parser<boost::beast::http::buffer_body>;
@@ -31,7 +31,7 @@
     Result<std::size_t> parseHead(std::string_view bytes);
     bool headRead() const { return m_headRead; }
 
-    /// The status of the response, 100 to 599. Only after the head was read.
+    /// The status of the response, 200 to 599. Only after the head was read.
     int status() const { return static_cast<int>(m_message->get().result_int()); }
     std::vector<HttpField> fields() const;
     /// Whether the body has neither a length nor chunks and ends with the connection.
@@ -42,12 +42,14 @@
 
 private:
     void beginMessage();
-    /// Decides whether the head that was just parsed is that of a response.
+    /// Decides whether the head that was just parsed is that of an interim response, of the
+    /// response, or of neither.
     Result<void> acceptHead();
 
     std::optional<Message> m_message;
     bool m_toHeadRequest;
     bool m_headRead = false;
+    std::size_t m_headBytes = 0;
 };
 
 } // namespace dogwoodvalve
--- a/tests/process/broken_answers.cpp
+++ b/tests/process/broken_answers.cpp
@@ -29,8 +29,8 @@
     {"blank", {"HTTP/1.1 200 OK", "X Field: 1\r\nContent-Length: 5\r\n", "whole"}},
     {"control", {"HTTP/1.1 200 OK", "X\1Field: 1\r\nContent-Length: 5\r\n", "whole"}},
     {"fold", {"HTTP/1.1 200 OK", "X-Field: 1\r\n Content-Length: 5\r\n", "wholeand more"}},
-    {"coding",
-     {"HTTP/1.1 200 OK", "Transfer-Encoding: gzip, chunked\r\n", "2\r\nxx\r\n0\r\n\r\n"}}};
+    {"coding", {"HTTP/1.1 200 OK", "Transfer-Encoding: gzip, chunked\r\n", "2\r\nxx\r\n0\r\n\r\n"}},
+    {"interim", {"HTTP/1.1 102 Processing", "", ""}}};
 
 const std::map<std::string, NamedAnswer> BrokenBodies {
     {"reset", {"HTTP/1.1 200 OK", "", "part", true}},
--- a/tests/unit/http_client_test.cpp
+++ b/tests/unit/http_client_test.cpp
@@ -104,6 +104,8 @@
     CPPUNIT_TEST(malformedFieldsAreAnError);
     CPPUNIT_TEST(foldedLinesAreAnError);
     CPPUNIT_TEST(unknownTransferCodingsAreAnError);
+    CPPUNIT_TEST(interimResponsesAreFollowedByTheAnswer);
+    CPPUNIT_TEST(interimResponsesWithoutAnAnswerAreAnError);
     CPPUNIT_TEST(soundHeadsPass);
     CPPUNIT_TEST_SUITE_END();
 
@@ -218,6 +220,8 @@
             assertBroken("HTTP/1.1 " + std::string(status)
                              + " Trouble\r\nX-Server-Stamp: s\r\nContent-Length: 5\r\n",
                          "whole");
+        // No request asks for another protocol.
+        assertBroken("HTTP/1.1 101 Switching Protocols\r\n", "whole");
         for (const char *line : {"HTTP/1.1 20 OK", "HTTP/1.1 2000 OK", "HTTP/1.1 2x0 OK"})
             assertBroken(std::string(line) + "\r\nContent-Length: 5\r\n", "whole");
     }
@@ -264,6 +268,33 @@
                          chunks);
     }
 
+    void interimResponsesAreFollowedByTheAnswer()
+    {
+        const std::string interim = "HTTP/1.1 102 Processing\r\nX-Field: 1\r\n\r\n";
+        const ScriptedServer server(
+            "HTTP/1.1 100 Continue\r\n\r\n" + interim + interim
+                + "HTTP/1.1 200 OK\r\nX-Final: 1\r\nContent-Length: 5\r\n\r\nwhole",
+            Ending::Closed);
+        const Received received = requestFrom(server);
+        CPPUNIT_ASSERT_MESSAGE(received.failure, received.ended);
+        CPPUNIT_ASSERT_EQUAL(1, received.heads);
+        CPPUNIT_ASSERT_EQUAL(200, received.status);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), received.fields.size());
+        CPPUNIT_ASSERT_EQUAL(std::string("whole"), received.body);
+    }
+
+    void interimResponsesWithoutAnAnswerAreAnError()
+    {
+        const std::string interim = "HTTP/1.1 102 Processing\r\n\r\n";
+        for (const std::string &piece : {std::string(), interim}) {
+            const ScriptedServer server(interim, Ending::Closed, piece);
+            const Received received = requestFrom(server);
+            CPPUNIT_ASSERT_EQUAL(0, received.heads);
+            CPPUNIT_ASSERT(!received.ended && !received.failure.empty());
+            CPPUNIT_ASSERT(piece.empty() || !server.floodRead());
+        }
+    }
+
     void soundHeadsPass()
     {
         for (const int status : {200, 201, 299, 302, 404, 499, 500, 503, 599})
