Read the platform's and hosts' answers with the one client

The entry role calls the platform, and the command line hosts, with sendBlockingRequest, which read answers with cxxtools 3.0.0. It accepted the statuses 000, 20, 600 and 2000, an interim response as the answer, a body in chunks that was cut before its last chunk, two different lengths, an unreadable length, folded lines and unknown transfer codings; of a sound answer without a length it read no body. An append that was answered with 000 counted as refused though it may have taken effect.

Cause: a second parser with rules of its own. It reports nothing of what it has let pass, so checks behind it would not do. The blocking client now runs HttpClientRequest on a loop of its own: one reader for all answers but those of websockets.

Evidence: on the parent AnswerReadersTest::theBlockingClientFails and theBlockingClientReadsSoundAnswers fail; both pass now, and the tests of entry hosts as real processes, which use this client throughout, pass.

--- a/src/net/blocking_http_client.cpp
+++ b/src/net/blocking_http_client.cpp
@@ -1,21 +1,29 @@
 #include "net/blocking_http_client.h"
 
+#include "net/asio_loop_services.h"
+#include "net/buffered_request.h"
 #include "net/endpoint.h"
 
-#include <cxxtools/http/client.h>
-#include <cxxtools/http/request.h>
+#include <boost/asio/io_context.hpp>
 
-#include <string_view>
+#include <optional>
 
 namespace dogwoodvalve {
 
 namespace {
 
-/// Whether connecting failed. cxxtools 3.0 has no separate exception type for this, so the message
-/// is checked.
-bool isConnectFailure(const std::exception &e)
+HttpRequestHead headOf(const BlockingHttpRequest &request)
 {
-    return std::string_view(e.what()).find("trying to connect") != std::string_view::npos;
+    HttpRequestHead head;
+    head.method = request.method;
+    head.target = request.path;
+    if (!request.query.empty())
+        head.target += '?' + request.query;
+    if (!request.bearerToken.empty())
+        head.fields.push_back({"Authorization", "Bearer " + request.bearerToken});
+    if (!request.body.empty())
+        head.fields.push_back({"Content-Type", "application/json"});
+    return head;
 }
 
 } // namespace
@@ -26,31 +34,23 @@
     const auto endpoint = parseEndpoint(address);
     if (!endpoint)
         return endpoint.error();
-    const auto failed = [&](ErrorKind kind, const std::exception &e) {
-        return Error {kind, "request to " + std::string(address) + " failed: " + e.what(),
+    boost::asio::io_context loop(1);
+    AsioLoopServices services(loop);
+    const auto client = services.createHttpClient();
+    std::optional<Result<HttpResponse>> result;
+    bool sent = false;
+    sendBufferedRequest(services.timers(), client, endpoint.value(), headOf(request), request.body,
+                        request.timeout, [&](Result<HttpResponse> response) {
+                            sent = client->anyByteSent();
+                            result = std::move(response);
+                            loop.stop();
+                        });
+    loop.run();
+    if (!*result)
+        return Error {sent ? ErrorKind::Timeout : ErrorKind::Unavailable,
+                      "request to " + std::string(address) + " failed: " + result->error().message,
                       "check that the process at this address runs"};
-    };
-    const cxxtools::Milliseconds timeout(
-        static_cast<double>(std::chrono::ceil<std::chrono::milliseconds>(request.timeout).count()));
-    cxxtools::http::Client client(endpoint.value().address().to_string(), endpoint.value().port());
-    try {
-        cxxtools::http::Request outgoing(request.path);
-        outgoing.method(request.method);
-        outgoing.qparams(request.query);
-        outgoing.setHeader("Connection", "close");
-        if (!request.bearerToken.empty())
-            outgoing.setHeader("Authorization", ("Bearer " + request.bearerToken).c_str());
-        if (!request.body.empty()) {
-            outgoing.setHeader("Content-Type", "application/json");
-            outgoing.body() << request.body;
-        }
-        const auto &header = client.execute(outgoing, timeout, timeout);
-        const int status = static_cast<int>(header.httpReturnCode());
-        client.readBody();
-        return BlockingHttpResponse {status, client.body()};
-    } catch (const std::exception &e) {
-        return failed(isConnectFailure(e) ? ErrorKind::Unavailable : ErrorKind::Timeout, e);
-    }
+    return BlockingHttpResponse {result->value().status, std::move(result->value().body)};
 }
 
 } // namespace dogwoodvalve
--- a/tests/unit/answer_readers_test.cpp
+++ b/tests/unit/answer_readers_test.cpp
@@ -1,5 +1,6 @@
 #include "daemon/engine_link.h"
 #include "net/asio_loop_services.h"
+#include "net/blocking_http_client.h"
 #include "net/listening_check.h"
 #include "net/websocket_transport.h"
 #include "platform/http_engine_control.h"
@@ -115,7 +116,8 @@
 
 } // namespace
 
-/// Broken answers, read by each part that sends requests.
+/// Broken answers, read by each part that sends requests. All but the
+/// websockets read with HttpClientRequest.
 class AnswerReadersTest : public CppUnit::TestFixture
 {
     CPPUNIT_TEST_SUITE(AnswerReadersTest);
@@ -125,6 +127,8 @@
     CPPUNIT_TEST(anOrderMayBeginBehindABrokenAnswer);
     CPPUNIT_TEST(engineLinksDoNotOpen);
     CPPUNIT_TEST(theListeningCheckReadsNoAnswer);
+    CPPUNIT_TEST(theBlockingClientFails);
+    CPPUNIT_TEST(theBlockingClientReadsSoundAnswers);
     CPPUNIT_TEST(peerLinksDoNotOpen);
     CPPUNIT_TEST_SUITE_END();
 
@@ -243,6 +247,38 @@
         }
     }
 
+    static Result<BlockingHttpResponse> ask(const std::string &answer, Ending ending)
+    {
+        const ScriptedServer server(answer, ending);
+        BlockingHttpRequest request;
+        request.path = "/log/changes";
+        return sendBlockingRequest(server.address(), request);
+    }
+
+    void theBlockingClientFails()
+    {
+        for (const std::string &answer : brokenAnswers("{}")) {
+            const auto reply = ask(answer, Ending::Closed);
+            CPPUNIT_ASSERT_MESSAGE(answer, !reply);
+            CPPUNIT_ASSERT_EQUAL(ErrorKind::Timeout, reply.error().kind);
+        }
+        CPPUNIT_ASSERT(!ask("HTTP/1.1 200 OK\r\n\r\n{}", Ending::Reset));
+        CPPUNIT_ASSERT(!ask("HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n{}", Ending::Closed));
+        CPPUNIT_ASSERT(!ask("HTTP/1.1 102 Processing\r\n\r\n", Ending::Closed));
+    }
+
+    void theBlockingClientReadsSoundAnswers()
+    {
+        for (const std::string &answer :
+             {successWith("", "{}"), successWith("Content-Length: 2\r\n", "{}"),
+              successWith("Transfer-Encoding: chunked\r\n", "2\r\n{}\r\n0\r\n\r\n")}) {
+            const auto reply = ask(answer, Ending::Closed);
+            CPPUNIT_ASSERT_MESSAGE(answer, reply);
+            CPPUNIT_ASSERT_EQUAL(200, reply.value().status);
+            CPPUNIT_ASSERT_EQUAL(std::string("{}"), reply.value().body);
+        }
+    }
+
     static bool opensWebsocket(const std::string &statusLine, const std::string &line)
     {
         const ScriptedServer server(
