Read the size of the machine from the settings

A process can't keep within the memory and descriptors of its machine without knowing them. New settings memoryMb and descriptors, of a gateway and within the limits of an entry host; without them the operating system is asked.

--- a/src/daemon/settings.cpp
+++ b/src/daemon/settings.cpp
@@ -74,6 +74,7 @@
     http.maxBodyBytes = bytes("bodyBytes", http.maxBodyBytes, 1LL << 32);
     http.maxConnections = static_cast<std::size_t>(
         part.integer("connections", static_cast<std::int64_t>(http.maxConnections), 1, 1'000'000));
+    settings.machine = readMachineSize(part);
     http.headerTimeout = readMillis(part, "headerTimeoutMs", http.headerTimeout);
     http.idleTimeout = readMillis(part, "idleTimeoutMs", http.idleTimeout);
     http.stallTimeout = readMillis(part, "stallTimeoutMs", http.stallTimeout);
--- a/src/daemon/settings.h
+++ b/src/daemon/settings.h
@@ -3,6 +3,7 @@
 #include "codec/frame_authenticator.h"
 #include "daemon/log.h"
 #include "net/http_server.h"
+#include "net/machine_size.h"
 
 #include <dogwoodvalve/key_ledger.h>
 #include <dogwoodvalve/timer_service.h>
@@ -36,6 +37,8 @@
     /// How queues are ordered: weighted-fair or priority.
     std::string queue = "weighted-fair";
     HttpServerLimits http;
+    /// Members that are zero are asked of the operating system.
+    MachineSize machine;
     /// Longest time that a request waits for a free server.
     Duration queueTimeout = 5s;
     /// Longest time that a request may run.
--- a/src/daemon/settings_fields.cpp
+++ b/src/daemon/settings_fields.cpp
@@ -7,6 +7,10 @@
 namespace {
 
 constexpr std::int64_t MaxMillis = 24LL * 3600 * 1000;
+constexpr std::int64_t MinMemoryMb = 32;
+constexpr std::int64_t MaxMemoryMb = 1LL << 24;
+constexpr std::int64_t MinDescriptors = 100;
+constexpr std::int64_t MaxDescriptors = 1LL << 30;
 
 } // namespace
 
@@ -30,6 +34,14 @@
     return std::chrono::milliseconds(millis);
 }
 
+MachineSize readMachineSize(ObjectReader &reader)
+{
+    const std::int64_t memoryMb = reader.integer("memoryMb", 0, MinMemoryMb, MaxMemoryMb);
+    const std::int64_t descriptors =
+        reader.integer("descriptors", 0, MinDescriptors, MaxDescriptors);
+    return {static_cast<std::size_t>(memoryMb) << 20, static_cast<std::size_t>(descriptors)};
+}
+
 std::string readAddress(ObjectReader &reader, std::string_view key)
 {
     std::string address = reader.requiredText(key);
--- a/src/gateway/gateway_settings.cpp
+++ b/src/gateway/gateway_settings.cpp
@@ -51,6 +51,7 @@
     settings.serverDrain = readMillis(reader, "serverDrainMs", settings.serverDrain);
     settings.lookupTimeToLive = readMillis(reader, "lookupTimeToLiveMs", settings.lookupTimeToLive);
     settings.linkMbps = reader.number("linkMbps", settings.linkMbps, 0, MaxLinkMbps);
+    settings.machine = readMachineSize(reader);
     readRetries(reader, settings.retries);
     const Result<LogLevel> level = logLevelFromString(reader.text("logLevel", "info"));
     if (level)
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "daemon/log.h"
-#include "net/http_server.h"
+#include "net/machine_size.h"
 
 #include <dogwoodvalve/shared_retry_budget.h>
 
@@ -35,6 +35,8 @@
     Duration lookupTimeToLive = 2s;
     /// Bandwidth of the host's link in Mbit/s; 0 if unknown. Hosts with fast links relay digests.
     double linkMbps = 0;
+    /// Members that are zero are asked of the operating system.
+    MachineSize machine;
     RetryAllowance retries;
     LogLevel logLevel = LogLevel::Info;
     /// Most lines a second of the decision log; 0 for no limit.
--- a/tests/unit/gateway_settings_test.cpp
+++ b/tests/unit/gateway_settings_test.cpp
@@ -23,7 +23,8 @@
             m_minimalSettings
                 + "region: r\ngraceS: 7.5\nkeyRevocationMs: 4000\nserverDrainMs: 3000\n"
                   "lookupTimeToLiveMs: 1500\nretries: {windowS: 5, ratio: 0.1, slack: 12}\n"
-                  "linkMbps: 200\nlogLevel: warning\ndecisionLogRate: 9\n",
+                  "linkMbps: 200\nmemoryMb: 64\ndescriptors: 300\nlogLevel: "
+                  "warning\ndecisionLogRate: 9\n",
             "file");
         CPPUNIT_ASSERT_MESSAGE(settings ? "" : settings.error().describe(), settings.has_value());
         const GatewaySettings &it = settings.value();
@@ -31,6 +32,7 @@
         CPPUNIT_ASSERT(it.retries.window == 5s && it.retries.ratio == 0.1);
         CPPUNIT_ASSERT(it.lookupTimeToLive == 1500ms && it.decisionLogRate == 9);
         CPPUNIT_ASSERT_EQUAL(200.0, it.linkMbps);
+        CPPUNIT_ASSERT((it.machine == MachineSize {64U << 20, 300}));
         CPPUNIT_ASSERT_EQUAL(std::string("127.0.0.1:6"), it.store);
     }
 
@@ -47,6 +49,8 @@
         expect(m_minimalSettings + "graceS: soon\n", "file:9");
         expect(m_minimalSettings + "logLevel: loud\n", "use debug, info");
         expect(m_minimalSettings + "retries: {ratio: -1}\n", "ratio");
+        expect(m_minimalSettings + "memoryMb: 31\n", "memoryMb");
+        expect(m_minimalSettings + "descriptors: 99\n", "descriptors");
     }
 };
 
