--- a/tests/process/broken_answers.cpp
+++ b/tests/process/broken_answers.cpp
@@ -2,10 +2,10 @@
 
 #include "net/endpoint.h"
 
-#include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 #include <sys/socket.h>
 
+#include <array>
 #include <map>
 
 namespace dogwoodvalve::process {
@@ -96,8 +96,12 @@
     const std::string request = head + "Connection: close\r\nContent-Length: "
         + std::to_string(uploadBytes) + "\r\n\r\n" + std::string(uploadBytes, 'u');
     boost::asio::write(socket, boost::asio::buffer(request), ec);
+    // Asio would wait on after the timeout.
     std::string answer;
-    boost::asio::read(socket, boost::asio::dynamic_buffer(answer), ec);
+    std::array<char, 64 * 1024> part;
+    ssize_t n = 0;
+    while ((n = ::recv(socket.native_handle(), part.data(), part.size(), 0)) > 0)
+        answer.append(part.data(), static_cast<std::size_t>(n));
     return answer;
 }
 
--- a/tests/process/broken_answers_test.cpp
+++ b/tests/process/broken_answers_test.cpp
@@ -1,78 +1,41 @@
-#include "net/asio_loop_services.h"
-#include "net/endpoint.h"
-#include "path_fleet.h"
 #include "process/broken_answers.h"
-#include "process/gateway_hosts.h"
+#include "process/relayed_host.h"
 
-#include <boost/asio/executor_work_guard.hpp>
 #include <cppunit/extensions/HelperMacros.h>
 
-#include <filesystem>
 #include <map>
 #include <mutex>
-#include <thread>
 
 using namespace dogwoodvalve;
 using namespace dogwoodvalve::process;
 
 namespace {
 
-constexpr int FirstPort = 26'400;
-constexpr int Engines = 6;
-constexpr int Servers = Engines + testtool::PathFleet::Services;
-/// Servers are registered under the ports of the relays before them.
-constexpr int RelayShift = 10;
-constexpr int HostShift = 20;
-/// Offset of a host's peer port.
-constexpr int PeerPort = 3;
-
-std::string at(int offset)
-{
-    return "127.0.0.1:" + std::to_string(FirstPort + offset);
-}
-
-/// One gateway host as a real process, and a relay before each server that gives named answers:
-/// to each request with an id like "blank.always.1", or only to the first one with "blank.once.1".
+/// A gateway host, and servers that give named answers: to each request with an id like
+/// "blank.always.1", or only to the first one with "blank.once.1".
 class BrokenServers
 {
 public:
     BrokenServers()
-        : m_folder(std::filesystem::temp_directory_path()
-                   / ("dogwoodvalve-broken-" + std::to_string(::getpid())))
-        , m_services(m_loop)
-        , m_platform(m_loop, m_services.timers(), Engines, RelayShift)
-        , m_hosts(m_folder, FirstPort + HostShift, {at(0)})
-    {
-        std::filesystem::create_directories(m_folder);
-        m_platform.listen(parseEndpoint(at(0)).value()).value();
-        for (int i = 1; i <= Servers; ++i) {
-            m_relays.push_back(
-                std::make_unique<testtool::Relay>(m_loop, parseEndpoint(at(i)).value()));
-            m_relays.back()->listen(parseEndpoint(at(i + RelayShift)).value()).value();
-            m_relays.back()->setAnswerer([this](std::string_view head) { return answerTo(head); });
-        }
-        m_hosts.start(0, "retries: {windowS: 5, ratio: 1, slack: 400}\n");
-        m_thread = std::thread([this] { m_loop.run(); });
-    }
-    ~BrokenServers()
-    {
-        m_hosts.endAll();
-        m_loop.stop();
-        m_thread.join();
-        std::filesystem::remove_all(m_folder);
-    }
-
-    BrokenServers(const BrokenServers &) = delete;
-    BrokenServers &operator=(const BrokenServers &) = delete;
+        : m_host(
+            "broken", 26'400, [this](std::string_view head) { return answerTo(head); },
+            "retries: {windowS: 5, ratio: 1, slack: 400}\n")
+    { }
 
     /// Sends a request to the host and returns all bytes of the answer.
-    static std::string ask(const std::string &target, const std::string &id,
-                           std::size_t uploadBytes = 0, int port = 0)
+    std::string ask(const std::string &target, const std::string &id,
+                    std::size_t uploadBytes = 0) const
+    {
+        return rawAnswer(m_host.front(),
+                         platformRequest(uploadBytes > 0 ? "POST" : "GET", target, id),
+                         uploadBytes);
+    }
+    /// The same as another host that has the request forwarded.
+    std::string askAsPeer(const std::string &target, const std::string &id,
+                          std::size_t uploadBytes = 0) const
     {
-        return rawAnswer(at(HostShift + port),
-                         (uploadBytes > 0 ? "POST " : "GET ") + target
-                             + " HTTP/1.1\r\nHost: demo\r\nApi-Key: demo-key\r\nX-Request-Id: " + id
-                             + "\r\nX-Token-Usage: 100,60\r\n",
+        return rawAnswer(m_host.peer(),
+                         platformRequest(uploadBytes > 0 ? "POST" : "GET", target, id),
                          uploadBytes);
     }
 
@@ -84,23 +47,13 @@
     }
 
     /// Sends sound requests until the host uses the servers again.
-    static void recover()
+    void recover() const
     {
-        awaitServed("/generate/", 2);
-        awaitServed("/read/", 10);
+        m_host.awaitServed("/generate/", 2);
+        m_host.awaitServed("/read/", 10);
     }
 
 private:
-    /// Waits until so many requests in a row were served.
-    static void awaitServed(const std::string &target, int times)
-    {
-        int served = 0;
-        Fleet::eventually("the servers are used again", [&target, &served, times] {
-            served = startsWith(ask(target, "sound"), "HTTP/1.1 200 ") ? served + 1 : 0;
-            return served == times;
-        });
-    }
-
     std::optional<testtool::RelayAnswer> answerTo(std::string_view head)
     {
         const std::string id = fieldIn(head, "X-Request-Id");
@@ -111,17 +64,9 @@
         return namedAnswer(id);
     }
 
-    std::string m_folder;
-    boost::asio::io_context m_loop {1};
-    boost::asio::executor_work_guard<boost::asio::io_context::executor_type> m_work {
-        m_loop.get_executor()};
-    AsioLoopServices m_services;
-    testtool::PathFleet m_platform;
-    std::vector<std::unique_ptr<testtool::Relay>> m_relays;
-    GatewayHosts m_hosts;
     std::mutex m_mutex;
     std::map<std::string, int> m_arrivals;
-    std::thread m_thread;
+    RelayedHost m_host;
 };
 
 /// A failure of the host's own that says nothing more than the host knows.
@@ -207,15 +152,15 @@
         BrokenServers servers;
         servers.recover();
         const std::string target = "/forward/service-1/0/read/x";
-        const std::string sound = servers.ask(target, "sound", 0, PeerPort);
+        const std::string sound = servers.askAsPeer(target, "sound");
         CPPUNIT_ASSERT_MESSAGE(sound, contains(sound, "Forward-Outcome: answered"));
         for (const std::string &form : brokenHeads()) {
-            const std::string lost = servers.ask(target, form + ".always.1", 0, PeerPort);
+            const std::string lost = servers.askAsPeer(target, form + ".always.1");
             CPPUNIT_ASSERT_MESSAGE(lost, startsWith(lost, "HTTP/1.1 502 "));
             CPPUNIT_ASSERT_MESSAGE(lost, contains(lost, "Forward-Outcome: lost"));
             CPPUNIT_ASSERT_MESSAGE(lost, !contains(lost, "X-Server-Stamp"));
         }
-        const std::string cut = servers.ask(target, "reset.always.1", UploadBytes, PeerPort);
+        const std::string cut = servers.askAsPeer(target, "reset.always.1", UploadBytes);
         CPPUNIT_ASSERT_MESSAGE(cut, contains(cut, "part") && !contains(cut, LastChunk));
     }
 };
--- a/tests/process/fleet.cpp
+++ b/tests/process/fleet.cpp
@@ -203,7 +203,8 @@
         << "\nseeds: [" << address(17000) << ", " << address(17001) << "]"
         << "\noperatorToken: " << OperatorToken
         << "\npeerSecrets: [{id: 1, secret: 0123456789abcdef}]"
-        << "\nlog: {file: " << m_folder << '/' << entryName(i) << ".log}\n";
+        << "\nlimits: {" << entryLimits << "}\nlog: {file: " << m_folder << '/' << entryName(i)
+        << ".log}\n";
     return path;
 }
 
--- a/tests/process/fleet.h
+++ b/tests/process/fleet.h
@@ -114,6 +114,8 @@
     int engineBatch = 16;
     /// Puts the relay between the entry hosts and engine 1-0.
     bool relayed = false;
+    /// Members of the entry hosts' `limits`, in YAML.
+    std::string entryLimits;
 
 private:
     std::string address(int port) const;
--- a/tests/process/gateway_hosts.h
+++ b/tests/process/gateway_hosts.h
@@ -29,6 +29,7 @@
     std::string front(int i) const { return at(i, 0); }
     std::string lookup(int i) const { return at(i, 1); }
     std::string readiness(int i) const { return at(i, 2); }
+    std::string peer(int i) const { return at(i, 3); }
     std::string metrics(int i) const { return at(i, 4); }
 
 private:
