Bound what the parser leaves of a request

Callers that send trailers, a chunk's size or its extension without end made a process hold all of it (153 MB of eight clients with 16 MB each, 172 MB at an entry host). The parser leaves what it can't use yet in the read buffer of the connection, which had no upper size, unlike that of a response. It now has that of the longest head and one read more; what does not fit is refused.

--- a/src/net/http_connection.h
+++ b/src/net/http_connection.h
@@ -44,6 +44,7 @@
         , m_handler(handler)
         , m_limits(limits)
         , m_counters(std::move(counters))
+        , m_buffer(limits.maxHeaderBytes + ReadBufferBytes)
     {
         m_buffer.reserve(ReadBufferBytes);
         ++m_counters->connections;
