--- a/src/net/blocking_http_client.cpp
+++ b/src/net/blocking_http_client.cpp
@@ -5,6 +5,7 @@
 #include "net/endpoint.h"
 
 #include <boost/asio/io_context.hpp>
+#include <boost/system/system_error.hpp>
 
 #include <optional>
 
@@ -30,7 +31,7 @@
 
 Result<BlockingHttpResponse> sendBlockingRequest(std::string_view address,
                                                  const BlockingHttpRequest &request)
-{
+try {
     const auto endpoint = parseEndpoint(address);
     if (!endpoint)
         return endpoint.error();
@@ -51,6 +52,10 @@
                       "request to " + std::string(address) + " failed: " + result->error().message,
                       "check that the process at this address runs"};
     return BlockingHttpResponse {result->value().status, std::move(result->value().body)};
+} catch (const boost::system::system_error &e) {
+    // An event loop needs descriptors of its own.
+    return Error {ErrorKind::Unavailable, std::string("no event loop: ") + e.what(),
+                  "raise the limit of open descriptors"};
 }
 
 } // namespace dogwoodvalve
--- a/tests/unit/http_client_test.cpp
+++ b/tests/unit/http_client_test.cpp
@@ -1,7 +1,9 @@
+#include "net/blocking_http_client.h"
 #include "net/http_client.h"
 #include "scripted_server.h"
 
 #include <cppunit/extensions/HelperMacros.h>
+#include <sys/resource.h>
 
 using namespace dogwoodvalve;
 namespace asio = boost::asio;
@@ -107,6 +109,7 @@
     CPPUNIT_TEST(interimResponsesAreFollowedByTheAnswer);
     CPPUNIT_TEST(interimResponsesWithoutAnAnswerAreAnError);
     CPPUNIT_TEST(soundHeadsPass);
+    CPPUNIT_TEST(withoutDescriptorsABlockingRequestFails);
     CPPUNIT_TEST_SUITE_END();
 
     void anAnswerWithoutLengthEndsWithItsConnection()
@@ -305,6 +308,18 @@
         assertPassed("HTTP/1.1 200 OK\r\nTransfer-Encoding: , chunked ,\r\n",
                      "5\r\nwhole\r\n0\r\n\r\n", 200);
     }
+
+    void withoutDescriptorsABlockingRequestFails()
+    {
+        rlimit limit {};
+        ::getrlimit(RLIMIT_NOFILE, &limit);
+        const rlimit none {0, limit.rlim_max};
+        ::setrlimit(RLIMIT_NOFILE, &none);
+        const auto reply = sendBlockingRequest("127.0.0.1:1", {});
+        ::setrlimit(RLIMIT_NOFILE, &limit);
+        CPPUNIT_ASSERT(!reply);
+        CPPUNIT_ASSERT(reply.error().kind == ErrorKind::Unavailable);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(HttpClientTest);
