Send a body without copies of it

A body existed three times while its request was sent: in the session, which may send it again, in the request that may still go another way, and in the output of the connection. Whole bodies of 16 MB of twelve clients took 410 MB. All now share one copy (writeBody).

--- a/src/gateway/requests/front_api.cpp
+++ b/src/gateway/requests/front_api.cpp
@@ -16,9 +16,17 @@
 /// Time after the start of the process for which requests wait for the first configuration.
 constexpr Duration MaxStartUpHold = 400ms;
 /// A host without a configuration or the list of servers probably has both by then, or is not
-/// returned by look-ups any more.
+/// returned by look-ups any more. One without memory has taken room back from stalled clients.
 constexpr Duration RetryAfterNotReady = 500ms;
 
+/// The status of a refusal of a request whose body could not be read.
+int refusalStatus(const Error &error)
+{
+    if (error.kind == ErrorKind::Overloaded)
+        return StatusUnavailable;
+    return error.kind == ErrorKind::TooLarge ? StatusContentTooLarge : StatusBadRequest;
+}
+
 } // namespace
 
 void FrontApi::handle(const std::shared_ptr<HttpExchange> &exchange)
@@ -98,13 +106,10 @@
         if (!body) {
             // A caller that disconnected while it sent the body needs no answer.
             if (body.error().kind != ErrorKind::Unavailable)
-                refuse(shared->exchange, shared->caller,
-                       body.error().kind == ErrorKind::TooLarge ? StatusContentTooLarge
-                                                                : StatusBadRequest,
-                       body.error());
+                refuse(shared->exchange, shared->caller, refusalStatus(body.error()), body.error());
             return;
         }
-        shared->body = std::move(body.value());
+        shared->body = std::make_shared<const std::string>(std::move(body.value()));
         shared->fingerprint = fingerprintOf(*shared);
         makeSession(m_node, std::move(*shared))->start();
     });
--- a/src/gateway/requests/request_session.cpp
+++ b/src/gateway/requests/request_session.cpp
@@ -49,7 +49,7 @@
     std::uint64_t hash = 0;
     for (const std::string_view text :
          {request.exchange->method(), request.caller.host, request.exchange->target(),
-          request.caller.key, std::string_view(request.body)})
+          request.caller.key, std::string_view(*request.body)})
         hash = stableHash(text, hash);
     std::array<char, 32> text {};
     std::snprintf(text.data(), text.size(), "%s%016" PRIx64, PromptQuarantine::RequestPrefix.data(),
@@ -336,10 +336,10 @@
         .field("servers_age_ms", m_node.view().serversAge().count() / 1000)
         .field("time_left_ms", request.timeLeft.count() / 1000);
     HttpRequestHead head = m_node.dialect().encodeDispatch(*m_request.exchange, request);
-    head.bodyBytes = m_request.body.size();
+    head.bodyBytes = m_request.body->size();
     auto client = m_node.connections().createClient(server, m_request.caller.id);
     client->start(endpoint.value(), head, ConnectTimeout, events);
-    client->write(m_request.body);
+    client->writeBody(m_request.body);
     return client;
 }
 
--- a/src/gateway/requests/request_session.h
+++ b/src/gateway/requests/request_session.h
@@ -22,7 +22,7 @@
     int rank = 0;
     std::shared_ptr<HttpExchange> exchange;
     CallerRequest caller;
-    std::string body;
+    SharedBytes body;
     /// Equal for requests with the same method, host, target, key and body. It can't be the id of a
     /// part of a prompt.
     std::string fingerprint;
--- a/src/gateway/servers/forwarded_request.cpp
+++ b/src/gateway/servers/forwarded_request.cpp
@@ -43,7 +43,7 @@
 private:
     /// The registration of the server that the request names, if this host uses it.
     const ServerRegistration *findServer() const;
-    void sendToServer(const std::string &body);
+    void sendToServer(const SharedBytes &body);
     void answer(ForwardOutcome outcome);
     /// Answers with the fields of an outcome.
     void answer(std::span<const HttpField> outcome);
@@ -68,14 +68,14 @@
         if (const auto self = weak.lock())
             self->finish("other_host_left");
     });
-    m_exchange->readBody(MaxRequestBodyBytes,
-                         [self = shared_from_this()](const Result<std::string> &body) {
-                             if (!self->m_self)
-                                 return;
-                             if (!body)
-                                 return self->answer(ForwardOutcome::Refused);
-                             self->sendToServer(body.value());
-                         });
+    m_exchange->readBody(
+        MaxRequestBodyBytes, [self = shared_from_this()](Result<std::string> body) {
+            if (!self->m_self)
+                return;
+            if (!body)
+                return self->answer(ForwardOutcome::Refused);
+            self->sendToServer(std::make_shared<const std::string>(std::move(body.value())));
+        });
 }
 
 const ServerRegistration *ForwardedRequest::findServer() const
@@ -87,7 +87,7 @@
     return usable ? server : nullptr;
 }
 
-void ForwardedRequest::sendToServer(const std::string &body)
+void ForwardedRequest::sendToServer(const SharedBytes &body)
 {
     if (m_node.view().leaving() || m_node.connections().cutOff())
         return answer(ForwardOutcome::Refused);
@@ -104,11 +104,11 @@
     head.method = m_exchange->method();
     head.target = m_target.target;
     head.fields = forwardedRequestFields(m_exchange->headers());
-    head.bodyBytes = body.size();
+    head.bodyBytes = body->size();
     m_startedAt = m_node.now();
     m_client = m_node.loop().createHttpClient();
     m_client->start(endpoint.value(), head, ConnectTimeout, *this);
-    m_client->write(body);
+    m_client->writeBody(body);
 }
 
 void ForwardedRequest::onConnected()
--- a/src/gateway/servers/server_request.cpp
+++ b/src/gateway/servers/server_request.cpp
@@ -79,7 +79,9 @@
     m_notSent = false;
     m_client = m_node.loop().createHttpClient();
     m_client->start(endpoint, head, connectTimeout, *this);
-    m_client->write(m_body);
+    if (m_body)
+        m_client->writeBody(m_body);
+    m_client->write(m_parts);
     if (m_bodyFinished)
         m_client->finishBody();
     if (m_paused)
@@ -117,7 +119,8 @@
 void ServerRequest::settle()
 {
     m_connected = true;
-    std::string().swap(m_body);
+    std::string().swap(m_parts);
+    m_body.reset();
     m_events->onConnected();
 }
 
@@ -234,11 +237,21 @@
     if (!m_events)
         return;
     if (!m_connected)
-        m_body += part;
+        m_parts += part;
     if (m_client)
         m_client->write(part);
 }
 
+void ServerRequest::writeBody(const SharedBytes &body)
+{
+    if (!m_events)
+        return;
+    if (!m_connected)
+        m_body = body;
+    if (m_client)
+        m_client->writeBody(body);
+}
+
 void ServerRequest::finishBody()
 {
     m_bodyFinished = true;
--- a/src/gateway/servers/server_request.h
+++ b/src/gateway/servers/server_request.h
@@ -24,6 +24,7 @@
     void start(const boost::asio::ip::tcp::endpoint &endpoint, const HttpRequestHead &head,
                Duration connectTimeout, HttpClientEvents &events) override;
     void write(std::string_view part) override;
+    void writeBody(const SharedBytes &body) override;
     void finishBody() override;
     void pauseReading(bool paused) override;
     bool anyByteSent() const override;
@@ -61,8 +62,9 @@
     HttpClientEvents *m_events = nullptr;
     boost::asio::ip::tcp::endpoint m_endpoint;
     HttpRequestHead m_head;
-    /// What was written, until it is known that the server has been reached.
-    std::string m_body;
+    /// What was written, until it is known that the server has been reached: in parts, or whole.
+    std::string m_parts;
+    SharedBytes m_body;
     bool m_bodyFinished = false;
     bool m_paused = false;
     Duration m_connectTimeout {};
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -39,13 +39,14 @@
     void start(const tcp::endpoint &endpoint, const HttpRequestHead &head, Duration connectTimeout,
                HttpClientEvents &events) override;
     void write(std::string_view part) override;
+    void writeBody(const SharedBytes &body) override;
     void finishBody() override;
     void pauseReading(bool paused) override;
     bool anyByteSent() const override { return m_anyByteSent; }
     bool connected() const override { return m_connected; }
     std::size_t pendingBytes() const override
     {
-        return m_queuedOutput.size() + m_outputInFlight.size();
+        return m_queuedOutput.size() + m_outputInFlight.size() + (m_body ? m_body->size() : 0);
     }
     void close() override;
 
@@ -73,6 +74,8 @@
     std::array<char, ReadBufferBytes> m_bodyBuffer {};
     std::string m_queuedOutput;
     std::string m_outputInFlight;
+    /// Follows the queued output, and is kept until both are sent.
+    SharedBytes m_body;
     bool m_chunked = false;
     bool m_connected = false;
     bool m_anyByteSent = false;
@@ -135,6 +138,17 @@
     flush();
 }
 
+void HttpClientRequestImpl::writeBody(const SharedBytes &body)
+{
+    if (!m_events || m_writeFailed || body->empty())
+        return;
+    // Bytes on their way are those of the head, or there are none.
+    if (m_chunked || !m_outputInFlight.empty())
+        return write(*body);
+    m_body = body;
+    flush();
+}
+
 void HttpClientRequestImpl::finishBody()
 {
     if (!m_events || m_writeFailed || !m_chunked)
@@ -149,17 +163,19 @@
         return;
     m_outputInFlight.swap(m_queuedOutput);
     m_anyByteSent = true;
-    asio::async_write(m_socket, asio::buffer(m_outputInFlight),
-                      [self = self()](error_code ec, std::size_t) {
-                          self->m_outputInFlight.clear();
-                          if (!self->m_events)
-                              return;
-                          if (ec)
-                              return self->onWriteFailed(ec);
-                          if (!self->m_queuedOutput.empty())
-                              return self->flush();
-                          self->m_events->onDrained();
-                      });
+    const std::array<asio::const_buffer, 2> output {
+        asio::buffer(m_outputInFlight), m_body ? asio::buffer(*m_body) : asio::const_buffer()};
+    asio::async_write(m_socket, output, [self = self()](error_code ec, std::size_t) {
+        self->m_outputInFlight.clear();
+        self->m_body.reset();
+        if (!self->m_events)
+            return;
+        if (ec)
+            return self->onWriteFailed(ec);
+        if (!self->m_queuedOutput.empty())
+            return self->flush();
+        self->m_events->onDrained();
+    });
 }
 
 /// A peer may respond early and close the connection; its response is still read. The operating
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -36,6 +36,9 @@
     std::size_t bodyBytes = 0;
 };
 
+/// Bytes that several requests may send without a copy of their own.
+using SharedBytes = std::shared_ptr<const std::string>;
+
 /// One outgoing HTTP/1.1 request on its own connection. Request and response bodies are streamed
 /// at the same time. Must only be called on the thread of the event loop.
 class HttpClientRequest : public std::enable_shared_from_this<HttpClientRequest>
@@ -50,6 +53,8 @@
     virtual void start(const boost::asio::ip::tcp::endpoint &endpoint, const HttpRequestHead &head,
                        Duration connectTimeout, HttpClientEvents &events) = 0;
     virtual void write(std::string_view part) = 0;
+    /// Writes a whole body whose length the head has told. To be called once, after start().
+    virtual void writeBody(const SharedBytes &body) { write(*body); }
     virtual void finishBody() = 0;
     /// While paused, the response is not read, so that TCP flow control slows the sender down.
     virtual void pauseReading(bool paused) = 0;
