Count what a process holds for its clients in one account

All limits were ones of a request, a connection or a port; their sum was larger than any machine.

One account a process, on all threads and at all ports, bounded by the machine. When an addition does not fit, room is taken back from the client with the largest product of bytes and time, and else the addition is refused (503, not run). Requests that have arrived whole are never taken back. Large clients leave a quarter of the bytes to small ones, and the last connections are for the platform and other hosts.

--- a/src/daemon/entry_context.cpp
+++ b/src/daemon/entry_context.cpp
@@ -18,6 +18,8 @@
 EntryContext::EntryContext(EntrySettings settings, std::uint64_t boot, Clock clock)
     : m_settings(std::move(settings))
     , m_clock(std::move(clock))
+    , m_clients(
+          std::make_shared<ClientAccount>(clientLimits(effectiveMachineSize(m_settings.machine))))
     , m_configuration(
           std::make_unique<ConfigurationPointer>(std::make_shared<const Configuration>()))
     , m_members(std::make_unique<std::vector<Member>>())
--- a/src/daemon/entry_context.h
+++ b/src/daemon/entry_context.h
@@ -35,6 +35,8 @@
     const EntrySettings &settings() const { return m_settings; }
     BackendServerRegistry &servers() { return m_servers; }
     Metrics &metrics() { return m_metrics; }
+    /// What the threads hold for clients.
+    const std::shared_ptr<ClientAccount> &clients() const { return m_clients; }
     TimePoint now() const { return m_clock(); }
 
     ConfigurationPointer configuration() const;
@@ -95,6 +97,7 @@
     const Clock m_clock;
     BackendServerRegistry m_servers;
     Metrics m_metrics;
+    const std::shared_ptr<ClientAccount> m_clients;
     RcuPointer<ConfigurationPointer> m_configuration;
     RcuPointer<std::vector<Member>> m_members;
     PipelineCapacity m_capacity;
--- a/src/daemon/entry_process.cpp
+++ b/src/daemon/entry_process.cpp
@@ -1,6 +1,7 @@
 #include "daemon/entry_process.h"
 
 #include "codec/peer_codec.h"
+#include "daemon/client_events.h"
 #include "daemon/control_plane.h"
 #include "daemon/entry_shard.h"
 #include "daemon/http_platform.h"
@@ -29,6 +30,13 @@
 /// A host answers for at least this long after a drain begins, so that callers whose requests have
 /// just been sent get a reply that refers them to another entry host.
 constexpr Duration MinDrainDuration = 1s;
+constexpr Duration ClientCheckInterval = 500ms;
+
+HttpServerLimits internalLimits(HttpServerLimits limits)
+{
+    limits.internal = true;
+    return limits;
+}
 
 /// A number that grows with each start of a host: the time in milliseconds, with 16 random bits
 /// below it to tell apart two starts in the same millisecond.
@@ -49,7 +57,7 @@
 }
 
 /// Owns the parts of an entry process, starts them, drains them and shuts them down.
-class EntryProcess
+class EntryProcess : public ClientAccountObserver
 {
 public:
     explicit EntryProcess(const EntrySettings &settings)
@@ -60,13 +68,22 @@
         , m_links(m_context.settings().peerSecrets, m_context.metrics())
         , m_control(m_context, m_timers, m_platform, m_links, [this] { configurationChanged(); })
         , m_operatorApi(m_control, [this] { drain(); })
-        , m_operatorServer(m_loop, m_operatorApi, settings.http)
+        , m_operatorServer(m_loop, m_operatorApi, internalLimits(settings.http),
+                           m_context.clients())
     {
+        m_context.clients()->setObserver(this);
         for (int i = 0; i < settings.threads; ++i)
             m_shards.push_back(std::make_unique<EntryShard>(
                 m_context, m_context.boot() + static_cast<std::uint64_t>(i)));
     }
 
+    /// Called on the threads of the shards, too.
+    void clientDropped(const HttpExchange &request, const DroppedClient &client) override
+    {
+        m_context.metrics().countDroppedClient(client);
+        logDroppedClient("", request, client);
+    }
+
     int run()
     {
         const Result<void> started = start();
@@ -103,9 +120,16 @@
                 result = shard->start();
         }
         awaitSignal();
+        checkClients();
         return result;
     }
 
+    void checkClients()
+    {
+        m_context.metrics().setClients(*m_context.clients());
+        m_timers.schedule(m_timers.now() + ClientCheckInterval, [this] { checkClients(); });
+    }
+
     void configurationChanged()
     {
         for (const auto &shard : m_shards)
--- a/src/daemon/entry_shard.cpp
+++ b/src/daemon/entry_shard.cpp
@@ -9,7 +9,7 @@
     , m_work(m_loop.get_executor())
     , m_services(m_loop)
     , m_worker(context, m_services, seed)
-    , m_server(m_loop, m_worker.api(), context.settings().http)
+    , m_server(m_loop, m_worker.api(), context.settings().http, context.clients())
 { }
 
 EntryShard::~EntryShard()
--- a/src/daemon/metrics.cpp
+++ b/src/daemon/metrics.cpp
@@ -48,6 +48,7 @@
                             "1 while neither the log nor a peer confirms the configuration"))
     , m_logReachable(buildGauge(m_registry, "dogwoodvalve_log_reachable",
                                 "1 while the platform's log answers"))
+    , m_clients(m_registry)
 { }
 
 void Metrics::countRequest(Outcome outcome)
--- a/src/daemon/metrics.h
+++ b/src/daemon/metrics.h
@@ -1,11 +1,8 @@
 #pragma once
 
-#include <dogwoodvalve/sequence.h>
+#include "daemon/metric_builders.h"
 
-#include <prometheus/counter.h>
-#include <prometheus/gauge.h>
-#include <prometheus/histogram.h>
-#include <prometheus/registry.h>
+#include <dogwoodvalve/sequence.h>
 
 #include <string>
 #include <string_view>
@@ -27,6 +24,8 @@
     {
         m_controlBytes.Increment(static_cast<double>(sent));
     }
+    void countDroppedClient(const DroppedClient &client) { m_clients.countDropped(client); }
+    void setClients(const ClientAccount &account) { m_clients.set(account); }
     void observeFirstToken(Duration duration);
     void observeTokenGap(Duration duration);
     void setConfigurationOffset(std::uint64_t offset)
@@ -56,6 +55,7 @@
     prometheus::Gauge &m_openRequests;
     prometheus::Gauge &m_isolated;
     prometheus::Gauge &m_logReachable;
+    ClientMetrics m_clients;
 };
 
 } // namespace dogwoodvalve
--- a/src/daemon/proxy_session.cpp
+++ b/src/daemon/proxy_session.cpp
@@ -117,14 +117,14 @@
         if (!self || self->m_ended)
             return;
         if (!part) {
-            if (!self->m_exchange->responded() && part.error().kind != ErrorKind::Unavailable)
-                respondFailure(self->m_context, self->m_exchange, httpStatus(part.error()),
-                               part.error(), Outcome::Unknown, 1s);
-            return self->finish(Outcome::Unknown, part.error().message);
+            return self->failBody(part.error());
         }
         if (part.value().empty())
             return self->m_client->finishBody();
         self->m_client->write(part.value());
+        if (!self->m_exchange->tryHold(self->m_client->pendingBytes()))
+            return self->failBody({ErrorKind::Overloaded, "this host has no memory for the request",
+                                   "send it again later"});
         if (self->m_client->pendingBytes() > HighWaterBytes)
             self->m_bodyPaused = true;
         else
@@ -132,6 +132,15 @@
     });
 }
 
+/// The server has got a part of the request and may run it, which no status may deny.
+void ProxySession::failBody(const Error &error)
+{
+    const int status = error.kind == ErrorKind::Overloaded ? 502 : httpStatus(error);
+    if (!m_exchange->responded() && error.kind != ErrorKind::Unavailable)
+        respondFailure(m_context, m_exchange, status, error, Outcome::Unknown, 1s);
+    finish(Outcome::Unknown, error.message);
+}
+
 void ProxySession::onDrained()
 {
     if (!m_bodyPaused)
--- a/src/daemon/proxy_session.h
+++ b/src/daemon/proxy_session.h
@@ -75,6 +75,8 @@
     void tryNextTarget();
     HttpRequestHead makeHead() const;
     void pumpBody();
+    /// Ends the request because the rest of its body can't be read.
+    void failBody(const Error &error);
     bool hasNoBody() const;
     void releaseInFlight();
     void finish(Outcome outcome, std::string_view reason);
--- a/src/gateway/gateway_metrics.cpp
+++ b/src/gateway/gateway_metrics.cpp
@@ -58,6 +58,7 @@
                           "1 while this host has lost its links to the servers"))
     , m_openForwards(buildGauge(m_registry, "dogwoodvalve_open_forwards",
                                 "Requests that this host forwards for other hosts"))
+    , m_clients(m_registry)
 { }
 
 void GatewayMetrics::countRequest(std::string_view outcome)
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -28,6 +28,8 @@
     void countRetry(bool granted);
     /// Counts requests that the fleet did not admit, by reason and rank.
     void countNotAdmitted(std::string_view reason, int rank);
+    void countDroppedClient(const DroppedClient &client) { m_clients.countDropped(client); }
+    void setClients(const ClientAccount &account) { m_clients.set(account); }
     void observeFirstByte(Duration duration) { m_firstByte.Observe(inSeconds(duration)); }
     void observeEventGap(Duration duration) { m_eventGap.Observe(inSeconds(duration)); }
     void observeFailover(Duration duration) { m_failover.Observe(inSeconds(duration)); }
@@ -70,6 +72,7 @@
     prometheus::Gauge &m_unansweredProbes;
     prometheus::Gauge &m_cutOff;
     prometheus::Gauge &m_openForwards;
+    ClientMetrics m_clients;
 };
 
 } // namespace dogwoodvalve
--- a/src/gateway/gateway_process.cpp
+++ b/src/gateway/gateway_process.cpp
@@ -1,5 +1,6 @@
 #include "gateway/gateway_process.h"
 
+#include "daemon/client_events.h"
 #include "daemon/log.h"
 #include "gateway/fleet/placement_controller.h"
 #include "gateway/gateway_node.h"
@@ -56,8 +57,14 @@
     return limits;
 }
 
+HttpServerLimits internalLimits(HttpServerLimits limits)
+{
+    limits.internal = true;
+    return limits;
+}
+
 /// Owns all components of a gateway host, starts them, and drains the host before it exits.
-class GatewayProcess : public FleetViewObserver
+class GatewayProcess : public FleetViewObserver, public ClientAccountObserver
 {
 public:
     GatewayProcess(const GatewaySettings &settings, GatewaySettingsReader reader,
@@ -73,11 +80,13 @@
         , m_frontApi(m_node)
         , m_supportApi(m_node)
         , m_peerApi(m_node, m_supportApi)
-        , m_front(m_loop, m_frontApi, requestLimits())
-        , m_lookup(m_loop, m_supportApi, {})
-        , m_readiness(m_loop, m_supportApi, {})
-        , m_peerServer(m_loop, m_peerApi, requestLimits())
-        , m_metricsServer(m_loop, m_supportApi, {})
+        , m_clients(
+              std::make_shared<ClientAccount>(clientLimits(effectiveMachineSize(settings.machine))))
+        , m_front(m_loop, m_frontApi, requestLimits(), m_clients)
+        , m_lookup(m_loop, m_supportApi, {}, m_clients)
+        , m_readiness(m_loop, m_supportApi, internalLimits({}), m_clients)
+        , m_peerServer(m_loop, m_peerApi, internalLimits(requestLimits()), m_clients)
+        , m_metricsServer(m_loop, m_supportApi, internalLimits({}), m_clients)
     { }
 
     int run()
@@ -89,7 +98,9 @@
         LogEvent("started")
             .field("host", m_node.settings().name)
             .field("zone", m_node.settings().zone)
-            .field("listen", m_node.settings().listen);
+            .field("listen", m_node.settings().listen)
+            .field("client_bytes", m_clients->limits().bytes)
+            .field("client_connections", m_clients->limits().connections);
         m_loop.run();
         LogEvent("stopped")
             .field("open", m_node.openSessions())
@@ -104,6 +115,13 @@
     void configurationChanged() override { viewChanged(); }
     void serversChanged() override { viewChanged(); }
 
+    void clientDropped(const HttpExchange &request, const DroppedClient &client) override
+    {
+        m_node.metrics().countDroppedClient(client);
+        logDroppedClient(request.method().empty() ? "" : m_node.dialect().decodeRequest(request).id,
+                         request, client);
+    }
+
 private:
     Result<void> start()
     {
@@ -122,6 +140,7 @@
                 return listening;
         }
         m_node.view().setObserver(this);
+        m_clients->setObserver(this);
         if (Result<void> started = m_peers.start([this] { startReading(); }); !started)
             return started;
         m_services.timers().schedule(m_node.now() + MaxDiscoveryWait, [this] { startReading(); });
@@ -152,6 +171,7 @@
     void admitPeriodically()
     {
         m_node.admitWaitingRequests();
+        m_node.metrics().setClients(*m_clients);
         m_services.timers().schedule(m_node.now() + AdmissionInterval,
                                      [this] { admitPeriodically(); });
     }
@@ -238,6 +258,7 @@
     FrontApi m_frontApi;
     SupportApi m_supportApi;
     PeerApi m_peerApi;
+    std::shared_ptr<ClientAccount> m_clients;
     HttpServer m_front;
     HttpServer m_lookup;
     HttpServer m_readiness;
--- a/src/gateway/requests/plain_session.cpp
+++ b/src/gateway/requests/plain_session.cpp
@@ -94,11 +94,15 @@
 
 void PlainSession::onBody(std::string_view part)
 {
-    if (m_answerBody.size() + part.size() <= MaxAnswerBytes) {
+    const auto keep = shared_from_this();
+    const std::size_t bytes = m_answerBody.size() + part.size();
+    if (bytes <= MaxAnswerBytes && !m_request.exchange->tryHold(bytes))
+        return fail(StatusBadGateway,
+                    {ErrorKind::Overloaded, "this host has no memory for the answer", ""});
+    if (bytes <= MaxAnswerBytes) {
         m_answerBody += part;
         return;
     }
-    const auto keep = shared_from_this();
     handleFailedAttempt(ServerEvidence::Failed, "the answer is too long", true);
 }
 
--- /dev/null
+++ b/src/net/client_account.cpp
@@ -0,0 +1,197 @@
+#include "net/client_account.h"
+
+#include <algorithm>
+namespace dogwoodvalve {
+
+namespace {
+
+/// Clients get 1 of so many parts of the machine's memory, and of its connections.
+constexpr std::size_t ClientParts = 2;
+/// Descriptors that are left to files and the process's own connections, and at most which part.
+constexpr std::size_t OwnDescriptors = 200;
+constexpr std::size_t OwnDescriptorParts = 4;
+/// Large clients leave 1 of so many parts of the bytes to small ones, and those of other ports 1 of
+/// so many connections to internal ports.
+constexpr std::size_t SmallClientParts = 4;
+constexpr std::size_t InternalParts = 8;
+} // namespace
+
+ClientLimits clientLimits(const MachineSize &machine)
+{
+    const std::size_t own = std::min(OwnDescriptors, machine.descriptors / OwnDescriptorParts);
+    return {machine.memoryBytes / ClientParts, (machine.descriptors - own) / ClientParts};
+}
+
+std::string_view toString(ClientActivity activity)
+{
+    switch (activity) {
+    case ClientActivity::Idle:
+        return "idle";
+    case ClientActivity::Uploading:
+        return "uploading";
+    case ClientActivity::Waiting:
+        return "waiting";
+    case ClientActivity::Downloading:
+        return "downloading";
+    }
+    return "";
+}
+
+std::string_view toString(Shortage shortage)
+{
+    return shortage == Shortage::Bytes ? "memory" : "connections";
+}
+
+ClientAccount::ClientAccount(const ClientLimits &limits)
+    : m_limits(limits)
+{ }
+
+void ClientAccount::reclaim(ClientHolding &victim, Shortage shortage)
+{
+    victim.m_reclaimed = shortage;
+    m_bytesReclaimed += victim.m_bytes;
+    // A connection that gives back bytes stays open until its client has read why.
+    if (shortage == Shortage::Connections)
+        ++m_connectionsReclaimed;
+    victim.m_client.requestReclaim(shortage);
+}
+
+bool ClientAccount::makeConnectionRoom(std::size_t limit, TimePoint now)
+{
+    while (m_connections - m_connectionsReclaimed >= limit) {
+        ClientHolding *victim = nullptr;
+        const auto rank = [now](const ClientHolding &it) {
+            return std::pair(it.m_activity == ClientActivity::Idle, now - it.m_since);
+        };
+        for (ClientHolding *it : m_clients) {
+            const bool idle = it->m_activity == ClientActivity::Idle;
+            const bool stalled =
+                it->m_activity != ClientActivity::Waiting && now - it->m_since >= MinReclaimAge;
+            if (!it->m_reclaimed && (idle || stalled) && (!victim || rank(*it) > rank(*victim)))
+                victim = it;
+        }
+        if (!victim)
+            return false;
+        reclaim(*victim, Shortage::Connections);
+    }
+    return true;
+}
+
+bool ClientAccount::makeByteRoom(const ClientHolding &client, std::size_t more, TimePoint now)
+{
+    const bool small = client.m_bytes + more <= SmallClientBytes;
+    const std::size_t limit = m_limits.bytes - (small ? 0 : m_limits.bytes / SmallClientParts);
+    while (m_bytes - m_bytesReclaimed + more > limit) {
+        ClientHolding *victim = nullptr;
+        const auto weight = [now](const ClientHolding &it) {
+            return static_cast<double>(it.m_bytes) * static_cast<double>((now - it.m_since) / 1us);
+        };
+        for (ClientHolding *it : m_clients) {
+            const bool large = it->m_bytes > SmallClientBytes;
+            const bool stalled = now - it->m_since >= MinReclaimAge;
+            const bool eligible = small ? large || stalled : large && stalled;
+            if (it != &client && !it->m_reclaimed && it->m_activity != ClientActivity::Waiting
+                && eligible && (!victim || weight(*it) > weight(*victim)))
+                victim = it;
+        }
+        if (!victim)
+            return false;
+        reclaim(*victim, Shortage::Bytes);
+    }
+    return true;
+}
+
+ClientHolding::ClientHolding(std::shared_ptr<ClientAccount> account, AccountedClient &client)
+    : m_account(std::move(account))
+    , m_client(client)
+{ }
+
+ClientHolding::~ClientHolding()
+{
+    close();
+}
+
+bool ClientHolding::open(bool internal, TimePoint now)
+{
+    const ClientAccount::Lock lock(m_account->m_mutex);
+    const std::size_t all = m_account->m_limits.connections;
+    if (!m_account->makeConnectionRoom(internal ? all : all - all / InternalParts, now))
+        return false;
+    m_open = true;
+    m_since = now;
+    m_account->m_clients.insert(this);
+    ++m_account->m_connections;
+    return true;
+}
+
+void ClientHolding::close()
+{
+    if (!m_open)
+        return;
+    const ClientAccount::Lock lock(m_account->m_mutex);
+    m_open = false;
+    setBytes(0);
+    if (m_reclaimed == Shortage::Connections)
+        --m_account->m_connectionsReclaimed;
+    --m_account->m_connections;
+    m_account->m_clients.erase(this);
+}
+
+/// Needs the account's lock.
+void ClientHolding::setBytes(std::size_t bytes)
+{
+    // Unsigned arithmetic wraps, so these also subtract.
+    const std::size_t more = bytes - m_bytes;
+    if (m_reclaimed)
+        m_account->m_bytesReclaimed += more;
+    m_account->m_bytes += more;
+    m_bytes = bytes;
+}
+
+bool ClientHolding::tryHold(std::size_t bytes, TimePoint now)
+{
+    const ClientAccount::Lock lock(m_account->m_mutex);
+    if (bytes > m_bytes
+        && (!m_open || m_reclaimed || !m_account->makeByteRoom(*this, bytes - m_bytes, now)))
+        return false;
+    setBytes(m_open ? bytes : 0);
+    return true;
+}
+
+void ClientHolding::hold(std::size_t bytes, TimePoint now)
+{
+    const ClientAccount::Lock lock(m_account->m_mutex);
+    if (bytes > m_bytes && !m_reclaimed)
+        m_account->makeByteRoom(*this, bytes - m_bytes, now);
+    setBytes(m_open ? bytes : 0);
+}
+
+void ClientHolding::setActivity(ClientActivity activity, TimePoint now)
+{
+    if (m_activity == activity)
+        return;
+    const ClientAccount::Lock lock(m_account->m_mutex);
+    m_activity = activity;
+    m_since = now;
+}
+
+void ClientHolding::withdrawReclaim()
+{
+    const ClientAccount::Lock lock(m_account->m_mutex);
+    if (!m_reclaimed)
+        return;
+    m_account->m_bytesReclaimed -= m_bytes;
+    if (m_reclaimed == Shortage::Connections)
+        --m_account->m_connectionsReclaimed;
+    m_reclaimed.reset();
+}
+
+void ClientHolding::reportDropped(const HttpExchange &request, Shortage shortage,
+                                  TimePoint now) const
+{
+    if (m_account->m_observer)
+        m_account->m_observer->clientDropped(
+            request, {shortage, m_activity, m_bytes, m_open ? now - m_since : Duration {}});
+}
+
+} // namespace dogwoodvalve
--- a/src/net/http_connection.cpp
+++ b/src/net/http_connection.cpp
@@ -3,6 +3,7 @@
 #include <boost/asio/write.hpp>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <cerrno>
 
 namespace dogwoodvalve {
@@ -20,6 +21,12 @@
 /// For how long, and for how many bytes, a connection reads on after its last response.
 constexpr Duration LingerTime = 1s;
 constexpr std::size_t LingerBytes = 16 * 1024 * 1024;
+constexpr std::size_t MinReadBytes = 512;
+/// Of more header fields than these, no room is kept for the next request.
+constexpr std::size_t FewFields = 64;
+/// Overhead of a header field, and the copies of a head that exist while its request is forwarded.
+constexpr std::size_t FieldBytes = sizeof(HttpField) + 32;
+constexpr std::size_t HeadCopies = 4;
 
 Error malformedRequest(const error_code &ec)
 {
@@ -29,6 +36,12 @@
             "send a well-formed HTTP/1.1 request"};
 }
 
+Error noRoom()
+{
+    return {ErrorKind::Overloaded, "this host has no memory for the request",
+            "send it again later"};
+}
+
 } // namespace
 
 PeerState peerState(int socket)
@@ -42,41 +55,101 @@
     return PeerState::Closed;
 }
 
+void HttpConnection::start()
+{
+    const bool opened = m_holding.open(m_limits.internal, steadyNow());
+    if (!opened || !tryUpdateHolding()) {
+        m_holding.reportDropped(*this, opened ? Shortage::Bytes : Shortage::Connections,
+                                steadyNow());
+        return close();
+    }
+    watchDeadline();
+    readHead();
+}
+
 void HttpConnection::readHead()
 {
     m_parser.emplace();
     m_parser->header_limit(static_cast<std::uint32_t>(m_limits.maxHeaderBytes));
     m_parser->body_limit(m_limits.maxBodyBytes);
-    m_responded = m_chunked = m_responseEnded = m_requestBodyRead = false;
+    m_responded = m_chunked = m_responseEnded = m_requestBodyRead = m_sentAhead = false;
     ++m_exchangeNumber;
+    releaseRequest();
+    m_bodyBuffer.reset();
+    if (m_buffer.size() == 0 && m_buffer.capacity() > IdleBufferBytes) {
+        m_buffer.clear();
+        m_buffer.shrink_to_fit();
+        m_buffer.reserve(IdleBufferBytes);
+    }
+    updateHolding();
     setDeadline(m_buffer.size() > 0 ? m_limits.headerTimeout : m_limits.idleTimeout);
-    http::async_read_header(
-        m_socket, m_buffer, *m_parser, [self = shared_from_this()](error_code ec, std::size_t) {
+    if (m_buffer.size() > 0)
+        return parseHead();
+    setActivity(ClientActivity::Idle);
+    receiveHead();
+}
+
+void HttpConnection::releaseRequest()
+{
+    m_headBytes = m_bodyBytes = m_handlerBytes = 0;
+    m_method.clear();
+    m_target.clear();
+    if (m_fields.size() > FewFields)
+        std::vector<HttpField>().swap(m_fields);
+    m_fields.clear();
+    m_parser->get().clear();
+}
+
+void HttpConnection::receiveHead()
+{
+    const std::size_t n = std::clamp<std::size_t>(m_buffer.capacity() - m_buffer.size(),
+                                                  MinReadBytes, ReadBufferBytes);
+    m_socket.async_read_some(
+        m_buffer.prepare(n), [self = shared_from_this()](error_code ec, std::size_t got) {
             if (self->m_closed)
                 return;
-            if (ec == http::error::end_of_stream || ec == asio::error::eof
-                || ec == asio::error::connection_reset || ec == asio::error::operation_aborted)
-                return self->close();
-            if (ec == http::error::header_limit)
-                return self->refuse(431,
-                                    {ErrorKind::TooLarge, "the header is too large",
-                                     "send fewer or shorter header fields"});
-            if (ec == http::error::body_limit)
-                return self->refuse(413, malformedRequest(ec));
+            if (ec == asio::error::eof && self->m_parser->got_some())
+                return self->refuse(400, malformedRequest(http::error::partial_message));
             if (ec)
-                return self->refuse(400, malformedRequest(ec));
-            self->dispatchRequest();
+                return self->close();
+            self->m_buffer.commit(got);
+            self->parseHead();
         });
 }
 
+void HttpConnection::parseHead()
+{
+    error_code ec;
+    const std::size_t used = m_parser->put(m_buffer.cdata(), ec);
+    m_buffer.consume(used);
+    if (ec == http::error::header_limit)
+        return refuse(431,
+                      {ErrorKind::TooLarge, "the header is too large",
+                       "send fewer or shorter header fields"});
+    if (ec == http::error::body_limit)
+        return refuse(413, malformedRequest(ec));
+    if (ec && ec != http::error::need_more)
+        return refuse(400, malformedRequest(ec));
+    if (m_parser->is_header_done())
+        return dispatchRequest();
+    setActivity(ClientActivity::Uploading);
+    if (!tryUpdateHolding())
+        return refuseForWantOfRoom();
+    receiveHead();
+}
+
 void HttpConnection::dispatchRequest()
 {
     const auto &head = m_parser->get();
     m_method.assign(head.method_string().data(), head.method_string().size());
     m_target.assign(head.target().data(), head.target().size());
     m_fields.clear();
-    for (const auto &field : head)
+    m_headBytes = m_target.size();
+    for (const auto &field : head) {
         m_fields.push_back({std::string(field.name_string()), std::string(field.value())});
+        m_headBytes += FieldBytes + m_fields.back().name.size() + m_fields.back().value.size();
+    }
+    m_headBytes *= HeadCopies;
     m_keepAlive = m_parser->keep_alive();
     m_requestBodyRead = m_parser->is_done();
     setDeadline(m_limits.stallTimeout);
@@ -92,6 +165,11 @@
         m_queuedOutput += "HTTP/1.1 100 Continue\r\n\r\n";
         flush();
     }
+    setActivity(m_requestBodyRead ? ClientActivity::Waiting : ClientActivity::Uploading);
+    if (!tryUpdateHolding())
+        return refuseForWantOfRoom();
+    // The fields have been copied, and trailers, which are added to them, are not used.
+    m_parser->get().clear();
     if (m_requestBodyRead)
         watchPeer();
     setExchangeInFlight(true);
@@ -117,24 +195,47 @@
     respond(status, fields, errorBody(error, "not_run"));
 }
 
+void HttpConnection::refuseForWantOfRoom()
+{
+    m_holding.reportDropped(*this, Shortage::Bytes, steadyNow());
+    refuse(503, noRoom());
+}
+
 void HttpConnection::readBody(std::size_t limit, std::function<void(Result<std::string>)> done)
 {
     auto whole = std::make_shared<std::string>();
     auto step = std::make_shared<std::function<void()>>();
-    *step = [self = shared_from_this(), whole, limit, done = std::move(done),
+    const std::size_t announced = m_parser->content_length().value_or(limit);
+    *step = [self = shared_from_this(), whole, limit, announced, done = std::move(done),
              weak = std::weak_ptr(step)] {
-        self->readBodyPart(
-            [self, whole, limit, done, step = weak.lock()](Result<std::string_view> part) {
-                if (!part)
-                    return done(part.error());
-                if (part.value().empty())
-                    return done(std::move(*whole));
-                if (whole->size() + part.value().size() > limit)
-                    return done(Error {ErrorKind::TooLarge, "the body is too large",
-                                       "send at most " + std::to_string(limit) + " bytes"});
-                whole->append(part.value());
-                (*step)();
-            });
+        self->readBodyPart([self, whole, limit, announced, done,
+                            step = weak.lock()](Result<std::string_view> part) {
+            const auto fail = [&](const Error &error) {
+                std::string().swap(*whole);
+                self->m_bodyBytes = 0;
+                self->updateHolding();
+                done(error);
+            };
+            if (!part)
+                return fail(part.error());
+            if (part.value().empty())
+                return done(std::move(*whole));
+            self->m_bodyBytes = whole->size() + part.value().size();
+            if (self->m_bodyBytes > limit)
+                return fail({ErrorKind::TooLarge, "the body is too large",
+                             "send at most " + std::to_string(limit) + " bytes"});
+            if (!self->tryUpdateHolding()) {
+                self->m_holding.reportDropped(*self, Shortage::Bytes, steadyNow());
+                self->m_requestBodyRead = true;
+                self->m_keepAlive = false;
+                return fail(noRoom());
+            }
+            if (self->m_bodyBytes > whole->capacity())
+                whole->reserve(std::clamp(announced, self->m_bodyBytes,
+                                          std::max(self->m_bodyBytes, 2 * whole->capacity())));
+            whole->append(part.value());
+            (*step)();
+        });
     };
     (*step)();
 }
@@ -146,17 +247,29 @@
     if (m_parser->is_done()) {
         if (!m_requestBodyRead) {
             m_requestBodyRead = true;
+            setActivity(ClientActivity::Waiting);
             watchPeer();
         }
         return done(std::string_view());
     }
-    m_parser->get().body().data = m_bodyBuffer.data();
-    m_parser->get().body().size = m_bodyBuffer.size();
+    if (!m_bodyBuffer) {
+        m_bodyBuffer = std::make_unique<ReadBuffer>();
+        m_buffer.reserve(ReadBufferBytes);
+    }
+    m_parser->get().body().data = m_bodyBuffer->data();
+    m_parser->get().body().size = m_bodyBuffer->size();
+    m_readingBody = true;
     http::async_read_some(
         m_socket, m_buffer, *m_parser,
         [self = shared_from_this(), done = std::move(done)](error_code ec, std::size_t) {
+            self->m_readingBody = false;
             if (self->m_closed || self->m_lingering)
                 return done(Error {ErrorKind::Unavailable, "the peer went away", ""});
+            if (self->m_bodyReclaimed) {
+                self->m_keepAlive = false;
+                self->m_requestBodyRead = true;
+                return done(noRoom());
+            }
             if (ec == http::error::need_buffer)
                 ec = {};
             if (ec) {
@@ -172,10 +285,10 @@
                 return done(malformedRequest(ec));
             }
             self->setDeadline(self->m_limits.stallTimeout);
-            const std::size_t n = self->m_bodyBuffer.size() - self->m_parser->get().body().size;
+            const std::size_t n = self->m_bodyBuffer->size() - self->m_parser->get().body().size;
             if (n == 0)
                 return self->readBodyPart(done);
-            done(std::string_view(self->m_bodyBuffer.data(), n));
+            done(std::string_view(self->m_bodyBuffer->data(), n));
         });
 }
 
@@ -184,6 +297,7 @@
     if (m_closed || m_responded)
         return;
     m_responded = true;
+    m_handlerBytes = 0;
     if (!m_requestBodyRead)
         m_keepAlive = false;
     appendStatusLine(m_queuedOutput, status);
@@ -233,6 +347,8 @@
         return;
     m_outputInFlight.swap(m_queuedOutput);
     setDeadline(m_limits.stallTimeout);
+    if (m_outputInFlight.size() > UncountedBytes)
+        countOutput();
     asio::async_write(
         m_socket, asio::buffer(m_outputInFlight),
         [self = shared_from_this()](error_code ec, std::size_t) { self->onWritten(ec); });
@@ -240,9 +356,16 @@
 
 void HttpConnection::onWritten(error_code ec)
 {
+    m_unconfirmedBytes += m_outputInFlight.size();
     m_outputInFlight.clear();
+    if (m_outputInFlight.capacity() > UncountedBytes)
+        m_outputInFlight.shrink_to_fit();
     if (ec || m_closed)
         return close();
+    if (std::exchange(m_outputCounted, false)) {
+        setActivity(m_requestBodyRead ? ClientActivity::Waiting : ClientActivity::Uploading);
+        updateHolding();
+    }
     if (!m_queuedOutput.empty())
         return flush();
     if (m_responseEnded)
@@ -261,7 +384,7 @@
     if (m_keepAlive)
         return readHead();
     const bool moreMayCome = !m_parser->is_done() || m_parser->keep_alive();
-    if (moreMayCome)
+    if (moreMayCome && m_lingerAllowed)
         return linger();
     error_code ec;
     m_socket.shutdown(tcp::socket::shutdown_send, ec);
@@ -276,6 +399,11 @@
     setDeadline(LingerTime);
     std::string().swap(m_queuedOutput);
     std::string().swap(m_outputInFlight);
+    releaseRequest();
+    setActivity(ClientActivity::Idle);
+    updateHolding();
+    if (!m_bodyBuffer)
+        m_bodyBuffer = std::make_unique<ReadBuffer>();
     error_code ec;
     m_socket.cancel(ec);
     m_socket.shutdown(tcp::socket::shutdown_send, ec);
@@ -284,7 +412,7 @@
 
 void HttpConnection::discardInput()
 {
-    m_socket.async_read_some(asio::buffer(m_bodyBuffer),
+    m_socket.async_read_some(asio::buffer(*m_bodyBuffer),
                              [self = shared_from_this()](error_code ec, std::size_t n) {
                                  if (self->m_closed)
                                      return;
@@ -323,6 +451,7 @@
                             case PeerState::Quiet:
                                 return self->watchPeer();
                             case PeerState::HasSent:
+                                self->m_sentAhead = true;
                                 return;
                             }
                         });
@@ -337,6 +466,9 @@
             return;
         if (std::chrono::steady_clock::now() >= self->m_deadline)
             return self->close();
+        self->countSocketQueues();
+        if (!self->m_outputInFlight.empty() && !self->m_outputCounted)
+            self->countOutput();
         self->watchDeadline();
     });
 }
@@ -348,6 +480,7 @@
     m_closed = true;
     error_code ec;
     m_socket.close(ec);
+    m_holding.close();
     m_timer.cancel();
     setExchangeInFlight(false);
     --m_counters->connections;
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -1,5 +1,6 @@
 #include "net/http_connection.h"
 
+#include <boost/asio/steady_timer.hpp>
 #include <sys/socket.h>
 
 namespace dogwoodvalve {
@@ -11,26 +12,36 @@
 namespace {
 
 constexpr int ListenBacklog = 4096;
+/// Pause after a connection could not be accepted, which repeats at once without one.
+constexpr Duration AcceptRetryDelay = 20ms;
 
 } // namespace
 
 class HttpServer::Impl : public std::enable_shared_from_this<HttpServer::Impl>
 {
 public:
-    Impl(asio::io_context &loop, HttpHandler &handler, HttpServerLimits limits)
+    Impl(asio::io_context &loop, HttpHandler &handler, HttpServerLimits limits,
+         std::shared_ptr<ClientAccount> account)
         : m_loop(loop)
         , m_acceptor(loop)
+        , m_retryTimer(loop)
         , m_handler(handler)
         , m_limits(limits)
+        , m_account(account ? std::move(account)
+                            : std::make_shared<ClientAccount>(
+                                clientLimits(effectiveMachineSize(MachineSize {}))))
     { }
 
     Result<void> listen(const tcp::endpoint &endpoint);
     void accept();
+    void acceptLater();
 
     asio::io_context &m_loop;
     tcp::acceptor m_acceptor;
+    asio::steady_timer m_retryTimer;
     HttpHandler &m_handler;
     HttpServerLimits m_limits;
+    std::shared_ptr<ClientAccount> m_account;
     std::shared_ptr<ServerCounters> m_counters = std::make_shared<ServerCounters>();
     bool m_stopped = false;
 };
@@ -65,19 +76,31 @@
     m_acceptor.async_accept([self = shared_from_this()](error_code ec, tcp::socket socket) {
         if (self->m_stopped || ec == asio::error::operation_aborted)
             return;
+        if (ec && ec != asio::error::connection_aborted)
+            return self->acceptLater();
         if (!ec && self->m_counters->connections < self->m_limits.maxConnections) {
             error_code ignored;
             socket.set_option(tcp::no_delay(true), ignored);
             std::make_shared<HttpConnection>(std::move(socket), self->m_handler, self->m_limits,
-                                             self->m_counters)
+                                             self->m_counters, self->m_account)
                 ->start();
         }
         self->accept();
     });
 }
 
-HttpServer::HttpServer(asio::io_context &loop, HttpHandler &handler, HttpServerLimits limits)
-    : m_impl(std::make_shared<Impl>(loop, handler, limits))
+void HttpServer::Impl::acceptLater()
+{
+    m_retryTimer.expires_after(AcceptRetryDelay);
+    m_retryTimer.async_wait([self = shared_from_this()](error_code ec) {
+        if (!ec && !self->m_stopped)
+            self->accept();
+    });
+}
+
+HttpServer::HttpServer(asio::io_context &loop, HttpHandler &handler, HttpServerLimits limits,
+                       std::shared_ptr<ClientAccount> account)
+    : m_impl(std::make_shared<Impl>(loop, handler, limits, std::move(account)))
 { }
 
 HttpServer::~HttpServer()
@@ -95,6 +118,7 @@
     m_impl->m_stopped = true;
     error_code ec;
     m_impl->m_acceptor.close(ec);
+    m_impl->m_retryTimer.cancel();
 }
 
 std::size_t HttpServer::connections() const
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "net/client_account.h"
+
 #include <dogwoodvalve/result.h>
 #include <dogwoodvalve/timer_service.h>
 
@@ -30,8 +32,9 @@
     Duration headerTimeout = 10s;
     Duration idleTimeout = 75s;
     Duration stallTimeout = 30s;
-    /// Unused. Meant as the number of unsent bytes above which no more of the request body is read.
-    std::size_t writeHighWatermark = 256 * 1024;
+    /// Whether the port is for the platform and other hosts, which may take the last connections of
+    /// the account.
+    bool internal = false;
 };
 
 /// A received request and its response. Must only be called on the thread of the server's event
@@ -50,10 +53,15 @@
     virtual std::string remoteAddress() const = 0;
 
     /// Reads the complete body. Errors: TooLarge if it is longer than the limit in bytes,
-    /// Malformed, Unavailable if the peer disconnected.
+    /// Malformed, Overloaded if the process has no room for it, Unavailable if the peer
+    /// disconnected.
     virtual void readBody(std::size_t limit, std::function<void(Result<std::string>)> done) = 0;
     /// Reads the next part of the body. An empty part marks the end of the body.
     virtual void readBodyPart(std::function<void(Result<std::string_view>)> done) = 0;
+    /// Tells how many bytes the handler holds for the request in place of those it told before, up
+    /// to its response; the body that readBody() has read is counted anyway. Returns false if the
+    /// process has no room for them.
+    virtual bool tryHold([[maybe_unused]] std::size_t bytes) { return true; }
 
     /// Sends a response with a complete body.
     virtual void respond(int status, std::span<const HttpField> fields, std::string_view body) = 0;
@@ -90,7 +98,10 @@
 class HttpServer
 {
 public:
-    HttpServer(boost::asio::io_context &loop, HttpHandler &handler, HttpServerLimits limits);
+    /// What the clients hold is counted in the account, or in one of the server's own that has the
+    /// whole machine.
+    HttpServer(boost::asio::io_context &loop, HttpHandler &handler, HttpServerLimits limits,
+               std::shared_ptr<ClientAccount> account = nullptr);
     ~HttpServer();
 
     HttpServer(const HttpServer &) = delete;
