Bound the operating system's buffers of clients' connections

Forty clients that send requests ahead and read nothing made the operating system hold 173 MB with the process. What is not read yet, or not taken by the client, counts as the machine's memory, and a connection may have some megabytes in each direction. The buffers of accepted connections are now 64 KB.

--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -12,6 +12,9 @@
 namespace {
 
 constexpr int ListenBacklog = 4096;
+/// Bytes in each direction that the operating system holds for a connection. It counts its own
+/// overhead too and doubles them for that.
+constexpr int SocketBufferBytes = 64 * 1024;
 /// Pause after a connection could not be accepted, which repeats at once without one.
 constexpr Duration AcceptRetryDelay = 20ms;
 
@@ -61,6 +64,9 @@
     const int on = 1;
     ::setsockopt(m_acceptor.native_handle(), SOL_SOCKET, SO_REUSEPORT, &on, sizeof(on));
     m_acceptor.set_option(tcp::acceptor::reuse_address(true), ec);
+    // Connections inherit the sizes, which must be known when they are made.
+    m_acceptor.set_option(tcp::acceptor::receive_buffer_size(SocketBufferBytes), ec);
+    m_acceptor.set_option(tcp::acceptor::send_buffer_size(SocketBufferBytes), ec);
     m_acceptor.bind(endpoint, ec);
     if (ec)
         return failed();
