Return the memory that clients have freed

After 1,500 clients with bodies of 1 MB a process kept 1,506 MB on (measured by the users). The allocator raises the size from which it maps blocks one by one to that of the largest freed one, and keeps what is smaller. The size is fixed now, and free pages are returned when half of the most that was held is free.

--- a/src/daemon/entry_process.cpp
+++ b/src/daemon/entry_process.cpp
@@ -126,6 +126,7 @@
 
     void checkClients()
     {
+        m_context.clients()->trimFreedMemory();
         m_context.metrics().setClients(*m_context.clients());
         m_timers.schedule(m_timers.now() + ClientCheckInterval, [this] { checkClients(); });
     }
@@ -197,6 +198,7 @@
 
 int runEntryProcess(const EntrySettings &settings)
 {
+    returnLargeBlocksAtOnce();
     startLog(settings.logLevel, settings.logFile);
     setDecisionLogRate(static_cast<std::uint32_t>(settings.decisionLogRate));
     setInvariantHandler(&logInvariantFailure);
--- a/src/gateway/gateway_process.cpp
+++ b/src/gateway/gateway_process.cpp
@@ -171,6 +171,7 @@
     void admitPeriodically()
     {
         m_node.admitWaitingRequests();
+        m_clients->trimFreedMemory();
         m_node.metrics().setClients(*m_clients);
         m_services.timers().schedule(m_node.now() + AdmissionInterval,
                                      [this] { admitPeriodically(); });
@@ -274,6 +275,7 @@
 int runGatewayProcess(const GatewaySettings &settings, const GatewaySettingsReader &reader,
                       const GatewayPlatformFactory &platform)
 {
+    returnLargeBlocksAtOnce();
     startLogOnStandardOutput(settings.logLevel);
     setDecisionLogRate(static_cast<std::uint32_t>(settings.decisionLogRate));
     return GatewayProcess(settings, reader, platform).run();
--- a/src/net/client_account.cpp
+++ b/src/net/client_account.cpp
@@ -1,6 +1,8 @@
 #include "net/client_account.h"
 
 #include <algorithm>
+#include <malloc.h>
+
 namespace dogwoodvalve {
 
 namespace {
@@ -14,6 +16,12 @@
 /// so many connections to internal ports.
 constexpr std::size_t SmallClientParts = 4;
 constexpr std::size_t InternalParts = 8;
+/// Less freed memory than this stays with the allocator.
+constexpr std::size_t MinTrimBytes = 4U << 20;
+/// Blocks from this size on are mapped one by one. Without a fixed size the allocator raises it to
+/// that of the largest freed block, and keeps all smaller ones.
+constexpr int MappedBlockBytes = 256 * 1024;
+
 } // namespace
 
 ClientLimits clientLimits(const MachineSize &machine)
@@ -22,6 +30,11 @@
     return {machine.memoryBytes / ClientParts, (machine.descriptors - own) / ClientParts};
 }
 
+void returnLargeBlocksAtOnce()
+{
+    ::mallopt(M_MMAP_THRESHOLD, MappedBlockBytes);
+}
+
 std::string_view toString(ClientActivity activity)
 {
     switch (activity) {
@@ -46,6 +59,16 @@
     : m_limits(limits)
 { }
 
+void ClientAccount::trimFreedMemory()
+{
+    const std::size_t peak = m_peakBytes.load(std::memory_order_relaxed);
+    const std::size_t now = bytes();
+    if (peak < now + MinTrimBytes || now > peak / 2)
+        return;
+    m_peakBytes.store(now, std::memory_order_relaxed);
+    ::malloc_trim(0);
+}
+
 void ClientAccount::reclaim(ClientHolding &victim, Shortage shortage)
 {
     victim.m_reclaimed = shortage;
@@ -146,6 +169,8 @@
         m_account->m_bytesReclaimed += more;
     m_account->m_bytes += more;
     m_bytes = bytes;
+    if (m_account->m_bytes > m_account->m_peakBytes)
+        m_account->m_peakBytes = m_account->m_bytes.load();
 }
 
 bool ClientHolding::tryHold(std::size_t bytes, TimePoint now)
--- a/src/net/client_account.h
+++ b/src/net/client_account.h
@@ -23,6 +23,10 @@
 /// The share of a machine that clients get; the process itself needs the rest.
 ClientLimits clientLimits(const MachineSize &machine);
 
+/// Makes the allocator return large blocks to the operating system as soon as they are freed. To be
+/// called at the start of a process.
+void returnLargeBlocksAtOnce();
+
 /// What a client's connection is doing.
 enum class ClientActivity {
     /// No request has begun.
@@ -107,6 +111,10 @@
     /// To be set before there are clients.
     void setObserver(ClientAccountObserver *observer) { m_observer = observer; }
 
+    /// Returns freed memory to the operating system if much of it was freed since the last time. To
+    /// be called now and then.
+    void trimFreedMemory();
+
 private:
     friend class ClientHolding;
 
@@ -126,6 +134,8 @@
     std::size_t m_connectionsReclaimed = 0;
     std::atomic<std::size_t> m_bytes {0};
     std::atomic<std::size_t> m_connections {0};
+    /// The most bytes since freed memory was last returned.
+    std::atomic<std::size_t> m_peakBytes {0};
     ClientAccountObserver *m_observer = nullptr;
 };
 
