Parse completions only if there is room for what they become

Four bodies of 8 MB that consist of '[' took an entry host to 671 MB: each level becomes objects of many times its one byte. An upper bound of what parsing takes is counted from a body's punctuation first; over half of what clients may hold it is refused (413), and without room now as well (429, not run). The copies of a prompt are counted while it runs.

--- a/src/codec/completion_codec.cpp
+++ b/src/codec/completion_codec.cpp
@@ -2,6 +2,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
+
 namespace dogwoodvalve {
 
 using nlohmann::json;
@@ -9,6 +11,9 @@
 namespace {
 
 constexpr int MaxRequestTokens = 1'000'000;
+/// Of a parsed value: its part of a list that has grown by doubling, and a list or a text of its
+/// own, or its node in an object.
+constexpr std::size_t ParsedValueBytes = 192;
 
 Error invalid(std::string message, std::string remedy)
 {
@@ -106,6 +111,15 @@
 
 } // namespace
 
+std::size_t parsingBytes(std::string_view body)
+{
+    // Each value but the first follows one of these. Those within texts are counted, too.
+    const auto values = std::count_if(body.begin(), body.end(), [](char it) {
+        return it == ',' || it == ':' || it == '[' || it == '{';
+    });
+    return static_cast<std::size_t>(values) * ParsedValueBytes + body.size();
+}
+
 Result<CompletionRequest> readCompletionRequest(CompletionKind kind, std::string_view body)
 {
     const json object = json::parse(body, nullptr, false);
--- a/src/codec/completion_codec.h
+++ b/src/codec/completion_codec.h
@@ -27,6 +27,9 @@
     bool includeUsage = false;
 };
 
+/// An upper bound of the bytes that readCompletionRequest() takes while it parses a body.
+std::size_t parsingBytes(std::string_view body);
+
 /// Parses a request body. Members that this router does not use are ignored.
 /// Errors: InvalidArgument, Malformed.
 Result<CompletionRequest> readCompletionRequest(CompletionKind kind, std::string_view body);
--- a/src/daemon/caller_api.cpp
+++ b/src/daemon/caller_api.cpp
@@ -23,6 +23,11 @@
 /// How long a caller may cache the list of entry hosts.
 constexpr int EntriesTtlSeconds = 30;
 constexpr Duration ForwardConnectTimeout = 500ms;
+/// Parsing one request takes at most 1 of so many parts of what clients may hold.
+constexpr std::size_t MaxParsingParts = 2;
+/// Copies of a prompt that exist while its request runs: the request's, the sequence's, and the
+/// step's on its way to an engine.
+constexpr std::size_t PromptCopies = 3;
 
 std::string_view workspaceName(const Result<const ConfiguredWorkspace *> &workspace)
 {
@@ -292,10 +297,29 @@
         });
 }
 
+/// Parses a request that the process has room for. What is held of it afterwards is counted until
+/// it is answered. Errors: those of readCompletionRequest(), TooLarge, Overloaded.
+Result<CompletionRequest> CallerApi::parseWithinRoom(HttpExchange &exchange, CompletionKind kind,
+                                                     std::string_view body) const
+{
+    const ClientLimits &limits = m_environment.context().clients()->limits();
+    const std::size_t parsing = parsingBytes(body);
+    if (parsing > limits.bytes / MaxParsingParts)
+        return Error {ErrorKind::TooLarge, "the body has too many members", "send fewer members"};
+    const Error noRoom {ErrorKind::Overloaded, "this host has no memory for the request",
+                        "send it again later"};
+    if (!exchange.tryHold(parsing))
+        return noRoom;
+    Result<CompletionRequest> request = readCompletionRequest(kind, body);
+    if (request && !exchange.tryHold(request.value().prompt.size() * PromptCopies))
+        return noRoom;
+    return request;
+}
+
 void CallerApi::runCompletion(const Exchange &exchange, CompletionKind kind, const Caller &caller,
                               std::string_view body)
 {
-    Result<CompletionRequest> request = readCompletionRequest(kind, body);
+    Result<CompletionRequest> request = parseWithinRoom(*exchange, kind, body);
     Result<void> valid = BOOST_OUTCOME_V2_NAMESPACE::success();
     if (!request)
         valid = request.error();
--- a/src/daemon/caller_api.h
+++ b/src/daemon/caller_api.h
@@ -44,6 +44,8 @@
                  std::function<void()> unreachable);
     void handleCompletion(const Exchange &exchange, CompletionKind kind);
     void complete(const Exchange &exchange, CompletionKind kind, Caller caller);
+    Result<CompletionRequest> parseWithinRoom(HttpExchange &exchange, CompletionKind kind,
+                                              std::string_view body) const;
     void runCompletion(const Exchange &exchange, CompletionKind kind, const Caller &caller,
                        std::string_view body);
     void handleService(const Exchange &exchange);
