Answer a request that was refused while its room was taken back

Found by reading: a connection whose body found no room was closed before the client could read why, if the account had asked it for room at the same moment; it is left to end by itself. A refusal for want of room by the connection says when to come back. The error and the limits of internal ports exist once.

--- a/src/daemon/caller_api.cpp
+++ b/src/daemon/caller_api.cpp
@@ -306,13 +306,11 @@
     const std::size_t parsing = parsingBytes(body);
     if (parsing > limits.bytes / MaxParsingParts)
         return Error {ErrorKind::TooLarge, "the body has too many members", "send fewer members"};
-    const Error noRoom {ErrorKind::Overloaded, "this host has no memory for the request",
-                        "send it again later"};
     if (!exchange.tryHold(parsing))
-        return noRoom;
+        return noRoomForRequest();
     Result<CompletionRequest> request = readCompletionRequest(kind, body);
     if (request && !exchange.tryHold(request.value().prompt.size() * PromptCopies))
-        return noRoom;
+        return noRoomForRequest();
     return request;
 }
 
--- a/src/daemon/entry_process.cpp
+++ b/src/daemon/entry_process.cpp
@@ -32,12 +32,6 @@
 constexpr Duration MinDrainDuration = 1s;
 constexpr Duration ClientCheckInterval = 500ms;
 
-HttpServerLimits internalLimits(HttpServerLimits limits)
-{
-    limits.internal = true;
-    return limits;
-}
-
 /// A number that grows with each start of a host: the time in milliseconds, with 16 random bits
 /// below it to tell apart two starts in the same millisecond.
 std::uint64_t makeBootNumber()
@@ -68,7 +62,7 @@
         , m_links(m_context.settings().peerSecrets, m_context.metrics())
         , m_control(m_context, m_timers, m_platform, m_links, [this] { configurationChanged(); })
         , m_operatorApi(m_control, [this] { drain(); })
-        , m_operatorServer(m_loop, m_operatorApi, internalLimits(settings.http),
+        , m_operatorServer(m_loop, m_operatorApi, settings.http.forInternalPort(),
                            m_context.clients())
     {
         m_context.clients()->setObserver(this);
--- a/src/daemon/proxy_session.cpp
+++ b/src/daemon/proxy_session.cpp
@@ -123,8 +123,7 @@
             return self->m_client->finishBody();
         self->m_client->write(part.value());
         if (!self->m_exchange->tryHold(self->m_client->pendingBytes()))
-            return self->failBody({ErrorKind::Overloaded, "this host has no memory for the request",
-                                   "send it again later"});
+            return self->failBody(noRoomForRequest());
         if (self->m_client->pendingBytes() > HighWaterBytes)
             self->m_bodyPaused = true;
         else
--- a/src/gateway/gateway_process.cpp
+++ b/src/gateway/gateway_process.cpp
@@ -57,12 +57,6 @@
     return limits;
 }
 
-HttpServerLimits internalLimits(HttpServerLimits limits)
-{
-    limits.internal = true;
-    return limits;
-}
-
 /// Owns all components of a gateway host, starts them, and drains the host before it exits.
 class GatewayProcess : public FleetViewObserver, public ClientAccountObserver
 {
@@ -84,9 +78,9 @@
               std::make_shared<ClientAccount>(clientLimits(effectiveMachineSize(settings.machine))))
         , m_front(m_loop, m_frontApi, requestLimits(), m_clients)
         , m_lookup(m_loop, m_supportApi, {}, m_clients)
-        , m_readiness(m_loop, m_supportApi, internalLimits({}), m_clients)
-        , m_peerServer(m_loop, m_peerApi, internalLimits(requestLimits()), m_clients)
-        , m_metricsServer(m_loop, m_supportApi, internalLimits({}), m_clients)
+        , m_readiness(m_loop, m_supportApi, HttpServerLimits {}.forInternalPort(), m_clients)
+        , m_peerServer(m_loop, m_peerApi, requestLimits().forInternalPort(), m_clients)
+        , m_metricsServer(m_loop, m_supportApi, HttpServerLimits {}.forInternalPort(), m_clients)
     { }
 
     int run()
--- a/src/net/client_account.cpp
+++ b/src/net/client_account.cpp
@@ -55,6 +55,12 @@
     return shortage == Shortage::Bytes ? "memory" : "connections";
 }
 
+Error noRoomForRequest()
+{
+    return {ErrorKind::Overloaded, "this host has no memory for the request",
+            "send it again later"};
+}
+
 ClientAccount::ClientAccount(const ClientLimits &limits)
     : m_limits(limits)
 { }
--- a/src/net/client_account.h
+++ b/src/net/client_account.h
@@ -2,6 +2,7 @@
 
 #include "net/machine_size.h"
 
+#include <dogwoodvalve/result.h>
 #include <dogwoodvalve/timer_service.h>
 
 #include <atomic>
@@ -59,6 +60,9 @@
     virtual void requestReclaim(Shortage shortage) = 0;
 };
 
+/// The error of a request that was not run because the process has no room for it.
+Error noRoomForRequest();
+
 class ClientHolding;
 class HttpExchange;
 
--- a/src/net/connection_account.cpp
+++ b/src/net/connection_account.cpp
@@ -87,11 +87,14 @@
         return;
     if (m_holding.activity() == ClientActivity::Waiting)
         return m_holding.withdrawReclaim();
+    m_lingerAllowed = shortage == Shortage::Bytes;
+    // A request that was refused meanwhile ends by itself.
+    if (m_holding.activity() == ClientActivity::Uploading && m_responded)
+        return;
     m_holding.reportDropped(*this, shortage, steadyNow());
     if (!m_readingBody)
         return close();
     m_bodyReclaimed = true;
-    m_lingerAllowed = shortage == Shortage::Bytes;
     boost::system::error_code ec;
     m_socket.cancel(ec);
 }
--- a/src/net/http_connection.cpp
+++ b/src/net/http_connection.cpp
@@ -18,6 +18,8 @@
 constexpr Duration DeadlineCheckInterval = 500ms;
 /// The deadline while a response waits for its handler.
 constexpr Duration HandlerDeadline = 24h;
+/// When a client should send a request again for which there was no room.
+constexpr Duration RetryAfter = 1s;
 /// For how long, and for how many bytes, a connection reads on after its last response.
 constexpr Duration LingerTime = 1s;
 constexpr std::size_t LingerBytes = 16 * 1024 * 1024;
@@ -36,12 +38,6 @@
             "send a well-formed HTTP/1.1 request"};
 }
 
-Error noRoom()
-{
-    return {ErrorKind::Overloaded, "this host has no memory for the request",
-            "send it again later"};
-}
-
 } // namespace
 
 PeerState peerState(int socket)
@@ -190,15 +186,17 @@
 {
     m_keepAlive = false;
     m_requestBodyRead = true;
-    const std::vector<HttpField> fields {{"Content-Type", "application/json"},
-                                         {"Dogwoodvalve-Outcome", "not-run"}};
+    std::vector<HttpField> fields {{"Content-Type", "application/json"},
+                                   {"Dogwoodvalve-Outcome", "not-run"}};
+    if (status == 503)
+        fields.push_back({"Retry-After", std::to_string(RetryAfter / 1s)});
     respond(status, fields, errorBody(error, "not_run"));
 }
 
 void HttpConnection::refuseForWantOfRoom()
 {
     m_holding.reportDropped(*this, Shortage::Bytes, steadyNow());
-    refuse(503, noRoom());
+    refuse(503, noRoomForRequest());
 }
 
 void HttpConnection::readBody(std::size_t limit, std::function<void(Result<std::string>)> done)
@@ -228,7 +226,7 @@
                 self->m_holding.reportDropped(*self, Shortage::Bytes, steadyNow());
                 self->m_requestBodyRead = true;
                 self->m_keepAlive = false;
-                return fail(noRoom());
+                return fail(noRoomForRequest());
             }
             if (self->m_bodyBytes > whole->capacity())
                 whole->reserve(std::clamp(announced, self->m_bodyBytes,
@@ -268,7 +266,7 @@
             if (self->m_bodyReclaimed) {
                 self->m_keepAlive = false;
                 self->m_requestBodyRead = true;
-                return done(noRoom());
+                return done(noRoomForRequest());
             }
             if (ec == http::error::need_buffer)
                 ec = {};
@@ -370,8 +368,10 @@
         return flush();
     if (m_responseEnded)
         return finishExchange();
-    // A response may wait long for its backend. Only unsent bytes count as a stall.
-    setDeadline(HandlerDeadline);
+    // A response may wait long for its backend. Only unsent bytes, and a body that the client was
+    // told to go on with, count as a stall.
+    if (m_responded || m_requestBodyRead)
+        setDeadline(HandlerDeadline);
     if (const auto callback = std::exchange(m_onDrained, nullptr))
         callback();
 }
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -35,6 +35,14 @@
     /// Whether the port is for the platform and other hosts, which may take the last connections of
     /// the account.
     bool internal = false;
+
+    /// The same for an internal port.
+    HttpServerLimits forInternalPort() const
+    {
+        HttpServerLimits limits = *this;
+        limits.internal = true;
+        return limits;
+    }
 };
 
 /// A received request and its response. Must only be called on the thread of the server's event
