--- a/tests/unit/http_server_test.cpp
+++ b/tests/unit/http_server_test.cpp
@@ -194,6 +194,8 @@
     CPPUNIT_TEST(treatsAHalfClosedConnectionAsDisconnected);
     CPPUNIT_TEST(refusesBadRequests);
     CPPUNIT_TEST(closesHalfSentRequests);
+    CPPUNIT_TEST(aClientThatIsToldToGoOnAndStopsIsDisconnected);
+    CPPUNIT_TEST(aTrailerWithoutEndIsRefused);
     CPPUNIT_TEST(aClientThatStillWritesItsBodyReadsTheWholeRefusal);
     CPPUNIT_TEST(aRefusalOnAKeptConnectionIsReadWhileTheBodyIsWritten);
     CPPUNIT_TEST(bytesAfterARefusalAreNoRequest);
@@ -217,6 +219,22 @@
                                answer.rfind(std::string("HTTP/1.1 ") + status, 0) == 0);
     }
 
+    void aClientThatIsToldToGoOnAndStopsIsDisconnected()
+    {
+        RunningServer server;
+        CPPUNIT_ASSERT_EQUAL(std::string("HTTP/1.1 100 Continue\r\n\r\n"),
+                             sendAndReadAll(server,
+                                            "POST / HTTP/1.1\r\nHost: a\r\n"
+                                            "Expect: 100-continue\r\nContent-Length: 5\r\n\r\n"));
+    }
+
+    void aTrailerWithoutEndIsRefused()
+    {
+        RunningServer server;
+        const std::string request = "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nX: ";
+        expectStatus(sendAndReadAll(server, request + std::string(20'000, 't')), "400", "trailer");
+    }
+
     void servesWholeAndStreamedBodies()
     {
         RunningServer server;
