Close a client whose answer has begun when its room is taken back

Found by reading the change again. A connection with a begun answer and a body that is not whole was asked for its room and took itself for one that was just refused, so that it kept everything, while the account counted on getting it: the bound was no bound for such clients (entry hosts only, as a gateway reads a body whole before it answers). Only a whole answer ends by itself.

--- a/src/net/connection_account.cpp
+++ b/src/net/connection_account.cpp
@@ -79,8 +79,8 @@
     });
 }
 
-/// A request that has not arrived whole has not been run, and its client is told so. Answers that
-/// are not read, and connections without a whole head, end without a word.
+/// A request whose body is being read is ended by its handler. Answers that have begun, and
+/// connections without a whole head, end without a word.
 void HttpConnection::giveBack(Shortage shortage)
 {
     if (m_closed)
@@ -89,10 +89,10 @@
         return m_holding.withdrawReclaim();
     m_lingerAllowed = shortage == Shortage::Bytes;
     // A request that was refused meanwhile ends by itself.
-    if (m_holding.activity() == ClientActivity::Uploading && m_responded)
+    if (m_holding.activity() == ClientActivity::Uploading && m_responseEnded)
         return;
     m_holding.reportDropped(*this, shortage, steadyNow());
-    if (!m_readingBody)
+    if (!m_readingBody || m_responded)
         return close();
     m_bodyReclaimed = true;
     boost::system::error_code ec;
