Take the limit of descriptors as it is

On Linux it can't be without bound, and an unbounded one is the largest number; the condition on it could only have left no connection to clients. The test of the shares covers the limit of the process, too.

--- a/src/net/machine_size.cpp
+++ b/src/net/machine_size.cpp
@@ -14,7 +14,8 @@
         size.memoryBytes = static_cast<std::size_t>(::sysconf(_SC_PHYS_PAGES))
             * static_cast<std::size_t>(::sysconf(_SC_PAGESIZE));
     rlimit limit {};
-    if (::getrlimit(RLIMIT_NOFILE, &limit) == 0 && limit.rlim_cur != RLIM_INFINITY) {
+    if (::getrlimit(RLIMIT_NOFILE, &limit) == 0) {
+        // RLIM_INFINITY is the largest number.
         const auto allowed = static_cast<std::size_t>(limit.rlim_cur);
         size.descriptors = size.descriptors == 0 ? allowed : std::min(size.descriptors, allowed);
     }
--- a/tests/unit/client_account_test.cpp
+++ b/tests/unit/client_account_test.cpp
@@ -1,8 +1,12 @@
 #include "net/client_account.h"
 
 #include <cppunit/extensions/HelperMacros.h>
+#include <sys/resource.h>
 
+#include <algorithm>
+#include <memory>
 #include <optional>
+#include <vector>
 
 using namespace dogwoodvalve;
 
@@ -32,6 +36,7 @@
 {
     CPPUNIT_TEST_SUITE(ClientAccountTest);
     CPPUNIT_TEST(sharesOfTheMachine);
+    CPPUNIT_TEST(theProcessLimitBoundsDescriptors);
     CPPUNIT_TEST(whoHoldsMostForLongestGivesBack);
     CPPUNIT_TEST(clientsThatGotOnAreLeftAlone);
     CPPUNIT_TEST(largeClientsLeaveRoomToSmallOnes);
@@ -66,6 +71,25 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t {37}, clientLimits({32U << 20, 100}).connections);
     }
 
+    void theProcessLimitBoundsDescriptors()
+    {
+        const auto descriptors = [](rlim_t limit, std::size_t configured) {
+            rlimit before {};
+            ::getrlimit(RLIMIT_NOFILE, &before);
+            const rlimit changed {std::min(limit, before.rlim_max), before.rlim_max};
+            ::setrlimit(RLIMIT_NOFILE, &changed);
+            const MachineSize size = effectiveMachineSize({1, configured});
+            ::setrlimit(RLIMIT_NOFILE, &before);
+            return size.descriptors;
+        };
+        CPPUNIT_ASSERT_EQUAL(std::size_t {500}, descriptors(500, 0));
+        CPPUNIT_ASSERT_EQUAL(std::size_t {500}, descriptors(500, 600));
+        CPPUNIT_ASSERT_EQUAL(std::size_t {400}, descriptors(500, 400));
+        CPPUNIT_ASSERT(descriptors(RLIM_INFINITY, 0) > 0);
+        CPPUNIT_ASSERT(
+            clientLimits({64U << 20, static_cast<std::size_t>(RLIM_INFINITY)}).connections > 0);
+    }
+
     void whoHoldsMostForLongestGivesBack()
     {
         const Client older = open(ClientActivity::Uploading, 3 * Small);
