--- a/tests/unit/connection_account_test.cpp
+++ b/tests/unit/connection_account_test.cpp
@@ -17,14 +17,14 @@
 constexpr std::size_t HoardedBytes = 2 * Small;
 
 /// Begins an answer to /hoard and then reads the body, which is never whole, holding a large part
-/// of the account. Other requests hold a small part and are answered whole.
+/// of the account. Other requests hold a small part, for which there is no room beside it.
 class HoardingHandler : public HttpHandler
 {
 public:
     void handle(const std::shared_ptr<HttpExchange> &exchange) override
     {
         if (exchange->target() != "/hoard") {
-            exchange->tryHold(Small / 2);
+            exchange->tryHold(Small * 3 / 4);
             return exchange->respond(200, {}, "");
         }
         exchange->beginStream(200, {});
