Search for who gives room back in one place, and with one clock

Read again as a newcomer would; behaviour stays. Both shortages look for a client by one function that takes the rank. Deadlines and ages of a connection go by one clock. The three places that give a body up share abandonBody(). The metrics of clients have a file of their own in place of one of builders. A body is sent without a copy only before the connection is made: the earlier condition could have left it unsent after that, which no caller did.

--- a/src/daemon/entry_process.cpp
+++ b/src/daemon/entry_process.cpp
@@ -30,6 +30,7 @@
 /// A host answers for at least this long after a drain begins, so that callers whose requests have
 /// just been sent get a reply that refers them to another entry host.
 constexpr Duration MinDrainDuration = 1s;
+/// How often freed memory is returned and the metrics of clients are updated.
 constexpr Duration ClientCheckInterval = 500ms;
 
 /// A number that grows with each start of a host: the time in milliseconds, with 16 random bits
--- a/src/daemon/metrics.h
+++ b/src/daemon/metrics.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "daemon/metric_builders.h"
+#include "daemon/client_metrics.h"
 
 #include <dogwoodvalve/sequence.h>
 
--- a/src/daemon/proxy_session.cpp
+++ b/src/daemon/proxy_session.cpp
@@ -116,9 +116,8 @@
         const auto self = weak.lock();
         if (!self || self->m_ended)
             return;
-        if (!part) {
+        if (!part)
             return self->failBody(part.error());
-        }
         if (part.value().empty())
             return self->m_client->finishBody();
         self->m_client->write(part.value());
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "core/duration_math.h"
-#include "daemon/metric_builders.h"
+#include "daemon/client_metrics.h"
 
 #include <dogwoodvalve/timer_service.h>
 
--- a/src/net/client_account.cpp
+++ b/src/net/client_account.cpp
@@ -75,33 +75,41 @@
     ::malloc_trim(0);
 }
 
-void ClientAccount::reclaim(ClientHolding &victim, Shortage shortage)
-{
-    victim.m_reclaimed = shortage;
-    m_bytesReclaimed += victim.m_bytes;
+template <class Rank>
+bool ClientAccount::reclaimLargest(Shortage shortage, Rank rank)
+{
+    ClientHolding *victim = nullptr;
+    decltype(rank(*victim)) largest;
+    for (ClientHolding *it : m_clients) {
+        if (it->m_reclaimed || it->m_activity == ClientActivity::Waiting)
+            continue;
+        const auto value = rank(*it);
+        if (value && (!victim || *value > *largest)) {
+            victim = it;
+            largest = value;
+        }
+    }
+    if (!victim)
+        return false;
+    victim->m_reclaimed = shortage;
+    m_bytesReclaimed += victim->m_bytes;
     // A connection that gives back bytes stays open until its client has read why.
     if (shortage == Shortage::Connections)
         ++m_connectionsReclaimed;
-    victim.m_client.requestReclaim(shortage);
+    victim->m_client.requestReclaim(shortage);
+    return true;
 }
 
 bool ClientAccount::makeConnectionRoom(std::size_t limit, TimePoint now)
 {
+    const auto rank = [now](const ClientHolding &it) {
+        const bool idle = it.m_activity == ClientActivity::Idle;
+        const Duration age = now - it.m_since;
+        return idle || age >= MinReclaimAge ? std::optional(std::pair(idle, age)) : std::nullopt;
+    };
     while (m_connections - m_connectionsReclaimed >= limit) {
-        ClientHolding *victim = nullptr;
-        const auto rank = [now](const ClientHolding &it) {
-            return std::pair(it.m_activity == ClientActivity::Idle, now - it.m_since);
-        };
-        for (ClientHolding *it : m_clients) {
-            const bool idle = it->m_activity == ClientActivity::Idle;
-            const bool stalled =
-                it->m_activity != ClientActivity::Waiting && now - it->m_since >= MinReclaimAge;
-            if (!it->m_reclaimed && (idle || stalled) && (!victim || rank(*it) > rank(*victim)))
-                victim = it;
-        }
-        if (!victim)
+        if (!reclaimLargest(Shortage::Connections, rank))
             return false;
-        reclaim(*victim, Shortage::Connections);
     }
     return true;
 }
@@ -110,22 +118,17 @@
 {
     const bool small = client.m_bytes + more <= SmallClientBytes;
     const std::size_t limit = m_limits.bytes - (small ? 0 : m_limits.bytes / SmallClientParts);
+    const auto rank = [&client, small, now](const ClientHolding &it) {
+        const Duration age = now - it.m_since;
+        const bool large = it.m_bytes > SmallClientBytes;
+        const bool stalled = age >= MinReclaimAge;
+        const bool eligible = small ? large || stalled : large && stalled;
+        const double weight = static_cast<double>(it.m_bytes) * static_cast<double>(age / 1us);
+        return eligible && &it != &client ? std::optional(weight) : std::nullopt;
+    };
     while (m_bytes - m_bytesReclaimed + more > limit) {
-        ClientHolding *victim = nullptr;
-        const auto weight = [now](const ClientHolding &it) {
-            return static_cast<double>(it.m_bytes) * static_cast<double>((now - it.m_since) / 1us);
-        };
-        for (ClientHolding *it : m_clients) {
-            const bool large = it->m_bytes > SmallClientBytes;
-            const bool stalled = now - it->m_since >= MinReclaimAge;
-            const bool eligible = small ? large || stalled : large && stalled;
-            if (it != &client && !it->m_reclaimed && it->m_activity != ClientActivity::Waiting
-                && eligible && (!victim || weight(*it) > weight(*victim)))
-                victim = it;
-        }
-        if (!victim)
+        if (!reclaimLargest(Shortage::Bytes, rank))
             return false;
-        reclaim(*victim, Shortage::Bytes);
     }
     return true;
 }
--- a/src/net/client_account.h
+++ b/src/net/client_account.h
@@ -128,7 +128,11 @@
     bool makeConnectionRoom(std::size_t limit, TimePoint now);
     /// Makes room for more bytes of a client. Needs the lock.
     bool makeByteRoom(const ClientHolding &client, std::size_t more, TimePoint now);
-    void reclaim(ClientHolding &victim, Shortage shortage);
+    /// Asks the client for which `rank` returns the largest value to give back its room. Those for
+    /// which it returns nothing, and those with a request that waits, are not asked. Returns
+    /// whether there is one. Needs the lock.
+    template <class Rank>
+    bool reclaimLargest(Shortage shortage, Rank rank);
 
     const ClientLimits m_limits;
     std::mutex m_mutex;
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -142,8 +142,8 @@
 {
     if (!m_events || m_writeFailed || body->empty())
         return;
-    // Bytes on their way are those of the head, or there are none.
-    if (m_chunked || !m_outputInFlight.empty())
+    // Only a body that leaves together with the head needs no copy.
+    if (m_chunked || m_connected)
         return write(*body);
     m_body = body;
     flush();
--- a/src/net/http_connection.cpp
+++ b/src/net/http_connection.cpp
@@ -184,8 +184,7 @@
 /// cannot be distinguished from the rest of the rejected request.
 void HttpConnection::refuse(int status, const Error &error)
 {
-    m_keepAlive = false;
-    m_requestBodyRead = true;
+    abandonBody();
     std::vector<HttpField> fields {{"Content-Type", "application/json"},
                                    {"Dogwoodvalve-Outcome", "not-run"}};
     if (status == 503)
@@ -193,6 +192,12 @@
     respond(status, fields, errorBody(error, "not_run"));
 }
 
+void HttpConnection::abandonBody()
+{
+    m_keepAlive = false;
+    m_requestBodyRead = true;
+}
+
 void HttpConnection::refuseForWantOfRoom()
 {
     m_holding.reportDropped(*this, Shortage::Bytes, steadyNow());
@@ -224,8 +229,7 @@
                              "send at most " + std::to_string(limit) + " bytes"});
             if (!self->tryUpdateHolding()) {
                 self->m_holding.reportDropped(*self, Shortage::Bytes, steadyNow());
-                self->m_requestBodyRead = true;
-                self->m_keepAlive = false;
+                self->abandonBody();
                 return fail(noRoomForRequest());
             }
             if (self->m_bodyBytes > whole->capacity())
@@ -264,8 +268,7 @@
             if (self->m_closed || self->m_lingering)
                 return done(Error {ErrorKind::Unavailable, "the peer went away", ""});
             if (self->m_bodyReclaimed) {
-                self->m_keepAlive = false;
-                self->m_requestBodyRead = true;
+                self->abandonBody();
                 return done(noRoomForRequest());
             }
             if (ec == http::error::need_buffer)
@@ -274,12 +277,12 @@
                 const bool disconnected = ec == http::error::partial_message
                     || ec == asio::error::eof
                     || ec.category() == asio::error::get_system_category();
-                self->m_keepAlive = false;
                 if (disconnected) {
+                    self->m_keepAlive = false;
                     done(Error {ErrorKind::Unavailable, "the peer went away", ""});
                     return self->close();
                 }
-                self->m_requestBodyRead = true;
+                self->abandonBody();
                 return done(malformedRequest(ec));
             }
             self->setDeadline(self->m_limits.stallTimeout);
@@ -464,7 +467,7 @@
         const auto self = weak.lock();
         if (ec || !self || self->m_closed)
             return;
-        if (std::chrono::steady_clock::now() >= self->m_deadline)
+        if (steadyNow() >= self->m_deadline)
             return self->close();
         self->countSocketQueues();
         if (!self->m_outputInFlight.empty() && !self->m_outputCounted)
--- a/src/net/http_connection.h
+++ b/src/net/http_connection.h
@@ -119,6 +119,8 @@
     void refuse(int status, const Error &error);
     /// Refuses a request for which the process has no room.
     void refuseForWantOfRoom();
+    /// Reads no more of a body that is refused. The connection ends with the response.
+    void abandonBody();
     void flush();
     void onWritten(boost::system::error_code ec);
     void finishExchange();
@@ -138,8 +140,10 @@
     void countSocketQueues();
     /// Gives back what the account has asked for.
     void giveBack(Shortage shortage);
+    /// A clock that does not count the time in which the machine is suspended, of which clients are
+    /// innocent.
     static TimePoint steadyNow();
-    void setDeadline(Duration timeout) { m_deadline = std::chrono::steady_clock::now() + timeout; }
+    void setDeadline(Duration timeout) { m_deadline = steadyNow() + timeout; }
     void close();
 
     boost::asio::ip::tcp::socket m_socket;
@@ -158,7 +162,7 @@
 
     std::string m_queuedOutput;
     std::string m_outputInFlight;
-    std::chrono::steady_clock::time_point m_deadline;
+    TimePoint m_deadline {};
     std::function<void()> m_onDrained;
     std::function<void()> m_onClosed;
     bool m_keepAlive = true;
