Keep access closed once the last workspace is removed

Servers ran work without a workspace for anybody who could reach a host.

Cause: FrontApi checked keys only if the configuration held a workspace. An empty list, one of another type, and one whose workspaces could not be read all decode to no workspace, which was also what a configuration without the member decodes to. Keys that are empty texts matched requests without a key.

Why this works: whether keys are needed is a property of the configuration of its own now. Requests without a valid key get 401, and, where the configuration is too old to check keys, 503, as with any other list.

--- a/include/dogwoodvalve/fleet_configuration.h
+++ b/include/dogwoodvalve/fleet_configuration.h
@@ -134,11 +134,18 @@
     FleetConfiguration(std::uint64_t version, std::vector<RouteRule> routes,
                        std::vector<ServiceRule> services);
 
-    /// Adds a workspace and its API keys. Only for use while the configuration is being built.
+    /// Adds a workspace and its API keys, and requires a key for all routes that do not allow
+    /// requests without one. Empty keys are ignored. Only for use while the configuration is being
+    /// built.
     void addWorkspace(WorkspaceRule workspace, std::span<const std::string> keys);
+    /// Requires a key even if no workspace is added; then no key is valid. Only for use while the
+    /// configuration is being built.
+    void requireKeys() { m_requiresKeys = true; }
 
     std::uint64_t version() const { return m_version; }
-    bool hasWorkspaces() const { return !m_workspaces.empty(); }
+    /// Whether requests need the key of a workspace, except on routes that allow requests without
+    /// one. A configuration whose last workspace was removed still requires keys.
+    bool requiresKeys() const { return m_requiresKeys; }
     std::size_t routeCount() const { return m_routes.size(); }
     std::span<const ServiceRule> services() const { return m_services; }
 
@@ -153,6 +160,7 @@
 
 private:
     std::uint64_t m_version;
+    bool m_requiresKeys = false;
     std::vector<RouteRule> m_routes;
     std::vector<ServiceRule> m_services;
     std::vector<std::unique_ptr<WorkspaceRule>> m_workspaces;
--- a/src/core/fleet_configuration.cpp
+++ b/src/core/fleet_configuration.cpp
@@ -54,10 +54,14 @@
 
 void FleetConfiguration::addWorkspace(WorkspaceRule workspace, std::span<const std::string> keys)
 {
+    requireKeys();
     m_workspacePriorities.insert(workspace.priority);
     m_workspaces.push_back(std::make_unique<WorkspaceRule>(std::move(workspace)));
-    for (const std::string &key : keys)
-        m_workspaceByKey.emplace(key, m_workspaces.back().get());
+    for (const std::string &key : keys) {
+        // A request without a key looks up the empty one.
+        if (!key.empty())
+            m_workspaceByKey.emplace(key, m_workspaces.back().get());
+    }
 }
 
 const RouteRule *FleetConfiguration::findRoute(std::string_view host, std::string_view path) const
--- a/src/gateway/requests/front_api.cpp
+++ b/src/gateway/requests/front_api.cpp
@@ -77,7 +77,7 @@
                       {ErrorKind::NotFound, "no route for this host and path",
                        "see the routes in the configuration"});
     request.rank = requestRank(request.route->priority, std::nullopt);
-    if (!request.route->allowUnauthenticated && request.configuration->hasWorkspaces()) {
+    if (!request.route->allowUnauthenticated && request.configuration->requiresKeys()) {
         if (!view.keysFresh())
             return refuse(
                 exchange, request.caller, StatusUnavailable,
--- /dev/null
+++ b/tests/simulation/closed_access_test.cpp
@@ -0,0 +1,97 @@
+#include "simulation/gateway_world.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace dogwoodvalve;
+using namespace dogwoodvalve::simulation;
+
+namespace {
+
+/// Longer than the time for which keys are trusted without a confirmation.
+constexpr Duration RevocationTime = 6s;
+
+} // namespace
+
+/// Access must stay closed if what should close it is empty, unreadable or lost.
+class ClosedAccessTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(ClosedAccessTest);
+    CPPUNIT_TEST(noKeyIsAcceptedOnceTheLastWorkspaceIsRemoved);
+    CPPUNIT_TEST(unreadableWorkspacesAdmitNobody);
+    CPPUNIT_TEST(anEmptyKeyAdmitsNobody);
+    CPPUNIT_TEST(aConfigurationWithoutWorkspacesIsOpen);
+    CPPUNIT_TEST_SUITE_END();
+
+    static int statusOf(GatewayWorld &world, const std::string &key, int host = 0,
+                        const std::string &target = "/read/x")
+    {
+        const auto call = world.call("GET", target, {}, host, key);
+        world.run(1s);
+        return call->answer.status;
+    }
+
+    /// Guards against: an empty list of workspaces was taken for a configuration without keys, so
+    /// that revoked and unknown keys were accepted.
+    void noKeyIsAcceptedOnceTheLastWorkspaceIsRemoved()
+    {
+        GatewayWorld world(2);
+        world.settle();
+        CPPUNIT_ASSERT_EQUAL(200, statusOf(world, "good-key"));
+        json configuration = GatewayWorld::configurationObject(2, {"good-key"});
+        configuration["Tenants"] = json::array();
+        world.configure(configuration);
+        world.run(RevocationTime);
+        for (const int host : {0, 1}) {
+            for (const char *key : {"good-key", "never-given", ""})
+                CPPUNIT_ASSERT_EQUAL_MESSAGE(key, 401, statusOf(world, key, host));
+        }
+        CPPUNIT_ASSERT_EQUAL(1, world.plain.runs);
+    }
+
+    void unreadableWorkspacesAdmitNobody()
+    {
+        const char *const unreadable[] {"null",
+                                        "\"workspace\"",
+                                        "7",
+                                        "{}",
+                                        R"([{"ApiKeys":["good-key"]}])",
+                                        R"([{"Name":3,"ApiKeys":["good-key"]}])",
+                                        R"([{"Name":"workspace","ApiKeys":"good-key"}])",
+                                        "[null,5]"};
+        GatewayWorld world;
+        world.settle();
+        int version = 1;
+        for (const char *tenants : unreadable) {
+            json configuration = GatewayWorld::configurationObject(++version, {});
+            configuration["Tenants"] = json::parse(tenants);
+            world.configure(configuration);
+            world.run(1s);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(tenants, 401, statusOf(world, "good-key"));
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(tenants, 401, statusOf(world, ""));
+        }
+        CPPUNIT_ASSERT_EQUAL(0, world.plain.runs);
+    }
+
+    void anEmptyKeyAdmitsNobody()
+    {
+        GatewayWorld world;
+        world.settle();
+        world.configure(2, {"", "good-key"});
+        world.run(1s);
+        CPPUNIT_ASSERT_EQUAL(401, statusOf(world, ""));
+        CPPUNIT_ASSERT_EQUAL(200, statusOf(world, "good-key"));
+    }
+
+    void aConfigurationWithoutWorkspacesIsOpen()
+    {
+        GatewayWorld world;
+        world.settle();
+        json configuration = GatewayWorld::configurationObject(2, {});
+        configuration.erase("Tenants");
+        world.configure(configuration);
+        world.run(1s);
+        CPPUNIT_ASSERT_EQUAL(200, statusOf(world, ""));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ClosedAccessTest);
--- a/tests/simulation/gateway_world.h
+++ b/tests/simulation/gateway_world.h
@@ -237,13 +237,24 @@
     }
 
     void configure(int version, const std::vector<std::string> &keys, bool canResume = true)
+    {
+        configure(configurationObject(version, keys, canResume));
+    }
+
+    void configure(const json &configuration)
+    {
+        store.put("keyed.op", "config", configuration.dump());
+    }
+
+    static json configurationObject(int version, const std::vector<std::string> &keys,
+                                    bool canResume = true)
     {
         const auto route = [canResume](const char *prefix, const char *kind, const char *service) {
             json object = testtool::routeObject("site", prefix, kind, service);
             object["CanResume"] = canResume;
             return object;
         };
-        const json configuration = {
+        return {
             {"Version", version},
             {"Routes",
              {route("/gen/", "streaming", "llm"), route("/read/", "safe", "web"),
@@ -251,7 +262,6 @@
             {"Services",
              {{{"Name", "llm"}, {"Engine", testtool::engineObject()}}, {{"Name", "web"}}}},
             {"Tenants", {{{"Name", "workspace"}, {"ApiKeys", keys}}}}};
-        store.put("keyed.op", "config", configuration.dump());
     }
 
     void addHost(int i) { hosts.push_back(makeHost(i)); }
