Do not leave the requests of an unreadable route to a shorter prefix

Callers would have seen: where the services of a route could not be read, its requests were served by the route with the next shorter prefix, by a service that the operator had not given them to, and without a key if that route needs none.

Cause: decodeRoute left out a route without readable services, and with it the prefix that it closes.

Why this works: the route stays, with the key check of its own, and answers 503 as a route whose service is not configured does.

--- a/include/dogwoodvalve/fleet_configuration.h
+++ b/include/dogwoodvalve/fleet_configuration.h
@@ -53,6 +53,8 @@
     int maxAttempts = 1;
     /// 0 is the highest priority.
     int priority = 5;
+    /// Empty if they could not be read: requests of the route are refused, and are not left to a
+    /// route with a shorter prefix.
     std::vector<WeightedService> services;
 };
 
--- a/tests/simulation/closed_access_test.cpp
+++ b/tests/simulation/closed_access_test.cpp
@@ -20,6 +20,7 @@
     CPPUNIT_TEST(unreadableWorkspacesAdmitNobody);
     CPPUNIT_TEST(anEmptyKeyAdmitsNobody);
     CPPUNIT_TEST(aConfigurationWithoutWorkspacesIsOpen);
+    CPPUNIT_TEST(anUnreadableRouteIsNotLeftToAShorterPrefix);
     CPPUNIT_TEST_SUITE_END();
 
     static int statusOf(GatewayWorld &world, const std::string &key, int host = 0,
@@ -92,6 +93,26 @@
         world.run(1s);
         CPPUNIT_ASSERT_EQUAL(200, statusOf(world, ""));
     }
+
+    /// Guards against: a route whose services could not be read was skipped, so that a route with a
+    /// shorter prefix, which needs no key, served its requests.
+    void anUnreadableRouteIsNotLeftToAShorterPrefix()
+    {
+        GatewayWorld world;
+        world.settle();
+        json configuration = GatewayWorld::configurationObject(2, {"good-key"});
+        json open = configuration["Routes"][1];
+        open["PathPrefix"] = "/";
+        open["NoAuth"] = true;
+        configuration["Routes"][1].erase("Service");
+        configuration["Routes"].push_back(open);
+        world.configure(configuration);
+        world.run(1s);
+        CPPUNIT_ASSERT_EQUAL(200, statusOf(world, "", 0, "/other/x"));
+        CPPUNIT_ASSERT_EQUAL(401, statusOf(world, ""));
+        CPPUNIT_ASSERT_EQUAL(503, statusOf(world, "good-key"));
+        CPPUNIT_ASSERT_EQUAL(1, world.plain.runs);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ClosedAccessTest);
