--- a/tests/simulation/closed_access_test.cpp
+++ b/tests/simulation/closed_access_test.cpp
@@ -21,6 +21,8 @@
     CPPUNIT_TEST(anEmptyKeyAdmitsNobody);
     CPPUNIT_TEST(aConfigurationWithoutWorkspacesIsOpen);
     CPPUNIT_TEST(anUnreadableRouteIsNotLeftToAShorterPrefix);
+    CPPUNIT_TEST(anUnreadableConfigurationEndsTheTrustInKeys);
+    CPPUNIT_TEST(aRemovedConfigurationEndsTheTrustInKeys);
     CPPUNIT_TEST_SUITE_END();
 
     static int statusOf(GatewayWorld &world, const std::string &key, int host = 0,
@@ -113,6 +115,31 @@
         CPPUNIT_ASSERT_EQUAL(503, statusOf(world, "good-key"));
         CPPUNIT_ASSERT_EQUAL(1, world.plain.runs);
     }
+
+    /// Expects that keys are not trusted any longer after this value of the configuration was
+    /// written, and that a later readable one restores the trust.
+    static void expectKeysUntrustedAfter(const std::optional<std::string> &value)
+    {
+        GatewayWorld world(2);
+        world.settle();
+        world.store.put("keyed.op", "config", value);
+        world.run(RevocationTime);
+        for (const int host : {0, 1})
+            CPPUNIT_ASSERT_EQUAL(503, statusOf(world, "good-key", host));
+        world.configure(3, {"new-key"});
+        world.run(1s);
+        CPPUNIT_ASSERT_EQUAL(200, statusOf(world, "new-key"));
+        CPPUNIT_ASSERT_EQUAL(401, statusOf(world, "good-key"));
+    }
+
+    /// Guards against: the configuration in force was confirmed as the newest one beside a later
+    /// one that could not be read, and so keys that the later one had revoked.
+    void anUnreadableConfigurationEndsTheTrustInKeys()
+    {
+        expectKeysUntrustedAfter("{\"Version\":2,\"Tenants\":[");
+    }
+
+    void aRemovedConfigurationEndsTheTrustInKeys() { expectKeysUntrustedAfter(std::nullopt); }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ClosedAccessTest);
