Ask about a crash however an attempt ends

Cause: only a connection that ended led to the question whether its server had crashed. Attempts that ended at the deadline, because the caller left, because what arrived was the answer to another request, or because the host had no room for the answer, were closed without it. Streams were asked about once they were silent for the stall timeout, so those whose callers left sooner were not.

In the log of such a request there is no crash_inquiry after outcome=failed reason="no complete answer before the deadline".

Why this works: the question is asked where attempts are closed, which all ways to end a request pass, unless the server's own answer to the request has arrived whole. A server that is only slow is not accused: a request that was given up counts only if the server starts again under the same id or is gone without having announced that, and has not answered others since. Given-up requests have room of their own among the open questions, so that they do not displace stronger evidence, and do not hold their repeats back.

--- a/src/gateway/fleet/crash_inquiry.cpp
+++ b/src/gateway/fleet/crash_inquiry.cpp
@@ -13,11 +13,28 @@
 constexpr Duration CheckInterval = 100ms;
 /// A server that crashed has started again, or its registration has expired, by then.
 constexpr Duration MaxInquiryTime = 10s;
-constexpr std::size_t MaxCases = 64;
+constexpr std::size_t MaxCases = 256;
 constexpr std::size_t MaxRequestsPerCase = 64;
+/// The same for requests that were given up, which are many in quiet times too. Room is left for
+/// the others, which are stronger evidence.
+constexpr std::size_t MaxGivenUpCases = 192;
+constexpr std::size_t MaxGivenUpPerCase = 16;
+/// Answers of a server that arrive this long after a request was given up have been written after
+/// it.
+constexpr Duration MaxAnswerDelay = 500ms;
+/// An answer may be that of the server's next start, whose registration is read within this time.
+constexpr Duration MaxRegistrationDelay = 3s;
 
 } // namespace
 
+bool CrashInquiry::hasRoom(Cases::const_iterator it, AnswerLoss loss) const
+{
+    const bool givenUp = loss == AnswerLoss::GivenUp;
+    if (it == m_cases.end())
+        return m_cases.size() < (givenUp ? MaxGivenUpCases : MaxCases);
+    return it->second.requests.size() < (givenUp ? MaxGivenUpPerCase : MaxRequestsPerCase);
+}
+
 void CrashInquiry::open(const std::string &server, std::int64_t startedAtMs, StoppedRequest request,
                         AnswerLoss loss)
 {
@@ -27,22 +44,32 @@
     if (!known)
         crashedAt = m_node.view().quarantine().crashedAt(server, startedAtMs);
     else if (it->second.connectionEnded)
-        crashedAt = it->second.openedAt;
+        crashedAt = it->second.endedAt;
     // A request that was sent after the crash has not caused it.
     if (crashedAt && request.sentAt > *crashedAt)
         return;
-    if (request.suspects.empty() || (it == m_cases.end() && m_cases.size() >= MaxCases))
+    if (request.suspects.empty())
+        return;
+    const bool hasPlace = hasRoom(known ? it : m_cases.cend(), loss);
+    if (!known && !hasPlace)
         return;
     Case &opened = m_cases[server];
     if (!known)
-        opened = {startedAtMs, m_node.now(), false, {}};
+        opened = {startedAtMs, false, {}, {}};
     // A server that was only silent until now crashes now.
-    if (loss == AnswerLoss::ConnectionEnded && !std::exchange(opened.connectionEnded, true))
-        opened.openedAt = m_node.now();
-    if (opened.requests.size() < MaxRequestsPerCase)
-        opened.requests.push_back(std::move(request));
+    if (loss == AnswerLoss::ConnectionEnded && !std::exchange(opened.connectionEnded, true)) {
+        opened.endedAt = m_node.now();
+        dropSurvived(server, opened);
+    }
+    const bool listed = std::any_of(opened.requests.begin(), opened.requests.end(),
+                                    [&request](const Suspect &other) {
+                                        return other.request.sentAt == request.sentAt
+                                            && other.request.suspects == request.suspects;
+                                    });
+    if (hasPlace && !listed)
+        opened.requests.push_back({std::move(request), m_node.now(), loss == AnswerLoss::GivenUp});
     if (loss == AnswerLoss::ConnectionEnded)
-        m_node.survey().probeUnlessProbedSince(server, opened.openedAt);
+        m_node.survey().probeUnlessProbedSince(server, opened.endedAt);
     scheduleCheck();
 }
 
@@ -63,14 +90,19 @@
     const TimePoint now = m_node.now();
     const FleetView &view = m_node.view();
     for (auto it = m_cases.begin(); it != m_cases.end();) {
-        const auto &[server, opened] = *it;
+        auto &[server, opened] = *it;
         const ServerRegistration *registered = view.registry().find(server);
-        const bool crashed = !registered || registered->startedAtMs != opened.startedAtMs;
-        if (crashed)
+        const bool gone = !registered || registered->startedAtMs != opened.startedAtMs;
+        const bool left = !opened.connectionEnded && isLeaving(server, opened);
+        if (gone && !left)
             report(server, opened);
-        if (crashed || now - opened.openedAt >= MaxInquiryTime) {
-            if (!crashed)
-                logEnd(server, opened, "unknown");
+        else if (!opened.connectionEnded)
+            dropHarmless(server, opened);
+        const bool over = opened.connectionEnded ? now - opened.endedAt >= MaxInquiryTime
+                                                 : opened.requests.empty();
+        if (gone || left || over) {
+            if (left || !gone)
+                logEnd(server, opened, left ? "leaving" : "unknown");
             it = m_cases.erase(it);
             continue;
         }
@@ -82,10 +114,40 @@
         scheduleCheck();
 }
 
+bool CrashInquiry::isLeaving(const std::string &server, const Case &opened)
+{
+    const ServerRegistration *registered = m_node.view().registry().find(server);
+    return m_node.view().health().isLeaving(server, opened.startedAtMs)
+        || (registered && registered->startedAtMs == opened.startedAtMs && registered->draining);
+}
+
+void CrashInquiry::dropSurvived(const std::string &server, Case &opened)
+{
+    const TimePoint answeredAt = m_node.view().load(server)->lastSignOfLife();
+    std::erase_if(opened.requests, [answeredAt](const Suspect &it) {
+        return it.givenUp && answeredAt > it.stoppedAt + MaxAnswerDelay;
+    });
+}
+
+void CrashInquiry::dropHarmless(const std::string &server, Case &opened)
+{
+    const TimePoint now = m_node.now();
+    const TimePoint answeredAt = m_node.view().load(server)->lastSignOfLife();
+    const TimePoint registeredAt = now - std::min(m_node.view().serversAge(), MaxInquiryTime);
+    std::erase_if(opened.requests, [&](Suspect &it) {
+        if (it.givenUp && !it.survivedAt && answeredAt > it.stoppedAt + MaxAnswerDelay)
+            it.survivedAt = answeredAt;
+        return now - it.stoppedAt >= MaxInquiryTime
+            || (it.survivedAt && registeredAt >= *it.survivedAt + MaxRegistrationDelay);
+    });
+}
+
 bool CrashInquiry::isOpen(const std::string &suspect) const
 {
-    const auto concerns = [&suspect](const StoppedRequest &it) {
-        return std::find(it.suspects.begin(), it.suspects.end(), suspect) != it.suspects.end();
+    const auto concerns = [&suspect](const Suspect &it) {
+        const std::vector<std::string> &suspects = it.request.suspects;
+        return !it.givenUp
+            && std::find(suspects.begin(), suspects.end(), suspect) != suspects.end();
     };
     return std::any_of(m_cases.begin(), m_cases.end(), [&](const auto &it) {
         return std::any_of(it.second.requests.begin(), it.second.requests.end(), concerns);
@@ -122,9 +184,9 @@
 void CrashInquiry::report(const std::string &server, const Case &opened)
 {
     logEnd(server, opened, "crashed");
-    for (const StoppedRequest &request : opened.requests)
-        m_node.view().recordCrash(server, opened.startedAtMs, request.suspects, request.undelivered,
-                                  opened.openedAt, request.tried);
+    for (const Suspect &it : opened.requests)
+        m_node.view().recordCrash(server, opened.startedAtMs, it.request.suspects,
+                                  it.request.undelivered, opened.stoppedAt(), it.request.tried);
 }
 
 } // namespace dogwoodvalve
--- a/src/gateway/fleet/fleet_view.h
+++ b/src/gateway/fleet/fleet_view.h
@@ -10,6 +10,7 @@
 #include <dogwoodvalve/server_health.h>
 #include <dogwoodvalve/server_rate_limits.h>
 
+#include <algorithm>
 #include <functional>
 #include <map>
 #include <memory>
@@ -35,6 +36,10 @@
     int streams = 0;
     /// When an event last arrived on any of these streams.
     TimePoint lastProgressAt {};
+    /// When the head of an answer of the server, not along a path, last arrived.
+    TimePoint lastAnsweredAt {};
+
+    TimePoint lastSignOfLife() const { return std::max(lastProgressAt, lastAnsweredAt); }
 };
 
 /// Is notified when the view has changed.
--- a/src/gateway/requests/generation_attempt.cpp
+++ b/src/gateway/requests/generation_attempt.cpp
@@ -20,6 +20,18 @@
 
 } // namespace
 
+std::string describePath(std::span<const PathServer> servers, std::span<const PathPart> parts)
+{
+    std::string text;
+    for (const PathPart &part : parts) {
+        if (!text.empty())
+            text += ',';
+        text += std::string(servers[part.server].id) + ':' + std::to_string(part.layers.first) + '-'
+            + std::to_string(part.layers.end);
+    }
+    return text;
+}
+
 GenerationAttempt::GenerationAttempt(GatewayNode &node, GenerationAttemptObserver &observer,
                                      std::string requestId, EnginePath path,
                                      std::vector<ReservedPart> parts, std::string pathText)
@@ -72,6 +84,7 @@
 {
     m_answer = m_node.dialect().decodeAnswer(status, fields, m_requestId);
     recordNotices();
+    m_parts.front().load->lastAnsweredAt = m_node.now();
     m_isStream = status == StatusOk && m_answer.stamped && m_answer.idMatches && !m_answer.encoded;
     m_headArrived = true;
     m_begunAt = m_node.now();
@@ -153,6 +166,14 @@
     return std::max<Duration>(MinStallTimeout, m_path.stepTime * stepsPerEvent * StallPauseFactor);
 }
 
+std::vector<const ReservedPart *> GenerationAttempt::allParts() const
+{
+    std::vector<const ReservedPart *> all;
+    for (const ReservedPart &part : m_parts)
+        all.push_back(&part);
+    return all;
+}
+
 std::vector<const ReservedPart *> GenerationAttempt::stalledParts() const
 {
     std::vector<const ReservedPart *> stalled;
--- a/src/gateway/requests/generation_attempt.h
+++ b/src/gateway/requests/generation_attempt.h
@@ -36,6 +36,9 @@
     double backlogMs = 0;
 };
 
+/// The servers of a path and the layers that each of them runs, for log lines: server:first-end.
+std::string describePath(std::span<const PathServer> servers, std::span<const PathPart> parts);
+
 /// One run of a generation on a path of engines: what it has reserved there, its connection to the
 /// first engine, and what has arrived of the answer.
 class GenerationAttempt : public HttpClientEvents,
@@ -70,6 +73,7 @@
     void recordProgress();
     /// Time without an event after which an engine of the path may be lost.
     Duration stallTimeout(int stepsPerEvent) const;
+    std::vector<const ReservedPart *> allParts() const;
     /// The parts on whose servers no stream of this host has made progress lately.
     std::vector<const ReservedPart *> stalledParts() const;
     /// The parts whose engine has restarted. If there is one, nothing more can arrive.
--- a/src/gateway/requests/generation_session.cpp
+++ b/src/gateway/requests/generation_session.cpp
@@ -26,18 +26,6 @@
 constexpr Duration CrashRetryHold = 1s;
 constexpr Duration MinStallTimeout = GenerationAttempt::MinStallTimeout;
 
-std::string describePath(std::span<const PathServer> servers, std::span<const PathPart> parts)
-{
-    std::string text;
-    for (const PathPart &part : parts) {
-        if (!text.empty())
-            text += ',';
-        text += std::string(servers[part.server].id) + ':' + std::to_string(part.layers.first) + '-'
-            + std::to_string(part.layers.end);
-    }
-    return text;
-}
-
 } // namespace
 
 GenerationSession::GenerationSession(GatewayNode &node, AcceptedRequest request)
@@ -134,6 +122,10 @@
 
 void GenerationSession::closeAttempt(GenerationAttempt &attempt)
 {
+    if (attempt.anyByteSent() && !attempt.countedAsServed
+        && !mutated("gateway-ask-only-about-lost-streams")) {
+        inquireCrash(attempt, attempt.allParts(), AnswerLoss::GivenUp);
+    }
     attempt.close();
     m_demand.recordEnded();
     m_node.queue(m_request.service->name).predictor().recordCompleted(m_size.total(), m_node.now());
@@ -157,7 +149,12 @@
 void GenerationSession::inquireCrash(const GenerationAttempt &attempt,
                                      std::span<const ReservedPart *const> servers, AnswerLoss loss)
 {
-    if (!attempt.isBeginning())
+    // An engine that has failed or refused the request itself was alive after it.
+    const ServerAnswer &answer = attempt.answer();
+    const bool answered =
+        !attempt.isStream() && answer.idMatches && (answer.stamped || answer.notRun);
+    const bool wentOn = attempt.anyEvent() && !attempt.isBeginning();
+    if (answered || wentOn)
         return;
     for (const ReservedPart *part : servers)
         m_node.crashes().open(part->server, part->startedAtMs,
--- a/src/gateway/requests/plain_session.cpp
+++ b/src/gateway/requests/plain_session.cpp
@@ -50,6 +50,7 @@
     m_triedServers.insert(server.id);
     m_answerFields.clear();
     m_answerBody.clear();
+    m_answered = false;
     DispatchRequest request;
     request.server = &server;
     request.workspace = m_request.workspace;
@@ -71,8 +72,14 @@
         --load->inFlight;
         m_node.queue(m_request.service->name).predictor().recordCompleted(1, m_node.now());
     }
-    if (const auto client = std::exchange(m_client, nullptr))
-        client->close();
+    const auto client = std::exchange(m_client, nullptr);
+    if (!client)
+        return;
+    // Whatever ends the attempt, the server may have crashed because of it.
+    if (client->anyByteSent() && !m_answered && !mutated("gateway-ask-only-about-lost-connections"))
+        m_node.crashes().open(m_server, m_serverStartedAtMs,
+                              stoppedRequest(m_answerBody.empty(), m_sentAt), AnswerLoss::GivenUp);
+    client->close();
 }
 
 bool PlainSession::tryBeginRetry(bool lastAttemptRan)
@@ -87,6 +94,7 @@
 void PlainSession::onHead(int status, std::span<const HttpField> fields)
 {
     m_answer = m_node.dialect().decodeAnswer(status, fields, m_request.caller.id);
+    m_load->lastAnsweredAt = m_node.now();
     m_node.recordNotice(m_server, m_serverStartedAtMs, m_answer.notice);
     m_node.view().recordRateNotice(m_server, m_serverStartedAtMs, m_answer.notice, m_sentAt);
     m_answerFields = m_node.dialect().answerFields(fields);
@@ -110,7 +118,8 @@
 {
     const auto keep = shared_from_this();
     const bool success = m_answer.status >= 200 && m_answer.status < 300;
-    if (m_answer.stamped && m_answer.idMatches && !m_answer.notRun)
+    m_answered = m_answer.idMatches && (m_answer.stamped || m_answer.notRun);
+    if (m_answered && !m_answer.notRun)
         m_node.view().recordServed(m_crashSuspects, m_sentAt);
     if (m_answer.notRun)
         return handleFailedAttempt(ServerEvidence::Refused, "the server refused the request",
--- a/src/gateway/requests/plain_session.h
+++ b/src/gateway/requests/plain_session.h
@@ -40,6 +40,9 @@
     ServerAnswer m_answer;
     std::vector<HttpField> m_answerFields;
     std::string m_answerBody;
+    /// The server's answer to this request has arrived whole, so the open attempt has not crashed
+    /// it.
+    bool m_answered = false;
     std::shared_ptr<ServerLoad> m_load;
     std::string m_server;
     std::int64_t m_serverStartedAtMs = 0;
--- a/tests/simulation/crashing_request_test.cpp
+++ b/tests/simulation/crashing_request_test.cpp
@@ -23,7 +23,12 @@
 constexpr std::size_t CrashLimit = 3;
 constexpr int RepeatsBeyondBound = 3;
 
+/// Time between the repeats of a caller that learns nothing from the answers.
+constexpr Duration PatientPause = 4s;
+constexpr int PatientRepeats = 14;
+
 constexpr const char *CrashingTarget = "/read/crash";
+constexpr const char *CrashingUnsafeTarget = "/write/crash";
 
 /// A plain server that crashes while it runs one request, and starts again later.
 class CrashingServer : public HttpHandler
@@ -39,9 +44,15 @@
 
     void handle(const std::shared_ptr<HttpExchange> &exchange) override
     {
-        const bool crashes = exchange->target() == CrashingTarget;
+        const bool crashes =
+            exchange->target() == CrashingTarget || exchange->target() == CrashingUnsafeTarget;
         if (crashes)
             crashingRuns.push_back(m_world.now());
+        if (crashes && answersForAnother) {
+            const std::vector<HttpField> fields {{"X-Server-Stamp", m_name},
+                                                 {"X-Request-Id", "of-another"}};
+            exchange->respond(200, fields, "done");
+        }
         if (resets)
             return exchange->abort();
         m_world.after(RunTime, [this, crashes, exchange, life = m_life] {
@@ -60,12 +71,17 @@
             return;
         crashes.push_back(m_world.now());
         m_process->end();
-        m_world.network().processEnded(m_process.get());
+        if (!goesDark)
+            m_world.network().processEnded(m_process.get());
         m_world.after(Downtime, [this] { start(); });
     }
 
     /// Closes each connection without an answer, and goes on.
     bool resets = false;
+    /// Its connections do not end when it crashes.
+    bool goesDark = false;
+    /// Sends the late answer to another request before it crashes.
+    bool answersForAnother = false;
     std::vector<TimePoint> crashes;
     /// When the crashing request has reached the server.
     std::vector<TimePoint> crashingRuns;
@@ -101,6 +117,12 @@
     CPPUNIT_TEST(aStoppedRequestIsRefusedAsNotRun);
     CPPUNIT_TEST(crashesWithoutACommonCauseStopNoRequest);
     CPPUNIT_TEST(aLostAnswerOfALivingServerIsRepeatedAtOnce);
+    CPPUNIT_TEST(aRequestThatEndsAtItsDeadlineIsStopped);
+    CPPUNIT_TEST(aRequestWhoseCallerLeavesIsStopped);
+    CPPUNIT_TEST(aRequestThatGetsAForeignAnswerIsStopped);
+    CPPUNIT_TEST(aGenerationWhoseCallerLeavesIsStopped);
+    CPPUNIT_TEST(requestsGivenUpAtLeavingServersAreNoSuspects);
+    CPPUNIT_TEST(crashesBesideCallersThatLeaveStopNoRequest);
     CPPUNIT_TEST_SUITE_END();
 
     /// Hosts, and the only servers of the plain service.
@@ -280,6 +302,103 @@
         CPPUNIT_ASSERT_EQUAL(0, slow);
         CPPUNIT_ASSERT_EQUAL(std::size_t {0}, stopped(fleet));
     }
+
+    /// How the attempt of a crashing request ends.
+    enum class Ending {
+        Deadline,
+        CallerLeaves,
+        ForeignAnswer,
+    };
+
+    /// Plays a request that crashes servers without ending their connections.
+    static void expectStopped(Ending ending)
+    {
+        Fleet fleet;
+        for (const auto &server : fleet.servers) {
+            server->goesDark = true;
+            server->answersForAnother = ending == Ending::ForeignAnswer;
+        }
+        for (int i = 0; i < PatientRepeats; ++i) {
+            const auto call = fleet.world.call("POST", CrashingUnsafeTarget,
+                                               {{"X-Deadline-Ms", "1500"}}, i % Hosts);
+            if (ending == Ending::CallerLeaves)
+                fleet.world.after(300ms, [call] { call->client->close(); });
+            fleet.world.run(PatientPause);
+        }
+        const auto crashes = fleet.collect(&CrashingServer::crashes);
+        CPPUNIT_ASSERT(crashes.size() >= 2);
+        if (crashes.size() >= CrashLimit)
+            CPPUNIT_ASSERT_LESSEQUAL(RepeatsBeyondBound,
+                                     countAfter(fleet.collect(&CrashingServer::crashingRuns),
+                                                crashes[CrashLimit - 1] + CrashBound));
+        CPPUNIT_ASSERT_EQUAL(std::size_t {Hosts}, stopped(fleet));
+    }
+
+    /// Guards against: only a connection that ended led to the question whether the server had
+    /// crashed, so that a request at whose deadline the server was dark came again for ever.
+    void aRequestThatEndsAtItsDeadlineIsStopped() { expectStopped(Ending::Deadline); }
+
+    void aRequestWhoseCallerLeavesIsStopped() { expectStopped(Ending::CallerLeaves); }
+
+    void aRequestThatGetsAForeignAnswerIsStopped() { expectStopped(Ending::ForeignAnswer); }
+
+    /// No other stream shows that the engine is silent.
+    void aGenerationWhoseCallerLeavesIsStopped()
+    {
+        GatewayWorld world(Hosts, 8);
+        world.settle();
+        world.setCrashingPart("dead", testtool::CrashMoment::WithoutAnEnd);
+        for (int i = 0; i < PatientRepeats; ++i) {
+            const auto call = world.call(
+                "POST", "/gen/crash",
+                {{"X-Token-Usage", "100,60"}, {"X-Prompt-Prefix", "aa01:40,dead:20"}}, i % Hosts);
+            world.after(300ms, [call] { call->client->close(); });
+            world.run(PatientPause);
+        }
+        const auto &crashes = world.crashesByPrompt;
+        CPPUNIT_ASSERT(crashes.size() >= 2);
+        if (crashes.size() >= CrashLimit)
+            CPPUNIT_ASSERT_LESSEQUAL(RepeatsBeyondBound,
+                                     countAfter(crashes, crashes[CrashLimit - 1] + CrashBound));
+    }
+
+    void requestsGivenUpAtLeavingServersAreNoSuspects()
+    {
+        Fleet fleet;
+        for (int i = 1; i <= Servers; ++i) {
+            // All hosts have given up a request to the server when it leaves.
+            for (int k = 0; k < Servers * Hosts; ++k) {
+                const auto call = fleet.world.call("GET", "/read/poll", {}, k % Hosts);
+                fleet.world.run(10ms);
+                call->client->close();
+            }
+            const std::string id = "c-" + std::to_string(i);
+            json entry = testtool::plainEntry("web", "10.0.4." + std::to_string(i) + ":80", true);
+            entry["born"] = 1;
+            fleet.world.registerServer(id, entry);
+            fleet.world.run(3s);
+            fleet.world.store.put("keyed.servers", id, std::nullopt);
+            fleet.world.run(3s);
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t {0}, stopped(fleet));
+    }
+
+    void crashesBesideCallersThatLeaveStopNoRequest()
+    {
+        Fleet fleet;
+        for (int i = 0; i < 1200; ++i) {
+            const auto call = fleet.world.call(
+                "GET", i % 3 == 0 ? "/read/poll" : "/read/" + std::to_string(i), {}, i % Hosts);
+            if (i % 2 == 0)
+                fleet.world.after(RunTime / 2, [call] { call->client->close(); });
+            fleet.world.run(SoundInterval);
+            if (i % 100 == 50)
+                fleet.servers[static_cast<std::size_t>(i / 100 % Servers)]->crash();
+        }
+        fleet.world.run(12s);
+        CPPUNIT_ASSERT_EQUAL(std::size_t {12}, fleet.collect(&CrashingServer::crashes).size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t {0}, stopped(fleet));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(CrashingRequestTest);
--- a/tests/simulation/prompt_quarantine_test.cpp
+++ b/tests/simulation/prompt_quarantine_test.cpp
@@ -46,6 +46,7 @@
     CPPUNIT_TEST(requestsThatCrashEnginesLongAfterTheHeadAreStopped);
     CPPUNIT_TEST(requestsThatCrashTheLastEngineOfAPathAreStopped);
     CPPUNIT_TEST(requestsThatCrashEnginesThatAreBackAtOnceAreStopped);
+    CPPUNIT_TEST(requestsOfCallersThatLeaveAreStopped);
     CPPUNIT_TEST(aRequestSentAfterASilenceIsASuspectOfTheCrash);
     CPPUNIT_TEST(aCrashingPartFarBackInThePromptIsStopped);
     CPPUNIT_TEST(aCrashingPartWithALongIdIsStopped);
@@ -76,6 +77,8 @@
         std::string firstParts;
         std::string crashingPart = CrashingPart;
         int crashingShare = CrashingShare;
+        /// When callers of crashing requests leave; never if 0.
+        Duration patience {};
 
         void play(GatewayWorld &world, Duration time)
         {
@@ -86,6 +89,8 @@
                     + (crashes ? std::string(SharedPart) + ',' + crashingPart : soundParts(i));
                 const auto call = world.generateWith(parts, i % Hosts);
                 (crashes ? crashing : sound).push_back({call, world.lastId(), world.now()});
+                if (crashes && patience > Duration::zero())
+                    world.after(patience, [call] { call->client->close(); });
                 world.run(RequestInterval);
             }
         }
@@ -172,6 +177,15 @@
         checkStopped(rareCrashes(), CrashMoment::AtEndOfPath, 200ms);
     }
 
+    /// Guards against: an engine that had crashed without ending its connections was not asked
+    /// about once the caller had left.
+    void requestsOfCallersThatLeaveAreStopped()
+    {
+        Traffic traffic = rareCrashes();
+        traffic.patience = 300ms;
+        checkStopped(traffic, CrashMoment::WithoutAnEnd);
+    }
+
     /// Only the end of a connection shows when a server has crashed; one that was silent before may
     /// have been alive.
     void aRequestSentAfterASilenceIsASuspectOfTheCrash()
--- a/tools/testtool/forwarding_engine.cpp
+++ b/tools/testtool/forwarding_engine.cpp
@@ -200,8 +200,8 @@
     m_streams.push_back(stream);
     const bool crashes = !m_crashingPart.empty()
         && exchange->header("X-Prompt-Prefix").find(m_crashingPart) != std::string_view::npos;
-    const bool withoutHead =
-        m_crashMoment == CrashMoment::BeforeHead || m_crashMoment == CrashMoment::AtEndOfPath;
+    const bool withoutHead = m_crashMoment == CrashMoment::BeforeHead
+        || m_crashMoment == CrashMoment::AtEndOfPath || m_crashMoment == CrashMoment::WithoutAnEnd;
     if (!crashes || !withoutHead)
         exchange->beginStream(200, fields);
     if (m_fault == EngineFault::EndsAtOnce)
@@ -232,10 +232,11 @@
 
 void ForwardingEngine::crash()
 {
-    m_fault = EngineFault::Ended;
+    const bool dark = m_crashMoment == CrashMoment::WithoutAnEnd;
+    m_fault = dark ? EngineFault::Dark : EngineFault::Ended;
     for (const auto &it : std::exchange(m_streams, {})) {
         const auto stream = it.lock();
-        if (!stream || std::exchange(stream->closed, true))
+        if (!stream || std::exchange(stream->closed, true) || dark)
             continue;
         stream->exchange->abort();
     }
--- a/tools/testtool/forwarding_engine.h
+++ b/tools/testtool/forwarding_engine.h
@@ -49,6 +49,8 @@
     BeforeFirstEvent,
     /// As BeforeHead, but the last engine of the path crashes. The first one says nothing of it.
     AtEndOfPath,
+    /// As BeforeHead, but the engine goes dark: its connections do not end.
+    WithoutAnEnd,
 };
 
 class ForwardingEngine;
