Keep evidence on crashes in the platform's store

Cause: reports on crashes lived in the memory of the hosts and in their digests only.

Why this works: each crash with suspects is written to a keyed topic within half a second by the host that ranks first for it; the next ones have their turns a second apart and learn from digests that they need not write. What changes the evidence, also what clears it, is written again. Hosts read the topic when they start, before they serve, for 0.4 s at most; members of relayed zones learn from their relays. While the store is away the evidence stays in memory, with a backoff between attempts, and is written when the store returns; after a return from a copy it is written again, as hosts know in which era it was stored. Records hold the crash, the time of day and the parts; unknown members are ignored and unreadable records skipped. They end after ten minutes and are removed by one host that looks every five minutes. Digests carry the era as a third element of a report, which hosts of the build before do not read.

GatewayTest::theLeaseHasOneHolderAndItsOrdersAreFenced killed the first host and took it for the holder of the lease. With one more call at the start another host joins first. It now kills the host that the store names as the owner.

--- a/include/dogwoodvalve/crash_report.h
+++ b/include/dogwoodvalve/crash_report.h
@@ -2,7 +2,9 @@
 
 #include <dogwoodvalve/timer_service.h>
 
+#include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 
 namespace dogwoodvalve {
@@ -39,6 +41,8 @@
     Duration age {};
     /// The parts of prompts that the server had just begun to answer, by id.
     std::map<std::string, SuspectedPart> parts;
+    /// The era of the store in which it held this evidence; absent if it is not known to.
+    std::optional<std::uint64_t> archivedEra = std::nullopt;
 };
 
 /// Crash reports by server and its start.
--- a/include/dogwoodvalve/prompt_quarantine.h
+++ b/include/dogwoodvalve/prompt_quarantine.h
@@ -40,7 +40,8 @@
 /// quarantined it is therefore in doubt, in which hosts send one request with it at a time. Such a
 /// trial either crashes its server too, or is answered and clears the part.
 ///
-/// Hosts exchange their reports and merge them, in any order.
+/// Hosts exchange their reports and merge them, in any order. The reports are also kept in an
+/// archive outside of the hosts, for when all of them are lost at once.
 class PromptQuarantine
 {
 public:
@@ -76,6 +77,14 @@
 
     /// What other hosts need to know.
     CrashReports reports(TimePoint now) const;
+    /// Crashes among those that are reported whose evidence the archive is not known to hold in
+    /// this era of it.
+    std::vector<std::string> unarchived(std::uint64_t era, TimePoint now) const;
+    /// Reports on these crashes, without those that have been forgotten.
+    CrashReports reportsOn(std::span<const std::string> crashes, TimePoint now) const;
+    /// The archive holds these reports since the given era. Evidence that came in the meantime is
+    /// not archived.
+    void recordArchived(const CrashReports &reports, std::uint64_t era);
     /// The first of these parts that is in quarantine.
     std::optional<QuarantinedPart> find(std::span<const std::string> parts, TimePoint now) const;
     /// The first of these parts that is in doubt.
@@ -108,7 +117,15 @@
         std::map<std::string, SuspectedPart> parts;
         /// A part in quarantine explains the crash.
         bool explained = false;
+        /// When the evidence changed last.
+        TimePoint changedAt {};
+        /// The era in which the archive held evidence on the crash, if it ever did.
+        std::optional<std::uint64_t> archivedEra;
+        /// The evidence has changed since it was archived.
+        bool archiveOutdated = false;
 
+        void noteChange(TimePoint now);
+        CrashReport report(TimePoint now) const;
         bool anyUndelivered() const;
         bool hasSuspect() const;
         /// Which crashes are kept and reported if there are too many: the highest.
@@ -122,11 +139,13 @@
         int position = 0;
     };
 
+    /// The crashes that other hosts and the archive need to know, by their key.
+    std::vector<std::pair<const std::string *, const Crash *>> reported(TimePoint now) const;
     PartStanding standingOf(const std::string &part, TimePoint crashedAt) const;
     std::optional<TimePoint> servedAt(const std::string &part) const;
     /// Adds a suspected part to a crash, or raises its standing. Returns whether that changed
     /// anything.
-    bool addPart(Crash &crash, const std::string &part, SuspectedPart suspected);
+    bool addPart(Crash &crash, const std::string &part, SuspectedPart suspected, TimePoint now);
     void dropOldCrashes(TimePoint now);
     void evaluate(TimePoint now);
     std::map<std::string, Evidence> evidence(TimePoint now);
--- a/src/core/prompt_quarantine.cpp
+++ b/src/core/prompt_quarantine.cpp
@@ -87,6 +87,18 @@
     return {explained, hasSuspect(), at};
 }
 
+void PromptQuarantine::Crash::noteChange(TimePoint now)
+{
+    changedAt = now;
+    archiveOutdated = archivedEra.has_value();
+}
+
+CrashReport PromptQuarantine::Crash::report(TimePoint now) const
+{
+    return {std::max<Duration>(now - at, Duration::zero()), parts,
+            archiveOutdated ? std::nullopt : archivedEra};
+}
+
 void PromptQuarantine::recordCrash(std::string_view server, std::int64_t startedAtMs,
                                    std::span<const std::string> parts, bool undelivered,
                                    TimePoint crashedAt, TimePoint now, std::string_view tried)
@@ -94,18 +106,21 @@
     if (parts.empty() || mutated("gateway-forget-crashes"))
         return;
     const std::string key = crashKey(server, startedAtMs);
-    Crash &crash = m_crashes.try_emplace(key, Crash {crashedAt, {}, false}).first->second;
+    Crash &crash = m_crashes[key];
+    if (crash.parts.empty())
+        crash.at = crashedAt;
     bool changed = false;
     for (std::size_t i = 0; i < parts.size(); ++i) {
         const SuspectedPart suspected {standingOf(parts[i], crash.at), static_cast<int>(i),
                                        undelivered, parts[i] == tried};
-        changed = addPart(crash, parts[i], suspected) || changed;
+        changed = addPart(crash, parts[i], suspected, now) || changed;
     }
     if (changed)
         evaluate(now);
 }
 
-bool PromptQuarantine::addPart(Crash &crash, const std::string &part, SuspectedPart suspected)
+bool PromptQuarantine::addPart(Crash &crash, const std::string &part, SuspectedPart suspected,
+                               TimePoint now)
 {
     const auto known = crash.parts.find(part);
     if (known == crash.parts.end()) {
@@ -119,6 +134,7 @@
             crash.parts.erase(least);
         }
         crash.parts.emplace(part, suspected);
+        crash.noteChange(now);
         m_reportsChanged = true;
         return true;
     }
@@ -129,6 +145,7 @@
     if (merged == known->second)
         return false;
     known->second = merged;
+    crash.noteChange(now);
     m_reportsChanged = true;
     return true;
 }
@@ -151,6 +168,7 @@
                 || mutated("gateway-clear-no-parts"))
                 continue;
             suspected.standing = PartStanding::Cleared;
+            crash.noteChange(now);
             cleared = true;
         }
     }
@@ -186,39 +204,88 @@
     for (const auto &[key, report] : reports) {
         if (report.age >= CrashRetention)
             continue;
+        if (report.parts.empty())
+            continue;
         // The first time that is known stays, or ages would grow less with each host that passes
         // the report on.
-        Crash &crash =
-            m_crashes.try_emplace(key, Crash {now - report.age, {}, false}).first->second;
+        Crash &crash = m_crashes[key];
+        if (crash.parts.empty())
+            crash.at = now - report.age;
         for (const auto &[part, reported] : report.parts) {
             const PartStanding standing = std::max(reported.standing, standingOf(part, crash.at));
             SuspectedPart suspected = reported;
             suspected.standing = standing;
-            changed = addPart(crash, part, suspected) || changed;
+            changed = addPart(crash, part, suspected, now) || changed;
+        }
+        if (report.archivedEra && crash.parts == report.parts) {
+            crash.archivedEra = std::max(crash.archivedEra, report.archivedEra);
+            crash.archiveOutdated = false;
         }
     }
     if (changed)
         evaluate(now);
 }
 
-CrashReports PromptQuarantine::reports(TimePoint now) const
+std::vector<std::pair<const std::string *, const PromptQuarantine::Crash *>>
+PromptQuarantine::reported(TimePoint now) const
 {
     std::vector<std::pair<const std::string *, const Crash *>> reported;
     for (const auto &[key, crash] : m_crashes) {
-        const Duration time = crash.hasSuspect() ? CrashRetention : ClearedReportTime;
-        if (now - crash.at < time)
+        const bool current = crash.hasSuspect() ? now - crash.at < CrashRetention
+                                                : now - crash.changedAt < ClearedReportTime;
+        if (current)
             reported.emplace_back(&key, &crash);
     }
     std::sort(reported.begin(), reported.end(), [](const auto &l, const auto &r) {
         return l.second->importance() > r.second->importance();
     });
     reported.resize(std::min(reported.size(), MaxReportedCrashes));
+    return reported;
+}
+
+CrashReports PromptQuarantine::reports(TimePoint now) const
+{
     CrashReports reports;
-    for (const auto &[key, crash] : reported)
-        reports[*key] = {std::max<Duration>(now - crash->at, Duration::zero()), crash->parts};
+    for (const auto &[key, crash] : reported(now))
+        reports.emplace(*key, crash->report(now));
     return reports;
 }
 
+std::vector<std::string> PromptQuarantine::unarchived(std::uint64_t era, TimePoint now) const
+{
+    std::vector<std::string> crashes;
+    for (const auto &[key, crash] : reported(now)) {
+        // What clears a crash is of use to the archive only if that may hold what speaks against
+        // its parts.
+        const bool needed = crash->archivedEra ? crash->archiveOutdated || *crash->archivedEra < era
+                                               : crash->hasSuspect();
+        if (needed)
+            crashes.push_back(*key);
+    }
+    return crashes;
+}
+
+CrashReports PromptQuarantine::reportsOn(std::span<const std::string> crashes, TimePoint now) const
+{
+    CrashReports reports;
+    for (const std::string &key : crashes) {
+        if (const auto it = m_crashes.find(key); it != m_crashes.end())
+            reports.emplace(key, it->second.report(now));
+    }
+    return reports;
+}
+
+void PromptQuarantine::recordArchived(const CrashReports &reports, std::uint64_t era)
+{
+    for (const auto &[key, report] : reports) {
+        const auto it = m_crashes.find(key);
+        if (it == m_crashes.end())
+            continue;
+        it->second.archivedEra = std::max(it->second.archivedEra, std::optional(era));
+        it->second.archiveOutdated = it->second.parts != report.parts;
+    }
+}
+
 std::optional<QuarantinedPart> PromptQuarantine::find(std::span<const std::string> parts,
                                                       TimePoint now) const
 {
--- a/src/gateway/fleet/fleet_view.h
+++ b/src/gateway/fleet/fleet_view.h
@@ -49,6 +49,8 @@
     virtual ~FleetViewObserver() = default;
     virtual void configurationChanged() = 0;
     virtual void serversChanged() = 0;
+    /// The archive of crashes has been read, or can't be for now.
+    virtual void archiveRead() = 0;
 };
 
 /// This host's view of the configuration, the servers and the other hosts, with the age of each.
@@ -100,6 +102,9 @@
     /// Whether the host has not yet learned the servers, or a configuration and that it is the
     /// newest, since its start.
     bool starting() const { return !m_configurationConfirmed || !m_serversKnown; }
+    /// Whether requests should wait a moment for what the host reads at its start, as far as it can
+    /// be had.
+    bool awaitsFirstReads() const { return starting() || !m_archiveRead; }
 
     /// Number of times that the store has come back from a copy since this host's start.
     int storeRestores() const { return m_storeRestores; }
@@ -157,6 +162,20 @@
     void recordCrash(const std::string &server, std::int64_t startedAtMs,
                      std::span<const std::string> parts, bool undelivered, TimePoint crashedAt,
                      std::string_view tried = {});
+    /// Adds crashes that the archive holds.
+    void adoptArchivedCrashes(const CrashReports &crashes);
+    /// The archive of crashes has been read, or can't be for now.
+    void setArchiveRead();
+    /// Reported crashes whose evidence the archive is not known to hold.
+    std::vector<std::string> unarchivedCrashes() const
+    {
+        return m_quarantine.unarchived(m_serversEnd.era, m_timers.now());
+    }
+    /// The archive holds these reports since the given era of the store.
+    void recordArchivedCrashes(const CrashReports &crashes, std::uint64_t era)
+    {
+        m_quarantine.recordArchived(crashes, era);
+    }
     /// An answer to a prompt with these shared parts has gone on past its beginning.
     void recordServed(std::span<const std::string> parts, TimePoint begunAt);
 
@@ -280,6 +299,7 @@
     std::function<void(const std::string &)> m_suspicionHandler;
     std::function<void()> m_quarantineHandler;
     bool m_urgentUpdate = false;
+    bool m_archiveRead = false;
     int m_storeRestores = 0;
 };
 
--- a/src/gateway/fleet/fleet_view_notices.cpp
+++ b/src/gateway/fleet/fleet_view_notices.cpp
@@ -3,6 +3,7 @@
 #include "gateway/fleet/fleet_view.h"
 
 #include <algorithm>
+#include <utility>
 
 /// What the view knows from the answers of servers about further requests to them.
 
@@ -197,6 +198,19 @@
     noteQuarantineChanges(false);
 }
 
+void FleetView::adoptArchivedCrashes(const CrashReports &crashes)
+{
+    m_quarantine.merge(crashes, m_timers.now());
+    noteQuarantineChanges(true);
+}
+
+void FleetView::setArchiveRead()
+{
+    if (std::exchange(m_archiveRead, true) || !m_observer)
+        return;
+    m_observer->archiveRead();
+}
+
 void FleetView::noteQuarantineChanges(bool ownFinding)
 {
     const bool changed = m_quarantine.takeReportsChanged();
--- a/src/gateway/gateway_node.cpp
+++ b/src/gateway/gateway_node.cpp
@@ -56,6 +56,7 @@
     , m_connections(*this)
     , m_survey(*this)
     , m_crashes(*this)
+    , m_crashArchiver(*this)
     , m_trials(*this)
     , m_admission(*this)
     , m_random(stableHash(settings.name, static_cast<std::uint64_t>(startedAtMs)))
--- a/src/gateway/gateway_node.h
+++ b/src/gateway/gateway_node.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "gateway/fleet/admission_control.h"
+#include "gateway/fleet/crash_archiver.h"
 #include "gateway/fleet/crash_inquiry.h"
 #include "gateway/fleet/engine_prober.h"
 #include "gateway/fleet/fleet_view.h"
@@ -41,6 +42,7 @@
     GatewayPlatform &platform() { return m_platform; }
     EngineProber &survey() { return m_survey; }
     CrashInquiry &crashes() { return m_crashes; }
+    CrashArchiver &crashArchiver() { return m_crashArchiver; }
     PromptTrials &trials() { return m_trials; }
     AdmissionControl &admission() { return m_admission; }
     ServerConnections &connections() { return m_connections; }
@@ -93,6 +95,7 @@
     ServerConnections m_connections;
     EngineProber m_survey;
     CrashInquiry m_crashes;
+    CrashArchiver m_crashArchiver;
     PromptTrials m_trials;
     AdmissionControl m_admission;
     GatewayMetrics m_metrics;
--- a/src/gateway/gateway_process.cpp
+++ b/src/gateway/gateway_process.cpp
@@ -39,13 +39,6 @@
 /// Must exceed the limit in the configuration for which callers' connections may be idle.
 constexpr Duration CallerIdleTimeout = 120s;
 
-std::int64_t unixMillis()
-{
-    return std::chrono::duration_cast<std::chrono::milliseconds>(
-               std::chrono::system_clock::now().time_since_epoch())
-        .count();
-}
-
 /// For callers and for hosts that have their requests forwarded.
 HttpServerLimits requestLimits()
 {
@@ -66,7 +59,7 @@
         : m_services(m_loop)
         , m_settingsReader(std::move(reader))
         , m_signals(m_loop, SIGTERM, SIGINT, SIGHUP)
-        , m_node(m_services, settings, platform(m_services), unixMillis())
+        , m_node(m_services, settings, platform(m_services), m_services.unixMillis())
         , m_peerReader(m_node)
         , m_router(m_node)
         , m_peers(m_loop, m_node, m_router, m_peerReader)
@@ -108,6 +101,7 @@
 
     void configurationChanged() override { viewChanged(); }
     void serversChanged() override { viewChanged(); }
+    void archiveRead() override { viewChanged(); }
 
     void clientDropped(const HttpExchange &request, const DroppedClient &client) override
     {
@@ -153,11 +147,12 @@
             return;
         m_peerReader.start();
         m_node.platform().feed->start(m_node.view());
+        m_node.crashArchiver().start();
     }
 
     void viewChanged()
     {
-        if (!m_node.view().starting())
+        if (!m_node.view().awaitsFirstReads())
             m_frontApi.serveHeldRequests();
         m_node.admitWaitingRequests();
     }
--- a/src/gateway/peers/host_digest_codec.cpp
+++ b/src/gateway/peers/host_digest_codec.cpp
@@ -1,6 +1,7 @@
 #include "gateway/peers/host_digest_codec.h"
 
 #include "gateway/peers/log_position_json.h"
+#include "gateway/peers/suspected_part_json.h"
 
 #include <nlohmann/json.hpp>
 
@@ -76,22 +77,20 @@
                              : it->get<std::map<std::string, std::int64_t>>();
 }
 
-/// By server and start: the age, and for each part its standing, its position, whether an answer
-/// with it was undelivered, and whether it was tried there.
+/// By server and start: the age, the suspected parts, and the era in which the archive held the
+/// evidence or null.
 json encodeCrashes(const CrashReports &reports)
 {
     json value = json::object();
     for (const auto &[server, report] : reports) {
-        json parts = json::object();
-        for (const auto &[part, suspected] : report.parts)
-            parts[part] = {static_cast<int>(suspected.standing), suspected.position,
-                           suspected.undelivered, suspected.tried};
-        value[server] = {ageMillis(report.age), std::move(parts)};
+        value[server] = {ageMillis(report.age), encodeSuspectedParts(report.parts), nullptr};
+        if (report.archivedEra)
+            value[server][2] = *report.archivedEra;
     }
     return value;
 }
 
-/// Hosts of earlier versions send none.
+/// Hosts of earlier versions send none, or none with an era.
 CrashReports decodeCrashes(const json &value)
 {
     CrashReports reports;
@@ -101,14 +100,9 @@
     for (const auto &[server, report] : it->items()) {
         CrashReport &decoded = reports[server];
         decoded.age = std::max<Duration>(durationOf(report.at(0)), Duration::zero());
-        for (const auto &[part, suspected] : report.at(1).items()) {
-            const int standing =
-                std::clamp(suspected.at(0).get<int>(), 0, static_cast<int>(PartStanding::Cleared));
-            // Hosts of earlier versions do not send the last one.
-            const bool tried = suspected.size() > 3 && suspected.at(3).get<bool>();
-            decoded.parts[part] = {static_cast<PartStanding>(standing), suspected.at(1),
-                                   suspected.at(2), tried};
-        }
+        decoded.parts = decodeSuspectedParts(report.at(1));
+        if (report.size() > 2 && !report.at(2).is_null())
+            decoded.archivedEra = report.at(2).get<std::uint64_t>();
     }
     return reports;
 }
--- a/src/gateway/platform_interfaces.h
+++ b/src/gateway/platform_interfaces.h
@@ -3,6 +3,7 @@
 #include "net/http_client.h"
 #include "net/loop_services.h"
 
+#include <dogwoodvalve/crash_report.h>
 #include <dogwoodvalve/event_stream.h>
 #include <dogwoodvalve/fleet_configuration.h>
 #include <dogwoodvalve/fleet_servers.h>
@@ -13,6 +14,7 @@
 #include <algorithm>
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <span>
@@ -124,6 +126,43 @@
     virtual void releaseLease(std::string_view name) = 0;
 };
 
+/// The crash of one start of a server as the archive holds it.
+struct ArchivedCrash
+{
+    /// Name of its record; set by the archive.
+    std::string record;
+    /// The server and its start, as in CrashReports.
+    std::string crash;
+    /// By the time of day of the host that wrote it, in ms since 1970.
+    std::int64_t crashedAtMs = 0;
+    std::map<std::string, SuspectedPart> parts;
+};
+
+/// What the archive of crashes holds.
+struct ArchivedCrashes
+{
+    /// The store's era when it was read.
+    std::uint64_t era = 0;
+    /// Hosts may have written different evidence on the same crash.
+    std::vector<ArchivedCrash> crashes;
+    /// Names of records that can't be read.
+    std::vector<std::string> unreadable;
+};
+
+/// Evidence on crashes of servers in the platform's store, which outlasts the hosts.
+class CrashArchive
+{
+public:
+    virtual ~CrashArchive() = default;
+    /// Writes what a host knows of these crashes, in place of what it has written on them before.
+    /// Delivers the store's era.
+    virtual void write(std::string_view host, std::span<const ArchivedCrash> crashes,
+                       std::function<void(Result<std::uint64_t>)> done) = 0;
+    virtual void read(std::function<void(Result<ArchivedCrashes>)> done) = 0;
+    /// Removes records, without waiting for the result.
+    virtual void remove(std::span<const std::string> records) = 0;
+};
+
 /// An engine's answer to an order to load layers.
 enum class OrderOutcome {
     /// Loading has begun.
@@ -283,6 +322,7 @@
 {
     std::unique_ptr<PlatformFeed> feed;
     std::unique_ptr<Coordination> coordination;
+    std::unique_ptr<CrashArchive> crashes;
     std::unique_ptr<EngineControl> engines;
     std::unique_ptr<CallerDialect> dialect;
 };
--- a/src/gateway/requests/front_api.cpp
+++ b/src/gateway/requests/front_api.cpp
@@ -31,7 +31,7 @@
 
 void FrontApi::handle(const std::shared_ptr<HttpExchange> &exchange)
 {
-    if (m_node.view().starting() && m_node.now() - m_startedAt < MaxStartUpHold)
+    if (m_node.view().awaitsFirstReads() && m_node.now() - m_startedAt < MaxStartUpHold)
         return hold(exchange);
     serve(exchange);
 }
--- a/src/net/asio_loop_services.h
+++ b/src/net/asio_loop_services.h
@@ -6,6 +6,8 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
 
+#include <chrono>
+
 namespace dogwoodvalve {
 
 /// The services of an Asio event loop.
@@ -18,6 +20,12 @@
     { }
 
     TimerService &timers() override { return m_timers; }
+    std::int64_t unixMillis() const override
+    {
+        return std::chrono::duration_cast<std::chrono::milliseconds>(
+                   std::chrono::system_clock::now().time_since_epoch())
+            .count();
+    }
     void post(std::function<void()> callback) override
     {
         boost::asio::post(m_loop, std::move(callback));
--- a/tests/simulation/crashing_request_test.cpp
+++ b/tests/simulation/crashing_request_test.cpp
@@ -1,4 +1,4 @@
-#include "simulation/gateway_world.h"
+#include "simulation/crashing_server.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -6,15 +6,12 @@
 
 using namespace dogwoodvalve;
 using namespace dogwoodvalve::simulation;
-using namespace dogwoodvalve::testtool;
 
 namespace {
 
-constexpr int Hosts = 3;
-constexpr int Servers = 3;
-constexpr Duration RunTime = 60ms;
-/// Time from a server's crash to its next start.
-constexpr Duration Downtime = 3s;
+constexpr int Hosts = CrashingFleet::Hosts;
+constexpr int Servers = CrashingFleet::Servers;
+constexpr Duration RunTime = CrashingServer::RunTime;
 constexpr Duration SoundInterval = 25ms;
 /// The caller sends the crashing request again this long after it failed.
 constexpr Duration RepeatPause = 40ms;
@@ -27,83 +24,6 @@
 constexpr Duration PatientPause = 4s;
 constexpr int PatientRepeats = 14;
 
-constexpr const char *CrashingTarget = "/read/crash";
-constexpr const char *CrashingUnsafeTarget = "/write/crash";
-
-/// A plain server that crashes while it runs one request, and starts again later.
-class CrashingServer : public HttpHandler
-{
-public:
-    CrashingServer(GatewayWorld &world, int number)
-        : m_world(world)
-        , m_name("c-" + std::to_string(number))
-        , m_address("10.0.4." + std::to_string(number) + ":80")
-    {
-        start();
-    }
-
-    void handle(const std::shared_ptr<HttpExchange> &exchange) override
-    {
-        const bool crashes =
-            exchange->target() == CrashingTarget || exchange->target() == CrashingUnsafeTarget;
-        if (crashes)
-            crashingRuns.push_back(m_world.now());
-        if (crashes && answersForAnother) {
-            const std::vector<HttpField> fields {{"X-Server-Stamp", m_name},
-                                                 {"X-Request-Id", "of-another"}};
-            exchange->respond(200, fields, "done");
-        }
-        if (resets)
-            return exchange->abort();
-        m_world.after(RunTime, [this, crashes, exchange, life = m_life] {
-            if (life != m_life || !m_process->alive())
-                return;
-            if (crashes)
-                return crash();
-            const std::vector<HttpField> fields {{"X-Server-Stamp", m_name}};
-            exchange->respond(200, fields, "done");
-        });
-    }
-
-    void crash()
-    {
-        if (!m_process->alive())
-            return;
-        crashes.push_back(m_world.now());
-        m_process->end();
-        if (!goesDark)
-            m_world.network().processEnded(m_process.get());
-        m_world.after(Downtime, [this] { start(); });
-    }
-
-    /// Closes each connection without an answer, and goes on.
-    bool resets = false;
-    /// Its connections do not end when it crashes.
-    bool goesDark = false;
-    /// Sends the late answer to another request before it crashes.
-    bool answersForAnother = false;
-    std::vector<TimePoint> crashes;
-    /// When the crashing request has reached the server.
-    std::vector<TimePoint> crashingRuns;
-
-private:
-    void start()
-    {
-        ++m_life;
-        m_process = m_world.process(m_name + '-' + std::to_string(m_life));
-        serveHttp(m_world.network(), m_address, m_process, *this);
-        json entry = plainEntry("web", m_address, false);
-        entry["born"] = m_life;
-        m_world.registerServer(m_name, entry);
-    }
-
-    GatewayWorld &m_world;
-    std::string m_name;
-    std::string m_address;
-    std::shared_ptr<SimProcess> m_process;
-    int m_life = 0;
-};
-
 } // namespace
 
 /// Requests that crash each server that runs them, and come again at any host.
@@ -125,30 +45,7 @@
     CPPUNIT_TEST(crashesBesideCallersThatLeaveStopNoRequest);
     CPPUNIT_TEST_SUITE_END();
 
-    /// Hosts, and the only servers of the plain service.
-    struct Fleet
-    {
-        Fleet()
-            : world(Hosts)
-        {
-            world.registerPlain("p-1", PlainAddress, true);
-            for (int i = 1; i <= Servers; ++i)
-                servers.push_back(std::make_unique<CrashingServer>(world, i));
-            world.settle();
-        }
-
-        std::vector<TimePoint> collect(std::vector<TimePoint> CrashingServer::*times) const
-        {
-            std::vector<TimePoint> all;
-            for (const auto &server : servers)
-                all.insert(all.end(), (*server.*times).begin(), (*server.*times).end());
-            std::sort(all.begin(), all.end());
-            return all;
-        }
-
-        GatewayWorld world;
-        std::vector<std::unique_ptr<CrashingServer>> servers;
-    };
+    using Fleet = CrashingFleet;
 
     /// Sends one request to one host after the other, each time that the last one has ended, and
     /// sound ones in between. Returns the sound ones.
@@ -185,8 +82,9 @@
     void repeatsOfARequestThatCrashesServersAreStoppedOnAllHosts()
     {
         Fleet fleet;
-        play(fleet.world, 15s,
-             [&](int host) { return fleet.world.call("GET", CrashingTarget, {}, host); });
+        play(fleet.world, 15s, [&](int host) {
+            return fleet.world.call("GET", CrashingServer::SafeTarget, {}, host);
+        });
         const auto crashes = fleet.collect(&CrashingServer::crashes);
         CPPUNIT_ASSERT(!crashes.empty());
         if (crashes.size() >= CrashLimit)
@@ -199,7 +97,7 @@
     {
         Fleet fleet;
         const auto sound = play(fleet.world, 15s, [&](int host) {
-            return fleet.world.call("GET", CrashingTarget, {}, host);
+            return fleet.world.call("GET", CrashingServer::SafeTarget, {}, host);
         });
         CPPUNIT_ASSERT_GREATEREQUAL(static_cast<int>(sound.size() * 95 / 100), countServed(sound));
     }
@@ -232,15 +130,7 @@
 
     static std::shared_ptr<Call> sendCrashing(Fleet &fleet, int host)
     {
-        return fleet.world.call("GET", CrashingTarget, {}, host);
-    }
-
-    static std::size_t stopped(const Fleet &fleet)
-    {
-        std::size_t n = 0;
-        for (const auto &host : fleet.world.hosts)
-            n += host->node.view().quarantine().quarantinedParts();
-        return n;
+        return fleet.world.call("GET", CrashingServer::SafeTarget, {}, host);
     }
 
     void oneServerIsLeftWhenARequestHasCrashedTwo()
@@ -248,7 +138,7 @@
         Fleet fleet;
         play(fleet.world, 10s, [&](int host) { return sendCrashing(fleet, host); });
         CPPUNIT_ASSERT_EQUAL(std::size_t {2}, fleet.collect(&CrashingServer::crashes).size());
-        CPPUNIT_ASSERT_EQUAL(std::size_t {Hosts}, stopped(fleet));
+        CPPUNIT_ASSERT_EQUAL(std::size_t {Hosts}, fleet.stopped());
     }
 
     void aStoppedRequestIsRefusedAsNotRun()
@@ -281,7 +171,7 @@
         }
         fleet.world.run(2s);
         CPPUNIT_ASSERT_EQUAL(std::size_t {12}, fleet.collect(&CrashingServer::crashes).size());
-        CPPUNIT_ASSERT_EQUAL(std::size_t {0}, stopped(fleet));
+        CPPUNIT_ASSERT_EQUAL(std::size_t {0}, fleet.stopped());
         CPPUNIT_ASSERT_EQUAL(static_cast<int>(calls.size()), countServed(calls));
     }
 
@@ -300,7 +190,7 @@
             slow += late ? 1 : 0;
         }
         CPPUNIT_ASSERT_EQUAL(0, slow);
-        CPPUNIT_ASSERT_EQUAL(std::size_t {0}, stopped(fleet));
+        CPPUNIT_ASSERT_EQUAL(std::size_t {0}, fleet.stopped());
     }
 
     /// How the attempt of a crashing request ends.
@@ -319,7 +209,7 @@
             server->answersForAnother = ending == Ending::ForeignAnswer;
         }
         for (int i = 0; i < PatientRepeats; ++i) {
-            const auto call = fleet.world.call("POST", CrashingUnsafeTarget,
+            const auto call = fleet.world.call("POST", CrashingServer::UnsafeTarget,
                                                {{"X-Deadline-Ms", "1500"}}, i % Hosts);
             if (ending == Ending::CallerLeaves)
                 fleet.world.after(300ms, [call] { call->client->close(); });
@@ -331,7 +221,7 @@
             CPPUNIT_ASSERT_LESSEQUAL(RepeatsBeyondBound,
                                      countAfter(fleet.collect(&CrashingServer::crashingRuns),
                                                 crashes[CrashLimit - 1] + CrashBound));
-        CPPUNIT_ASSERT_EQUAL(std::size_t {Hosts}, stopped(fleet));
+        CPPUNIT_ASSERT_EQUAL(std::size_t {Hosts}, fleet.stopped());
     }
 
     /// Guards against: only a connection that ended led to the question whether the server had
@@ -380,7 +270,7 @@
             fleet.world.store.put("keyed.servers", id, std::nullopt);
             fleet.world.run(3s);
         }
-        CPPUNIT_ASSERT_EQUAL(std::size_t {0}, stopped(fleet));
+        CPPUNIT_ASSERT_EQUAL(std::size_t {0}, fleet.stopped());
     }
 
     void crashesBesideCallersThatLeaveStopNoRequest()
@@ -397,7 +287,7 @@
         }
         fleet.world.run(12s);
         CPPUNIT_ASSERT_EQUAL(std::size_t {12}, fleet.collect(&CrashingServer::crashes).size());
-        CPPUNIT_ASSERT_EQUAL(std::size_t {0}, stopped(fleet));
+        CPPUNIT_ASSERT_EQUAL(std::size_t {0}, fleet.stopped());
     }
 };
 
--- a/tests/simulation/gateway_test.cpp
+++ b/tests/simulation/gateway_test.cpp
@@ -618,8 +618,15 @@
             fence = std::max(fence, engine->fence());
         }
         // The lease holder dies; the next holder orders layers for an engine that lost its own.
-        world.network().processEnded(world.hosts[0]->process.get());
-        world.hosts[0]->process->end();
+        const std::string holder = world.store.ownerOf("dogwoodvalve-placement");
+        int killed = 0;
+        for (int i = 0; i < 3; ++i) {
+            if (world.hosts[static_cast<std::size_t>(i)]->node.settings().name != holder)
+                continue;
+            world.endHost(i);
+            ++killed;
+        }
+        CPPUNIT_ASSERT_EQUAL(1, killed);
         world.engines[2]->setLayers({});
         world.registerEngine(2);
         world.run(15s);
--- a/tests/simulation/gateway_world.h
+++ b/tests/simulation/gateway_world.h
@@ -112,6 +112,7 @@
         serveHttp(network, settings.peerListen, this->process, m_peerApi);
         node.view().setObserver(this);
         node.platform().feed->start(node.view());
+        node.crashArchiver().start();
         m_placement.start();
         m_peerReader.start();
         node.survey().start();
@@ -126,6 +127,7 @@
 
     void configurationChanged() override { viewChanged(); }
     void serversChanged() override { viewChanged(); }
+    void archiveRead() override { viewChanged(); }
 
     /// Whether the host is forwarding a request for another one.
     bool forwarding() const { return node.openForwards() > 0; }
@@ -135,7 +137,7 @@
 private:
     void viewChanged()
     {
-        if (!node.view().starting())
+        if (!node.view().awaitsFirstReads())
             m_front.serveHeldRequests();
         node.admitWaitingRequests();
     }
--- a/tests/simulation/sim_http.h
+++ b/tests/simulation/sim_http.h
@@ -20,6 +20,10 @@
     { }
 
     TimerService &timers() override { return m_process->timers(); }
+    std::int64_t unixMillis() const override
+    {
+        return m_process->timers().now().time_since_epoch().count() / 1000;
+    }
     void post(std::function<void()> callback) override;
     std::shared_ptr<HttpClientRequest> createHttpClient() override;
 
--- a/tools/testtool/log_store.cpp
+++ b/tools/testtool/log_store.cpp
@@ -197,12 +197,22 @@
     exchange->readBody(MaxBody, [this, exchange](const Result<std::string> &body) {
         if (!body || body.value().size() <= LengthBytes)
             return answer(exchange, 400, "");
-        const std::string_view record = std::string_view(body.value()).substr(LengthBytes);
-        const std::size_t keyBytes = static_cast<unsigned char>(record.front());
-        const std::string key(record.substr(1, keyBytes));
-        const std::string value(record.substr(1 + keyBytes));
-        put(topicOf(*exchange), key,
-            value.empty() ? std::nullopt : std::optional<std::string>(value));
+        std::string_view rest = body.value();
+        while (rest.size() > LengthBytes) {
+            std::size_t length = 0;
+            for (int i = 0; i < LengthBytes; ++i)
+                length =
+                    length << 8 | static_cast<unsigned char>(rest[static_cast<std::size_t>(i)]);
+            const std::string_view record = rest.substr(LengthBytes, length);
+            if (record.empty())
+                return answer(exchange, 400, "");
+            rest.remove_prefix(LengthBytes + record.size());
+            const std::size_t keyBytes = static_cast<unsigned char>(record.front());
+            const std::string key(record.substr(1, keyBytes));
+            const std::string value(record.substr(std::min(record.size(), 1 + keyBytes)));
+            put(topicOf(*exchange), key,
+                value.empty() ? std::nullopt : std::optional<std::string>(value));
+        }
         answer(exchange, 200, json {{"Offset", 0}}.dump());
     });
 }
--- a/tools/testtool/log_store.h
+++ b/tools/testtool/log_store.h
@@ -51,6 +51,17 @@
     void setMaxReadBytes(std::size_t bytes) { m_maxReadBytes = bytes; }
     int calls() const { return m_calls; }
     int reads() const { return m_reads; }
+    /// Records ever written to a topic, and keys that have a value.
+    std::size_t recordsOf(const std::string &topic) { return m_topics[topic].records.size(); }
+    std::size_t keysOf(const std::string &topic) { return m_topics[topic].newest.size(); }
+    /// The member that owns the partitions of a group; empty if there is none.
+    std::string ownerOf(const std::string &group) const
+    {
+        const auto it = m_groups.find(group);
+        return it == m_groups.end() || it->second.members.empty()
+            ? std::string()
+            : it->second.members.front().first;
+    }
 
 private:
     struct Record
