Prove the links of a host that is asked whether a plain server has ended

Callers saw: in a quiet fleet a request crashed up to three servers, as the first crash was not taken for one until the server had started again some seconds later.

Cause: a host whose connection is refused asks another one. That one says "links unproven" if it has not connected to some other server in the 0.1 s before, which in a fleet without traffic is always so.

Evidence: forwarded_for outcome=links_unproven every 0.1 s from the crash until the server's next start.

Why this works: the host that is asked connects to another server before it answers, if the question is a health check.

--- a/src/gateway/servers/forwarded_request.cpp
+++ b/src/gateway/servers/forwarded_request.cpp
@@ -41,6 +41,8 @@
     void onError(const Error &error) override;
 
 private:
+    /// Whether the request asks for nothing but a sign of life.
+    bool isHealthCheck() const;
     /// The registration of the server that the request names, if this host uses it.
     const ServerRegistration *findServer() const;
     void sendToServer(const SharedBytes &body);
@@ -78,6 +80,15 @@
         });
 }
 
+bool ForwardedRequest::isHealthCheck() const
+{
+    const ServerRegistration *server = m_node.view().registry().find(m_target.server);
+    const auto &configuration = m_node.view().configuration();
+    const ServiceRule *service =
+        server && configuration ? configuration->findService(server->service) : nullptr;
+    return service && m_exchange->method() == "GET" && m_target.target == service->healthPath;
+}
+
 const ServerRegistration *ForwardedRequest::findServer() const
 {
     FleetView &view = m_node.view();
@@ -151,10 +162,21 @@
         return answer(ForwardOutcome::Lost);
     ServerConnections &connections = m_node.connections();
     connections.recordFailed(m_target.server);
-    if (!connections.provenSince(m_startedAt))
+    const ForwardOutcome outcome =
+        error.kind == ErrorKind::Timeout ? ForwardOutcome::TimedOut : ForwardOutcome::Unreachable;
+    if (connections.provenSince(m_startedAt))
+        return answer(outcome);
+    if (!isHealthCheck())
         return answer(ForwardOutcome::LinksUnproven);
-    answer(error.kind == ErrorKind::Timeout ? ForwardOutcome::TimedOut
-                                            : ForwardOutcome::Unreachable);
+    // The other host asks whether the server has ended, and nobody needs to have sent a request to
+    // another server lately.
+    connections.proveLinks(m_target.server, [weak = weak_from_this(), outcome] {
+        const auto self = weak.lock();
+        if (!self || !self->m_self)
+            return;
+        const bool proven = self->m_node.connections().provenSince(self->m_startedAt);
+        self->answer(proven ? outcome : ForwardOutcome::LinksUnproven);
+    });
 }
 
 void ForwardedRequest::answer(ForwardOutcome outcome)
--- a/src/gateway/servers/server_connections.cpp
+++ b/src/gateway/servers/server_connections.cpp
@@ -8,6 +8,7 @@
 #include "net/listening_check.h"
 
 #include <algorithm>
+#include <utility>
 #include <vector>
 
 namespace dogwoodvalve {
@@ -141,12 +142,13 @@
                                             });
 }
 
-const ServerRegistration *ServerConnections::anyServer() const
+const ServerRegistration *ServerConnections::anyServer(std::string_view except) const
 {
     FleetView &view = m_node.view();
     std::vector<const ServerRegistration *> servers;
     for (const auto &[id, server] : view.registry().servers()) {
-        if (!server.draining && view.health().acceptsCalls(id, server.startedAtMs, m_node.now()))
+        if (id != except && !server.draining
+            && view.health().acceptsCalls(id, server.startedAtMs, m_node.now()))
             servers.push_back(&server);
     }
     return servers.empty() ? nullptr : servers[m_node.random().next() % servers.size()];
@@ -156,31 +158,59 @@
 {
     scheduleCheck();
     const ServerRegistration *server = anyServer();
+    if (!server)
+        return;
+    // A host that knows that it is cut off looks for the end of the cut, another one for any way.
+    if (cutOff())
+        return tryToConnect(*server, [] {});
     const auto &configuration = m_node.view().configuration();
     const ServiceRule *service =
-        server && configuration ? configuration->findService(server->service) : nullptr;
-    if (!service)
-        return;
+        configuration ? configuration->findService(server->service) : nullptr;
     const auto endpoint = parseEndpoint(server->address);
-    if (!endpoint)
+    if (!service || !endpoint)
         return;
     m_node.view().recordRequest(server->id, server->startedAtMs);
-    // A host that knows that it is cut off looks for the end of the cut, another one for any way.
-    if (!cutOff())
-        return checkListening(m_node.timers(), createClient(*server, "link_check"),
-                              endpoint.value(), service->healthPath, LinkCheckTimeout,
-                              [](std::optional<bool>) {});
-    checkListening(
-        m_node.timers(), m_node.loop().createHttpClient(), endpoint.value(), service->healthPath,
-        LinkCheckTimeout,
-        [this, id = server->id, alive = std::weak_ptr(m_alive)](std::optional<bool> listening) {
-            if (alive.expired())
-                return;
-            if (listening.value_or(false))
-                recordConnected(id);
-            else
-                recordFailed(id);
-        });
+    checkListening(m_node.timers(), createClient(*server, "link_check"), endpoint.value(),
+                   service->healthPath, LinkCheckTimeout, [](std::optional<bool>) {});
+}
+
+void ServerConnections::tryToConnect(const ServerRegistration &server, std::function<void()> done)
+{
+    const auto &configuration = m_node.view().configuration();
+    const ServiceRule *service =
+        configuration ? configuration->findService(server.service) : nullptr;
+    const auto endpoint = parseEndpoint(server.address);
+    if (!service || !endpoint)
+        return done();
+    m_node.view().recordRequest(server.id, server.startedAtMs);
+    checkListening(m_node.timers(), m_node.loop().createHttpClient(), endpoint.value(),
+                   service->healthPath, LinkCheckTimeout,
+                   [this, id = server.id, done = std::move(done),
+                    alive = std::weak_ptr(m_alive)](std::optional<bool> listening) {
+                       if (alive.expired())
+                           return;
+                       if (listening.value_or(false))
+                           recordConnected(id);
+                       else
+                           recordFailed(id);
+                       done();
+                   });
+}
+
+void ServerConnections::proveLinks(std::string_view except, std::function<void()> done)
+{
+    m_awaitingProof.push_back(std::move(done));
+    if (m_awaitingProof.size() > 1)
+        return;
+    const auto finish = [this] {
+        for (const auto &it : std::exchange(m_awaitingProof, {}))
+            it();
+    };
+    const ServerRegistration *server =
+        mutated("gateway-leave-links-unproven") ? nullptr : anyServer(except);
+    if (!server)
+        return finish();
+    tryToConnect(*server, finish);
 }
 
 } // namespace dogwoodvalve
--- a/src/gateway/servers/server_connections.h
+++ b/src/gateway/servers/server_connections.h
@@ -35,6 +35,9 @@
     /// Whether the host has connected to some server since the given time, or shortly before, so
     /// that a failure after it is not that of all its links.
     bool provenSince(TimePoint at) const;
+    /// Tries to connect to some server but the given one, and calls back when that has succeeded or
+    /// failed. Several calls share one attempt.
+    void proveLinks(std::string_view except, std::function<void()> done);
 
     /// This host has connected to a server itself.
     void recordConnected(std::string_view server);
@@ -68,14 +71,18 @@
     /// Tries to connect to some server, to notice soon that links are lost or restored.
     void checkLinks();
     void scheduleCheck();
-    /// A random server that accepts calls, or nullptr.
-    const ServerRegistration *anyServer() const;
+    /// A random server that accepts calls, and is not the given one, or nullptr.
+    const ServerRegistration *anyServer(std::string_view except = {}) const;
+    /// Connects to a server directly, uses the result, and calls back.
+    void tryToConnect(const ServerRegistration &server, std::function<void()> done);
 
     GatewayNode &m_node;
     ServerLinks m_links;
     /// Until when hosts are not asked to forward requests, by name.
     std::map<std::string, TimePoint> m_avoidedUntil;
     TimerId m_checkTimer = 0;
+    /// Callbacks of proveLinks() while its attempt is open.
+    std::vector<std::function<void()>> m_awaitingProof;
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
 
--- a/tests/simulation/crashing_request_test.cpp
+++ b/tests/simulation/crashing_request_test.cpp
@@ -41,6 +41,7 @@
     CPPUNIT_TEST(aRequestWhoseCallerLeavesIsStopped);
     CPPUNIT_TEST(aRequestThatGetsAForeignAnswerIsStopped);
     CPPUNIT_TEST(aGenerationWhoseCallerLeavesIsStopped);
+    CPPUNIT_TEST(aCrashIsKnownAtOnceThoughNobodyElseSendsRequests);
     CPPUNIT_TEST(requestsGivenUpAtLeavingServersAreNoSuspects);
     CPPUNIT_TEST(crashesBesideCallersThatLeaveStopNoRequest);
     CPPUNIT_TEST_SUITE_END();
@@ -252,6 +253,27 @@
                                      countAfter(crashes, crashes[CrashLimit - 1] + CrashBound));
     }
 
+    /// Guards against: a host that was asked whether a server refuses its connections as well had
+    /// connected to no other server lately, so that its links were in doubt until the server had
+    /// started again.
+    void aCrashIsKnownAtOnceThoughNobodyElseSendsRequests()
+    {
+        for (int hosts = 1; hosts <= Hosts; ++hosts) {
+            // Probes of engines would show that the links are sound.
+            Fleet fleet(0);
+            for (int i = hosts; i < Hosts; ++i)
+                fleet.world.endHost(i);
+            fleet.world.run(10s);
+            const TimePoint sentAt = fleet.world.now();
+            fleet.world.call("POST", CrashingServer::UnsafeTarget);
+            fleet.world.run(1s);
+            const auto &crashes = fleet.world.hosts[0]->node.view().quarantine();
+            CPPUNIT_ASSERT_EQUAL(std::size_t {1}, crashes.reports(fleet.world.now()).size());
+            CPPUNIT_ASSERT(crashes.reports(fleet.world.now()).begin()->second.age
+                           <= fleet.world.now() - sentAt);
+        }
+    }
+
     void requestsGivenUpAtLeavingServersAreNoSuspects()
     {
         Fleet fleet;
--- a/tests/simulation/crashing_server.h
+++ b/tests/simulation/crashing_server.h
@@ -95,8 +95,8 @@
     static constexpr int Hosts = 3;
     static constexpr int Servers = 3;
 
-    CrashingFleet()
-        : world(Hosts)
+    explicit CrashingFleet(int engines = 4)
+        : world(Hosts, engines)
     {
         world.registerPlain("p-1", PlainAddress, true);
         for (int i = 1; i <= Servers; ++i)
--- a/tests/simulation/gateway_world.h
+++ b/tests/simulation/gateway_world.h
@@ -256,14 +256,13 @@
             object["CanResume"] = canResume;
             return object;
         };
-        return {
-            {"Version", version},
-            {"Routes",
-             {route("/gen/", "streaming", "llm"), route("/read/", "safe", "web"),
-              route("/write/", "unsafe", "web")}},
-            {"Services",
-             {{{"Name", "llm"}, {"Engine", testtool::engineObject()}}, {{"Name", "web"}}}},
-            {"Tenants", {{{"Name", "workspace"}, {"ApiKeys", keys}}}}};
+        return {{"Version", version},
+                {"Routes",
+                 {route("/gen/", "streaming", "llm"), route("/read/", "safe", "web"),
+                  route("/write/", "unsafe", "web")}},
+                {"Services",
+                 {{{"Name", "llm"}, {"Engine", testtool::engineObject()}}, {{"Name", "web"}}}},
+                {"Tenants", {{{"Name", "workspace"}, {"ApiKeys", keys}}}}};
     }
 
     void addHost(int i) { hosts.push_back(makeHost(i)); }
