Take no refusal of another request for this one's

Cause: a late copy of another request's refusal was taken for the refusal of the request that waits on the connection: the id was compared for answers only, not for refusals.

Why this works: a refusal counts only if it is for the request; otherwise the attempt may have run, as after any other answer to another request.

--- a/src/gateway/platform_interfaces.h
+++ b/src/gateway/platform_interfaces.h
@@ -281,7 +281,7 @@
     /// The answer has the field that only servers add; without it, something else on the way wrote
     /// the answer.
     bool stamped = false;
-    /// The request has not run and never will.
+    /// The request that the answer is for has not run and never will.
     bool notRun = false;
     /// False if the answer carries the id of another request.
     bool idMatches = true;
--- a/src/gateway/requests/generation_session.cpp
+++ b/src/gateway/requests/generation_session.cpp
@@ -425,7 +425,7 @@
 
 void GenerationSession::handleNonStreamAnswer(GenerationAttempt &attempt)
 {
-    if (!attempt.answer().notRun)
+    if (!attempt.answer().notRun || !attempt.answer().idMatches)
         return handleFailedAnswer(attempt);
     const ReservedPart &faulty = attempt.partAt(attempt.answer().faultyAddress);
     // The status is the same for a dead engine and for one without free memory.
--- a/src/gateway/requests/plain_session.cpp
+++ b/src/gateway/requests/plain_session.cpp
@@ -121,7 +121,7 @@
     m_answered = m_answer.idMatches && (m_answer.stamped || m_answer.notRun);
     if (m_answered && !m_answer.notRun)
         m_node.view().recordServed(m_crashSuspects, m_sentAt);
-    if (m_answer.notRun)
+    if (m_answer.notRun && m_answer.idMatches)
         return handleFailedAttempt(ServerEvidence::Refused, "the server refused the request",
                                    false);
     if (!m_answer.idMatches || m_answer.encoded || (success && !m_answer.stamped))
