Pass on no refusal that the server has not founded

Cause: the stamp was required of 2xx answers only, so that a spoiled answer with another status passed as the server's own. The same held for a signed answer with such a status that does not say that the request has not run.

Why this works: an answer is passed on only if it is signed, for this request and without a content coding, and if a status that callers take for "not run" comes with the server's statement. Anything else is a lost answer: 502, or a retry where that is harmless.

--- a/src/gateway/platform_interfaces.h
+++ b/src/gateway/platform_interfaces.h
@@ -283,6 +283,15 @@
     bool stamped = false;
     /// The request that the answer is for has not run and never will.
     bool notRun = false;
+    /// Callers take an answer with this status for a promise that the request has not run.
+    bool promisesNotRun = false;
+
+    /// Whether it is the server's own answer to the request, which can be passed on: signed,
+    /// without a content coding, and promising nothing that the server does not say.
+    bool isDeliverable() const
+    {
+        return stamped && idMatches && !encoded && (notRun || !promisesNotRun);
+    }
     /// False if the answer carries the id of another request.
     bool idMatches = true;
     /// Address of the server on the path that could not take its part; empty if none is named.
--- a/src/gateway/requests/generation_session.cpp
+++ b/src/gateway/requests/generation_session.cpp
@@ -408,11 +408,12 @@
 {
     recordFailure(attempt.parts().front(), ServerEvidence::Failed);
     const ServerAnswer &answer = attempt.answer();
-    const bool own = answer.stamped && answer.idMatches && !answer.encoded;
-    if (!own || answer.status == StatusOk || m_responded || m_open.size() > 1)
+    if (!answer.isDeliverable() || answer.status == StatusOk || m_responded || m_open.size() > 1)
         return failAttempt(
             attempt,
-            "the engine failed, or its answer is unstamped, encoded or for another request", true);
+            "the engine failed, or its answer is unstamped, encoded, for another request or an "
+            "unfounded refusal",
+            true);
     countRun(attempt, true);
     if (m_request.route->retryPolicy != RetryPolicy::AtMostOnce && tryTakeRetry()) {
         closeAttempt(attempt);
--- a/src/gateway/requests/plain_session.cpp
+++ b/src/gateway/requests/plain_session.cpp
@@ -117,16 +117,16 @@
 void PlainSession::onEnd()
 {
     const auto keep = shared_from_this();
-    const bool success = m_answer.status >= 200 && m_answer.status < 300;
     m_answered = m_answer.idMatches && (m_answer.stamped || m_answer.notRun);
     if (m_answered && !m_answer.notRun)
         m_node.view().recordServed(m_crashSuspects, m_sentAt);
     if (m_answer.notRun && m_answer.idMatches)
         return handleFailedAttempt(ServerEvidence::Refused, "the server refused the request",
                                    false);
-    if (!m_answer.idMatches || m_answer.encoded || (success && !m_answer.stamped))
-        return handleFailedAttempt(ServerEvidence::Failed,
-                                   "the answer is unstamped, encoded or for another request", true);
+    if (!m_answer.isDeliverable())
+        return handleFailedAttempt(
+            ServerEvidence::Failed,
+            "the answer is unstamped, encoded, for another request or an unfounded refusal", true);
     if (m_answer.status >= FirstServerError
         && m_request.route->retryPolicy == RetryPolicy::Idempotent && tryBeginRetry(true)) {
         closeAttempts();
@@ -137,9 +137,8 @@
 
 void PlainSession::deliver()
 {
-    m_node.view().health().recordEvidence(
-        m_server, m_serverStartedAtMs,
-        m_answer.stamped ? ServerEvidence::Served : ServerEvidence::Failed, m_node.now());
+    m_node.view().health().recordEvidence(m_server, m_serverStartedAtMs, ServerEvidence::Served,
+                                          m_node.now());
     m_node.metrics().observeFirstByte(m_node.now() - m_request.arrivedAt);
     m_responded = true;
     m_request.exchange->respond(m_answer.status, m_answerFields, m_answerBody);
--- a/tests/simulation/fake_plain_server.h
+++ b/tests/simulation/fake_plain_server.h
@@ -39,6 +39,8 @@
                 exchange->write(std::string(FloodPieceBytes, 'x'));
             return;
         }
+        if (spoils)
+            return exchange->respond(status, {}, "");
         if (refuses) {
             fields.push_back({"X-Not-Run", "1"});
             return exchange->respond(503, fields, "");
@@ -67,6 +69,8 @@
     bool floods = false;
     /// Answers that the request has not run.
     bool refuses = false;
+    /// Runs the request and sends an answer without any header field of its own.
+    bool spoils = false;
     /// Successful answers carry the server's stamp.
     bool stampsAnswers = true;
     /// Header fields that all answers have besides.
--- a/tests/simulation/foreign_answers_test.cpp
+++ b/tests/simulation/foreign_answers_test.cpp
@@ -13,6 +13,9 @@
     CPPUNIT_TEST_SUITE(ForeignAnswersTest);
     CPPUNIT_TEST(aRefusalOfAnotherRequestDoesNotRepeatThisOne);
     CPPUNIT_TEST(aRefusalOfAnotherGenerationDoesNotRepeatThisOne);
+    CPPUNIT_TEST(anUnsignedRefusalIsNotPassedOn);
+    CPPUNIT_TEST(aRefusalOfARequestThatHasRunIsNotPassedOn);
+    CPPUNIT_TEST(aServersOwnFailureIsPassedOn);
     CPPUNIT_TEST_SUITE_END();
 
     /// Guards against: a late refusal of another request was taken for this one's, so that an
@@ -47,6 +50,49 @@
         // 503 would promise that it has not run.
         CPPUNIT_ASSERT_EQUAL(502, call->answer.status);
     }
+
+    /// Sends an unsafe request, which runs once.
+    static int statusOfUnsafeRequest(GatewayWorld &world)
+    {
+        const int before = world.plain.runs;
+        const auto call = world.call("POST", "/write/x");
+        world.run(3s);
+        CPPUNIT_ASSERT_EQUAL(before + 1, world.plain.runs);
+        return call->answer.status;
+    }
+
+    /// Guards against: an answer that no server had signed, with a status that promises that the
+    /// request has not run, was passed on for a request that had run.
+    void anUnsignedRefusalIsNotPassedOn()
+    {
+        GatewayWorld world;
+        world.settle();
+        world.plain.spoils = true;
+        for (const int status : {408, 429, 503, 500}) {
+            world.plain.status = status;
+            CPPUNIT_ASSERT_EQUAL(502, statusOfUnsafeRequest(world));
+        }
+    }
+
+    void aRefusalOfARequestThatHasRunIsNotPassedOn()
+    {
+        GatewayWorld world;
+        world.settle();
+        for (const int status : {408, 429, 503}) {
+            world.plain.status = status;
+            CPPUNIT_ASSERT_EQUAL(502, statusOfUnsafeRequest(world));
+        }
+    }
+
+    void aServersOwnFailureIsPassedOn()
+    {
+        GatewayWorld world;
+        world.settle();
+        for (const int status : {400, 404, 500, 504}) {
+            world.plain.status = status;
+            CPPUNIT_ASSERT_EQUAL(status, statusOfUnsafeRequest(world));
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ForeignAnswersTest);
