Take no resumed stream without an event for complete

Cause: the check for an answer that ends with its connection before its first event looked at the events of the whole request, not at those of the attempt.

Why this works: an attempt without an event of its own is broken off, and is resumed once more or cut.

--- a/src/gateway/requests/generation_session.cpp
+++ b/src/gateway/requests/generation_session.cpp
@@ -383,8 +383,9 @@
     const auto keep = shared_from_this();
     if (!attempt.isStream())
         return handleNonStreamAnswer(attempt);
-    // The end of a connection may be that of the engine.
-    const bool endsEmpty = attempt.endsWithConnection() && m_deliveredEvents == 0;
+    // The end of a connection may be that of the engine. Events of an earlier attempt say nothing
+    // about this one.
+    const bool endsEmpty = attempt.endsWithConnection() && !attempt.anyEvent();
     if (endsEmpty || attempt.splitter().unfinishedBytes() > 0) {
         recordFailure(attempt.parts().front(), ServerEvidence::Failed);
         inquireCrash(attempt, std::array {&attempt.parts().front()}, AnswerLoss::ConnectionEnded);
--- a/tests/simulation/foreign_answers_test.cpp
+++ b/tests/simulation/foreign_answers_test.cpp
@@ -16,6 +16,7 @@
     CPPUNIT_TEST(anUnsignedRefusalIsNotPassedOn);
     CPPUNIT_TEST(aRefusalOfARequestThatHasRunIsNotPassedOn);
     CPPUNIT_TEST(aServersOwnFailureIsPassedOn);
+    CPPUNIT_TEST(aResumedStreamThatEndsBeforeItsFirstEventIsNotComplete);
     CPPUNIT_TEST_SUITE_END();
 
     /// Guards against: a late refusal of another request was taken for this one's, so that an
@@ -93,6 +94,28 @@
             CPPUNIT_ASSERT_EQUAL(status, statusOfUnsafeRequest(world));
         }
     }
+
+    /// Guards against: the events of the first run were taken for events of the resumed one, whose
+    /// engine had ended before its first event, so that half a stream was passed on as complete.
+    void aResumedStreamThatEndsBeforeItsFirstEventIsNotComplete()
+    {
+        GatewayWorld world(1, 8);
+        world.settle();
+        for (const auto &engine : world.engines)
+            engine->setFault(EngineFault::BreaksOff);
+        const auto call = world.generate();
+        const std::string id = world.lastId();
+        while (call->answer.body.empty() && !call->answer.ended)
+            world.run(1ms);
+        for (const auto &engine : world.engines) {
+            if (engine->runs().count(id) == 0)
+                engine->setFault(EngineFault::EndsAtOnce);
+        }
+        world.run(10s);
+        CPPUNIT_ASSERT(world.runsOf(id) >= 2);
+        CPPUNIT_ASSERT(!call->answer.complete
+                       || call->answer.body == ForwardingEngine::wholeStream(id));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ForeignAnswersTest);
