Refuse requests with an unknown transfer coding

Cause: the parser takes a request whose transfer coding it does not know for one without a body. Answers had been checked since, requests had not.

Why this works: both directions use the same check now (net/transfer_coding). A request whose body is framed by anything but a length or chunks gets 400, and the connection is closed, at all ports.

--- a/src/net/http_connection.cpp
+++ b/src/net/http_connection.cpp
@@ -1,5 +1,7 @@
 #include "net/http_connection.h"
 
+#include "net/transfer_coding.h"
+
 #include <boost/asio/write.hpp>
 #include <sys/socket.h>
 
@@ -157,6 +159,10 @@
                       {ErrorKind::Malformed,
                        "the request has both Content-Length and Transfer-Encoding",
                        "send either Content-Length or Transfer-Encoding"});
+    if (!hasKnownTransferCoding(head))
+        return refuse(400,
+                      {ErrorKind::Malformed, "the request has an unknown transfer coding",
+                       "send the body with a Content-Length or in chunks"});
     if (boost::beast::iequals(head[http::field::expect], "100-continue") && !m_requestBodyRead) {
         m_queuedOutput += "HTTP/1.1 100 Continue\r\n\r\n";
         flush();
--- a/src/net/response_parser.cpp
+++ b/src/net/response_parser.cpp
@@ -2,6 +2,7 @@
 
 #include "net/http_status.h"
 #include "net/http_text.h"
+#include "net/transfer_coding.h"
 
 #include <boost/asio/buffer.hpp>
 
@@ -29,24 +30,6 @@
         || lines.find("\n\t") != std::string_view::npos;
 }
 
-/// Whether the body is sent with no other transfer coding than chunks. Requests ask for none, and
-/// this client could not remove one.
-bool hasKnownTransferCoding(const http::fields &fields)
-{
-    int codings = 0;
-    const auto [begin, end] = fields.equal_range(http::field::transfer_encoding);
-    for (auto it = begin; it != end; ++it) {
-        const http::opt_token_list list(it->value());
-        if (!http::validate_list(list))
-            return false;
-        for (const auto &coding : list) {
-            if (++codings > 1 || !equalsIgnoringCase({coding.data(), coding.size()}, "chunked"))
-                return false;
-        }
-    }
-    return true;
-}
-
 } // namespace
 
 ResponseParser::ResponseParser(bool toHeadRequest)
