--- a/tools/testtool/platform_objects.cpp
+++ b/tools/testtool/platform_objects.cpp
@@ -23,8 +23,9 @@
 json engineEntry(const char *service, const std::string &address, LayerSpan layers,
                  std::int64_t startedAtMs)
 {
-    json entry = {{"Service", service},  {"Addr", address},  {"Zone", "a"},
-                  {"Kind", "card"},      {"Slots", 100},     {"State", "ready"},
+    json entry = {{"Service", service},  {"Addr", address},      {"Zone", "a"},
+                  {"Version", "v1"},     {"Kind", "card"},       {"Slots", 100},
+                  {"State", "ready"},    {"ColdRemainingMs", 0}, {"Seq", 1},
                   {"born", startedAtMs}, {"Layers", nullptr}};
     if (!layers.empty())
         entry["Layers"] = {{"From", layers.first}, {"Target", layers.end}};
@@ -33,11 +34,9 @@
 
 json plainEntry(const char *service, const std::string &address, bool draining)
 {
-    return {{"Service", service},
-            {"Addr", address},
-            {"Zone", "a"},
-            {"Slots", 6},
-            {"State", draining ? "draining" : "ready"}};
+    return {{"Service", service},   {"Addr", address}, {"Zone", "a"},
+            {"Version", "v1"},      {"Slots", 6},      {"State", draining ? "draining" : "ready"},
+            {"ColdRemainingMs", 0}, {"Seq", 1}};
 }
 
 } // namespace dogwoodvalve::testtool
