--- a/src/gateway/requests/generation_attempt.cpp
+++ b/src/gateway/requests/generation_attempt.cpp
@@ -184,15 +184,12 @@
     return stalled;
 }
 
-std::vector<const ReservedPart *> GenerationAttempt::restartedParts() const
+bool GenerationAttempt::anyPartRestarted() const
 {
-    std::vector<const ReservedPart *> restarted;
-    for (const ReservedPart &part : m_parts) {
+    return std::any_of(m_parts.begin(), m_parts.end(), [this](const ReservedPart &part) {
         const ServerRegistration *server = m_node.view().registry().find(part.server);
-        if (server && server->startedAtMs > part.startedAtMs)
-            restarted.push_back(&part);
-    }
-    return restarted;
+        return server && server->startedAtMs > part.startedAtMs;
+    });
 }
 
 const ReservedPart &GenerationAttempt::partAt(std::string_view address) const
--- a/src/gateway/requests/generation_attempt.h
+++ b/src/gateway/requests/generation_attempt.h
@@ -76,8 +76,8 @@
     std::vector<const ReservedPart *> allParts() const;
     /// The parts on whose servers no stream of this host has made progress lately.
     std::vector<const ReservedPart *> stalledParts() const;
-    /// The parts whose engine has restarted. If there is one, nothing more can arrive.
-    std::vector<const ReservedPart *> restartedParts() const;
+    /// Whether the engine of a part has restarted. Nothing more can arrive then.
+    bool anyPartRestarted() const;
     /// The part at an address, or the first one.
     const ReservedPart &partAt(std::string_view address) const;
 
--- a/src/gateway/requests/generation_session.cpp
+++ b/src/gateway/requests/generation_session.cpp
@@ -306,12 +306,8 @@
     if (attempt.silence() < timeout || m_request.exchange->pendingBytes() > 0)
         return scheduleStallCheck(
             attempt, std::max(attempt.lastProgressAt() + timeout, now + MinStallTimeout));
-    const std::vector<const ReservedPart *> restarted = attempt.restartedParts();
-    if (!restarted.empty()) {
-        if (!mutated("gateway-forget-quick-restarts"))
-            inquireCrash(attempt, restarted, AnswerLoss::Silent);
+    if (attempt.anyPartRestarted())
         return failAttempt(attempt, "an engine of the path has restarted", true);
-    }
     scheduleStallCheck(attempt, now + MinStallTimeout);
     const std::vector<const ReservedPart *> stalled = attempt.stalledParts();
     if (stalled.empty() && attempt.silence() < MaxStallTimeout)
