Take no trial that was given up for a proof

Cause: an attempt that was the trial of a part in doubt was given up, and asked about on all servers of its path; when one of these crashed for another reason within the next seconds, the report bore the mark of the trial, which proves a part at once. A trial that was given up has shown nothing, so the mark is dropped.

--- a/src/gateway/fleet/crash_inquiry.cpp
+++ b/src/gateway/fleet/crash_inquiry.cpp
@@ -53,6 +53,9 @@
     const bool hasPlace = hasRoom(known ? it : m_cases.cend(), loss);
     if (!known && !hasPlace)
         return;
+    // A trial that was given up has shown nothing.
+    if (loss == AnswerLoss::GivenUp)
+        request.tried.clear();
     Case &opened = m_cases[server];
     if (!known)
         opened = {startedAtMs, false, {}, {}};
