--- a/include/dogwoodvalve/prompt_quarantine.h
+++ b/include/dogwoodvalve/prompt_quarantine.h
@@ -114,13 +114,13 @@
     struct Crash
     {
         TimePoint at {};
-        std::map<std::string, SuspectedPart> parts;
+        std::map<std::string, SuspectedPart> parts = {};
         /// A part in quarantine explains the crash.
         bool explained = false;
         /// When the evidence changed last.
         TimePoint changedAt {};
         /// The era in which the archive held evidence on the crash, if it ever did.
-        std::optional<std::uint64_t> archivedEra;
+        std::optional<std::uint64_t> archivedEra = std::nullopt;
         /// The evidence has changed since it was archived.
         bool archiveOutdated = false;
 
--- a/src/core/duration_math.h
+++ b/src/core/duration_math.h
@@ -2,6 +2,8 @@
 
 #include <dogwoodvalve/timer_service.h>
 
+#include <algorithm>
+
 namespace dogwoodvalve {
 
 inline double inSeconds(Duration duration)
@@ -29,4 +31,10 @@
     return Duration(static_cast<Duration::rep>(static_cast<double>(duration.count()) * factor));
 }
 
+/// Exponential backoff: the first pause, doubled for each failure, but so many times at most.
+inline Duration backoff(Duration first, int failures, int maxDoublings)
+{
+    return first * (1 << std::min(failures, maxDoublings));
+}
+
 } // namespace dogwoodvalve
--- a/src/core/prompt_quarantine.cpp
+++ b/src/core/prompt_quarantine.cpp
@@ -106,9 +106,7 @@
     if (parts.empty() || mutated("gateway-forget-crashes"))
         return;
     const std::string key = crashKey(server, startedAtMs);
-    Crash &crash = m_crashes[key];
-    if (crash.parts.empty())
-        crash.at = crashedAt;
+    Crash &crash = m_crashes.try_emplace(key, Crash {crashedAt}).first->second;
     bool changed = false;
     for (std::size_t i = 0; i < parts.size(); ++i) {
         const SuspectedPart suspected {standingOf(parts[i], crash.at), static_cast<int>(i),
@@ -202,15 +200,11 @@
         return;
     bool changed = false;
     for (const auto &[key, report] : reports) {
-        if (report.age >= CrashRetention)
-            continue;
-        if (report.parts.empty())
+        if (report.age >= CrashRetention || report.parts.empty())
             continue;
         // The first time that is known stays, or ages would grow less with each host that passes
         // the report on.
-        Crash &crash = m_crashes[key];
-        if (crash.parts.empty())
-            crash.at = now - report.age;
+        Crash &crash = m_crashes.try_emplace(key, Crash {now - report.age}).first->second;
         for (const auto &[part, reported] : report.parts) {
             const PartStanding standing = std::max(reported.standing, standingOf(part, crash.at));
             SuspectedPart suspected = reported;
--- a/src/core/server_health.cpp
+++ b/src/core/server_health.cpp
@@ -1,3 +1,4 @@
+#include "core/duration_math.h"
 #include "core/mutation.h"
 #include "core/start_records.h"
 
@@ -106,7 +107,7 @@
     if (record.failures < EjectionThreshold || now < record.ejectedUntil)
         return;
     const Duration pause =
-        FirstEjectionTime * (1 << std::min(record.consecutiveEjections, MaxEjectionDoublings));
+        backoff(FirstEjectionTime, record.consecutiveEjections, MaxEjectionDoublings);
     record.ejectedUntil = now + std::min<Duration>(pause, MaxEjectionTime);
     ++record.consecutiveEjections;
     record.failures = 0;
--- a/src/core/world.cpp
+++ b/src/core/world.cpp
@@ -1,3 +1,5 @@
+#include "core/duration_math.h"
+
 #include <dogwoodvalve/world.h>
 
 #include <algorithm>
@@ -128,8 +130,8 @@
 void BackendServer::recordFailure(TimePoint now)
 {
     const int failures = m_failures.fetch_add(1, std::memory_order_relaxed);
-    const Duration ejection = std::min(
-        BaseEjectionTime * (1 << std::min(failures, MaxEjectionDoublings)), MaxEjectionTime);
+    const Duration ejection =
+        std::min(backoff(BaseEjectionTime, failures, MaxEjectionDoublings), MaxEjectionTime);
     m_ejectedUntil.store(micros(now + ejection), std::memory_order_relaxed);
     m_probeUntil.store(0, std::memory_order_relaxed);
 }
--- a/src/gateway/fleet/crash_archiver.cpp
+++ b/src/gateway/fleet/crash_archiver.cpp
@@ -1,5 +1,6 @@
 #include "gateway/fleet/crash_archiver.h"
 
+#include "core/duration_math.h"
 #include "core/mutation.h"
 #include "daemon/log.h"
 #include "gateway/gateway_node.h"
@@ -67,7 +68,7 @@
 
 Duration CrashArchiver::nextRetryPause()
 {
-    return MinRetryPause * (1 << std::min(m_failures++, MaxRetryDoublings));
+    return backoff(MinRetryPause, m_failures++, MaxRetryDoublings);
 }
 
 void CrashArchiver::read(bool cleanUp)
--- a/src/gateway/fleet/engine_prober.cpp
+++ b/src/gateway/fleet/engine_prober.cpp
@@ -32,9 +32,7 @@
 
 bool EngineProber::isEngine(const ServerRegistration &server) const
 {
-    const auto &configuration = m_node.view().configuration();
-    const ServiceRule *service =
-        configuration ? configuration->findService(server.service) : nullptr;
+    const ServiceRule *service = m_node.view().serviceOf(server);
     return service && service->isLayered();
 }
 
@@ -112,9 +110,7 @@
 
 void EngineProber::checkPlainServer(const ServerRegistration &server)
 {
-    const auto &configuration = m_node.view().configuration();
-    const ServiceRule *service =
-        configuration ? configuration->findService(server.service) : nullptr;
+    const ServiceRule *service = m_node.view().serviceOf(server);
     const auto endpoint = parseEndpoint(server.address);
     if (!service || !endpoint)
         return;
--- a/src/gateway/fleet/fleet_view.h
+++ b/src/gateway/fleet/fleet_view.h
@@ -134,6 +134,12 @@
     /// Overrides the registered layers of a server with those that the server itself reported.
     void setReportedLayers(const ServerRegistration &server, LayerSpan layers);
 
+    /// The service that a server belongs to, or nullptr if it is not configured.
+    const ServiceRule *serviceOf(const ServerRegistration &server) const
+    {
+        return m_configuration ? m_configuration->findService(server.service) : nullptr;
+    }
+
     /// Usable servers for paths of a service, with the load of all hosts on each.
     std::vector<PathServer> pathServers(const ServiceRule &service);
 
--- a/src/gateway/platform_interfaces.h
+++ b/src/gateway/platform_interfaces.h
@@ -285,13 +285,6 @@
     bool notRun = false;
     /// Callers take an answer with this status for a promise that the request has not run.
     bool promisesNotRun = false;
-
-    /// Whether it is the server's own answer to the request, which can be passed on: signed,
-    /// without a content coding, and promising nothing that the server does not say.
-    bool isDeliverable() const
-    {
-        return stamped && idMatches && !encoded && (notRun || !promisesNotRun);
-    }
     /// False if the answer carries the id of another request.
     bool idMatches = true;
     /// Address of the server on the path that could not take its part; empty if none is named.
@@ -300,6 +293,16 @@
     bool encoded = false;
     /// Nothing in an answer of another server than the one asked.
     ServerNotice notice;
+
+    /// Whether the server itself has answered this request: it has signed the answer, or refused
+    /// the request.
+    bool isOwn() const { return idMatches && (stamped || notRun); }
+    /// Whether the answer can be passed on: signed by the server for this request, without a
+    /// content coding, and promising nothing that the server does not say.
+    bool isDeliverable() const
+    {
+        return stamped && idMatches && !encoded && (notRun || !promisesNotRun);
+    }
 };
 
 /// Encodes and decodes the platform's header fields between callers, entry hosts and servers.
--- a/src/gateway/requests/generation_session.cpp
+++ b/src/gateway/requests/generation_session.cpp
@@ -123,9 +123,8 @@
 void GenerationSession::closeAttempt(GenerationAttempt &attempt)
 {
     if (attempt.anyByteSent() && !attempt.countedAsServed
-        && !mutated("gateway-ask-only-about-lost-streams")) {
+        && !mutated("gateway-ask-only-about-lost-streams"))
         inquireCrash(attempt, attempt.allParts(), AnswerLoss::GivenUp);
-    }
     attempt.close();
     m_demand.recordEnded();
     m_node.queue(m_request.service->name).predictor().recordCompleted(m_size.total(), m_node.now());
@@ -150,9 +149,7 @@
                                      std::span<const ReservedPart *const> servers, AnswerLoss loss)
 {
     // An engine that has failed or refused the request itself was alive after it.
-    const ServerAnswer &answer = attempt.answer();
-    const bool answered =
-        !attempt.isStream() && answer.idMatches && (answer.stamped || answer.notRun);
+    const bool answered = !attempt.isStream() && attempt.answer().isOwn();
     const bool wentOn = attempt.anyEvent() && !attempt.isBeginning();
     if (answered || wentOn)
         return;
--- a/src/gateway/requests/plain_session.cpp
+++ b/src/gateway/requests/plain_session.cpp
@@ -117,7 +117,7 @@
 void PlainSession::onEnd()
 {
     const auto keep = shared_from_this();
-    m_answered = m_answer.idMatches && (m_answer.stamped || m_answer.notRun);
+    m_answered = m_answer.isOwn();
     if (m_answered && !m_answer.notRun)
         m_node.view().recordServed(m_crashSuspects, m_sentAt);
     if (m_answer.notRun && m_answer.idMatches)
--- a/src/gateway/servers/forwarded_request.cpp
+++ b/src/gateway/servers/forwarded_request.cpp
@@ -83,9 +83,7 @@
 bool ForwardedRequest::isHealthCheck() const
 {
     const ServerRegistration *server = m_node.view().registry().find(m_target.server);
-    const auto &configuration = m_node.view().configuration();
-    const ServiceRule *service =
-        server && configuration ? configuration->findService(server->service) : nullptr;
+    const ServiceRule *service = server ? m_node.view().serviceOf(*server) : nullptr;
     return service && m_exchange->method() == "GET" && m_target.target == service->healthPath;
 }
 
--- a/src/gateway/servers/server_connections.cpp
+++ b/src/gateway/servers/server_connections.cpp
@@ -163,38 +163,39 @@
     // A host that knows that it is cut off looks for the end of the cut, another one for any way.
     if (cutOff())
         return tryToConnect(*server, [] {});
-    const auto &configuration = m_node.view().configuration();
-    const ServiceRule *service =
-        configuration ? configuration->findService(server->service) : nullptr;
-    const auto endpoint = parseEndpoint(server->address);
-    if (!service || !endpoint)
-        return;
-    m_node.view().recordRequest(server->id, server->startedAtMs);
-    checkListening(m_node.timers(), createClient(*server, "link_check"), endpoint.value(),
-                   service->healthPath, LinkCheckTimeout, [](std::optional<bool>) {});
+    checkServer(*server, createClient(*server, "link_check"), [](std::optional<bool>) {});
 }
 
-void ServerConnections::tryToConnect(const ServerRegistration &server, std::function<void()> done)
+bool ServerConnections::checkServer(const ServerRegistration &server,
+                                    std::shared_ptr<HttpClientRequest> client,
+                                    std::function<void(std::optional<bool>)> done)
 {
-    const auto &configuration = m_node.view().configuration();
-    const ServiceRule *service =
-        configuration ? configuration->findService(server.service) : nullptr;
+    const ServiceRule *service = m_node.view().serviceOf(server);
     const auto endpoint = parseEndpoint(server.address);
     if (!service || !endpoint)
-        return done();
+        return false;
     m_node.view().recordRequest(server.id, server.startedAtMs);
-    checkListening(m_node.timers(), m_node.loop().createHttpClient(), endpoint.value(),
-                   service->healthPath, LinkCheckTimeout,
-                   [this, id = server.id, done = std::move(done),
-                    alive = std::weak_ptr(m_alive)](std::optional<bool> listening) {
-                       if (alive.expired())
-                           return;
-                       if (listening.value_or(false))
-                           recordConnected(id);
-                       else
-                           recordFailed(id);
-                       done();
-                   });
+    checkListening(m_node.timers(), std::move(client), endpoint.value(), service->healthPath,
+                   LinkCheckTimeout, std::move(done));
+    return true;
+}
+
+void ServerConnections::tryToConnect(const ServerRegistration &server,
+                                     const std::function<void()> &done)
+{
+    const bool begun = checkServer(server, m_node.loop().createHttpClient(),
+                                   [this, id = server.id, done,
+                                    alive = std::weak_ptr(m_alive)](std::optional<bool> listening) {
+                                       if (alive.expired())
+                                           return;
+                                       if (listening.value_or(false))
+                                           recordConnected(id);
+                                       else
+                                           recordFailed(id);
+                                       done();
+                                   });
+    if (!begun)
+        done();
 }
 
 void ServerConnections::proveLinks(std::string_view except, std::function<void()> done)
--- a/src/gateway/servers/server_connections.h
+++ b/src/gateway/servers/server_connections.h
@@ -73,8 +73,12 @@
     void scheduleCheck();
     /// A random server that accepts calls, and is not the given one, or nullptr.
     const ServerRegistration *anyServer(std::string_view except = {}) const;
+    /// Uses a client to find out whether a server accepts connections, and calls back. Returns
+    /// false if its service or its address is unknown; then there is no call.
+    bool checkServer(const ServerRegistration &server, std::shared_ptr<HttpClientRequest> client,
+                     std::function<void(std::optional<bool>)> done);
     /// Connects to a server directly, uses the result, and calls back.
-    void tryToConnect(const ServerRegistration &server, std::function<void()> done);
+    void tryToConnect(const ServerRegistration &server, const std::function<void()> &done);
 
     GatewayNode &m_node;
     ServerLinks m_links;
--- a/src/net/http_connection.cpp
+++ b/src/net/http_connection.cpp
@@ -153,16 +153,8 @@
     setDeadline(m_limits.stallTimeout);
     if (head.version() != 11 && head.version() != 10)
         return refuse(505, {ErrorKind::Malformed, "unknown HTTP version", "use HTTP/1.1"});
-    if (const auto it = head.find(http::field::content_length);
-        it != head.end() && head.count(http::field::transfer_encoding) > 0)
-        return refuse(400,
-                      {ErrorKind::Malformed,
-                       "the request has both Content-Length and Transfer-Encoding",
-                       "send either Content-Length or Transfer-Encoding"});
-    if (!hasKnownTransferCoding(head))
-        return refuse(400,
-                      {ErrorKind::Malformed, "the request has an unknown transfer coding",
-                       "send the body with a Content-Length or in chunks"});
+    if (const auto error = framingError(head))
+        return refuse(400, *error);
     if (boost::beast::iequals(head[http::field::expect], "100-continue") && !m_requestBodyRead) {
         m_queuedOutput += "HTTP/1.1 100 Continue\r\n\r\n";
         flush();
--- a/src/net/transfer_coding.cpp
+++ b/src/net/transfer_coding.cpp
@@ -24,4 +24,17 @@
     return codings > 0 || begin == end;
 }
 
+std::optional<Error> framingError(const http::fields &request)
+{
+    if (request.count(http::field::content_length) > 0
+        && request.count(http::field::transfer_encoding) > 0)
+        return Error {ErrorKind::Malformed,
+                      "the request has both Content-Length and Transfer-Encoding",
+                      "send either Content-Length or Transfer-Encoding"};
+    if (!hasKnownTransferCoding(request))
+        return Error {ErrorKind::Malformed, "the request has an unknown transfer coding",
+                      "send the body with a Content-Length or in chunks"};
+    return std::nullopt;
+}
+
 } // namespace dogwoodvalve
--- a/tests/simulation/crashing_request_test.cpp
+++ b/tests/simulation/crashing_request_test.cpp
@@ -73,6 +73,15 @@
             std::count_if(times.begin(), times.end(), [from](TimePoint it) { return it > from; }));
     }
 
+    /// Hardly a run of the crashing request may come long after the crash that is its limit.
+    static void expectFewLateRuns(const std::vector<TimePoint> &crashes,
+                                  const std::vector<TimePoint> &runs)
+    {
+        if (crashes.size() >= CrashLimit)
+            CPPUNIT_ASSERT_LESSEQUAL(RepeatsBeyondBound,
+                                     countAfter(runs, crashes[CrashLimit - 1] + CrashBound));
+    }
+
     static int countServed(const std::vector<std::shared_ptr<Call>> &calls)
     {
         return static_cast<int>(std::count_if(calls.begin(), calls.end(), [](const auto &it) {
@@ -88,10 +97,7 @@
         });
         const auto crashes = fleet.collect(&CrashingServer::crashes);
         CPPUNIT_ASSERT(!crashes.empty());
-        if (crashes.size() >= CrashLimit)
-            CPPUNIT_ASSERT_LESSEQUAL(RepeatsBeyondBound,
-                                     countAfter(fleet.collect(&CrashingServer::crashingRuns),
-                                                crashes[CrashLimit - 1] + CrashBound));
+        expectFewLateRuns(crashes, fleet.collect(&CrashingServer::crashingRuns));
     }
 
     void soundRequestsBesideItAreServed()
@@ -122,11 +128,7 @@
         }
         play(world, 20s, send);
         CPPUNIT_ASSERT(!world.crashesByPrompt.empty());
-        if (world.crashesByPrompt.size() >= CrashLimit)
-            CPPUNIT_ASSERT_LESSEQUAL(
-                RepeatsBeyondBound,
-                countAfter(world.crashesByPrompt,
-                           world.crashesByPrompt[CrashLimit - 1] + CrashBound));
+        expectFewLateRuns(world.crashesByPrompt, world.crashesByPrompt);
     }
 
     static std::shared_ptr<Call> sendCrashing(Fleet &fleet, int host)
@@ -218,10 +220,7 @@
         }
         const auto crashes = fleet.collect(&CrashingServer::crashes);
         CPPUNIT_ASSERT(crashes.size() >= 2);
-        if (crashes.size() >= CrashLimit)
-            CPPUNIT_ASSERT_LESSEQUAL(RepeatsBeyondBound,
-                                     countAfter(fleet.collect(&CrashingServer::crashingRuns),
-                                                crashes[CrashLimit - 1] + CrashBound));
+        expectFewLateRuns(crashes, fleet.collect(&CrashingServer::crashingRuns));
         CPPUNIT_ASSERT_EQUAL(std::size_t {Hosts}, fleet.stopped());
     }
 
@@ -246,11 +245,8 @@
             world.after(300ms, [call] { call->client->close(); });
             world.run(PatientPause);
         }
-        const auto &crashes = world.crashesByPrompt;
-        CPPUNIT_ASSERT(crashes.size() >= 2);
-        if (crashes.size() >= CrashLimit)
-            CPPUNIT_ASSERT_LESSEQUAL(RepeatsBeyondBound,
-                                     countAfter(crashes, crashes[CrashLimit - 1] + CrashBound));
+        CPPUNIT_ASSERT(world.crashesByPrompt.size() >= 2);
+        expectFewLateRuns(world.crashesByPrompt, world.crashesByPrompt);
     }
 
     /// Guards against: a host that was asked whether a server refuses its connections as well had
